Frame: timer service, randomness, result codes, disk, links, settings, slice messages

Cause: every lane needs the same interfaces before work can go on side by side. Ruled out: CommonJS sources (the bundle makes CommonJS for the executable anyway). Conclusion: slices can be built against src/*/messages.ts and the abstract classes.

--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,5 @@
+export default {
+  files: ['build/**/*.test.js'],
+  concurrency: 4,
+  timeout: '120s',
+};
--- /dev/null
+++ b/scripts/install.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs the packages of the lock file unless they are there already.
+set -eu
+cd "$(dirname "$0")/.."
+if [ ! -d node_modules ] || [ package-lock.json -nt node_modules/.package-lock.json ]; then
+  npm ci --no-audit --no-fund >&2
+fi
--- /dev/null
+++ b/src/link/address.ts
@@ -0,0 +1,14 @@
+import type {Address} from './link.js';
+
+/** The two parts of an address. */
+export interface Endpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Splits `host:port`; the host is an IPv4 number or a bracketed IPv6 one. */
+export function parseAddress(address: Address): Endpoint {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+  return {host, port: Number(address.slice(colon + 1))};
+}
--- /dev/null
+++ b/src/link/frame.test.ts
@@ -0,0 +1,23 @@
+import test from 'ava';
+import {createFrameReader, encodeFrame} from './frame.js';
+
+test('frames come out whole however the bytes were cut', t => {
+  const bytes = Buffer.concat([
+    encodeFrame(Buffer.from('first')),
+    encodeFrame(Buffer.from('')),
+    encodeFrame(Buffer.from('third')),
+  ]);
+  for (let size = 1; size <= bytes.length; size++) {
+    const frames: string[] = [];
+    const reader = createFrameReader(100, frame => frames.push(`${frame}`));
+    for (let at = 0; at < bytes.length; at += size) {
+      reader.push(bytes.subarray(at, at + size));
+    }
+    t.deepEqual(frames, ['first', '', 'third']);
+  }
+});
+
+test('a frame over the limit is refused before its bytes are held', t => {
+  const reader = createFrameReader(10, () => t.fail());
+  t.throws(() => reader.push(encodeFrame(Buffer.alloc(11))));
+});
--- /dev/null
+++ b/src/result/failure.ts
@@ -0,0 +1,28 @@
+import VError from 'verror';
+import type {Code} from './code.js';
+
+/** An error that carries a numbered result code. */
+export class Failure extends VError {
+  constructor(
+    readonly code: Code,
+    message: string,
+    cause?: Error,
+  ) {
+    super({name: 'Failure', cause, info: {code: code.number}}, '%s', message);
+  }
+}
+
+/** Either a value or the failure that stands in its place. */
+export type Result<T> =
+  | {readonly ok: true; readonly value: T}
+  | {readonly ok: false; readonly code: Code; readonly message: string};
+
+/** A successful result. */
+export function success<T>(value: T): Result<T> {
+  return {ok: true, value};
+}
+
+/** A failed result; `message` says what to do about it. */
+export function failure(code: Code, message: string): Result<never> {
+  return {ok: false, code, message};
+}
--- /dev/null
+++ b/src/result/table.ts
@@ -0,0 +1,11 @@
+import {commonCodes} from './codes.js';
+import type {Code} from './code.js';
+
+/**
+ * Every result code of the program. Ranges: 1000 common, 2000 configuration
+ * and operators, 3000 consensus and storage, 4000 distribution, 5000 requests,
+ * 6000 claims, 7000 endpoints and membership, 8000 administration and reports.
+ */
+export const resultTable: readonly Code[] = [
+  ...Object.values(commonCodes),
+].sort((left, right) => left.number - right.number);
--- /dev/null
+++ b/src/settings/schema.ts
@@ -0,0 +1,136 @@
+import {isIP} from 'node:net';
+import {z} from 'zod';
+import {parseAddress} from '../link/address.js';
+import {defaults} from './defaults.js';
+
+/** The settings files, one per process; unknown keys are errors. */
+
+const name = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'letters a-z, digits, dot or hyphen');
+
+const address = z.string().refine(isAddress, 'an IP number and a port');
+
+const milliseconds = z.number().int().nonnegative();
+
+const common = {
+  /** The process's own name, unique in the deployment. */
+  name,
+  region: name,
+  failureDomain: name,
+  logLevel: z
+    .enum(['error', 'warn', 'info', 'debug'])
+    .default(defaults.logLevel),
+  /** Seed of the process's random choices; absent for a fresh one. */
+  seed: z.number().int().optional(),
+  /** Metrics, health and readiness. */
+  adminAddress: address,
+  /** Secret that changes of state through the admin listener must show. */
+  adminToken: z.string().min(16).optional(),
+  /** Longest graceful shutdown. */
+  stopDeadline: milliseconds.default(defaults.stopDeadline),
+} as const;
+
+const member = z
+  .object({
+    name,
+    /** Where it takes peer messages of the control group. */
+    peerAddress: address,
+    /** Where operators reach it. */
+    operatorAddress: address,
+    /** Where relays and nodes reach it. */
+    distributionAddress: address,
+    failureDomain: name,
+  })
+  .strict();
+
+/** Settings of a control process. */
+export const controlSchema = z
+  .object({
+    role: z.literal('control'),
+    ...common,
+    dataFolder: z.string().min(1),
+    peerAddress: address,
+    operatorAddress: address,
+    distributionAddress: address,
+    /** The first members of the group, this process among them. */
+    members: z.array(member).min(1).max(7),
+    heartbeat: milliseconds.default(defaults.heartbeat),
+    electionTimeout: milliseconds.default(defaults.electionTimeout),
+    snapshotEntries: z
+      .number()
+      .int()
+      .positive()
+      .default(defaults.snapshotEntries),
+    /** How long changes are gathered before they are sent to nodes. */
+    batchWindow: milliseconds.default(defaults.batchWindow),
+    lease: milliseconds.default(defaults.lease),
+  })
+  .strict();
+
+/** Settings of a relay process. */
+export const relaySchema = z
+  .object({
+    role: z.literal('relay'),
+    ...common,
+    distributionAddress: address,
+    /** Distribution addresses of the control processes. */
+    sources: z.array(address).min(1),
+    /** Distribution addresses of the other relays. */
+    relays: z.array(address).default([]),
+    batchWindow: milliseconds.default(defaults.batchWindow),
+    lease: milliseconds.default(defaults.lease),
+  })
+  .strict();
+
+const upstream = z
+  .object({
+    /** The instance's id; absent for the process's name. */
+    instance: name.optional(),
+    service: name,
+    address,
+    slots: z.number().int().positive(),
+    connections: z.number().int().positive(),
+    /** Path that answers 200 when the upstream is ready; a hint only. */
+    healthPath: z.string().startsWith('/').optional(),
+  })
+  .strict();
+
+/** Settings of a node process. */
+export const nodeSchema = z
+  .object({
+    role: z.literal('node'),
+    ...common,
+    /** Where callers reach the entry. */
+    callerAddress: address,
+    /** Where other nodes reach the gate. */
+    gateAddress: address,
+    /** Distribution addresses of relays or control processes, any order. */
+    homes: z.array(address).min(1),
+    /** The upstream beside it; absent for a node that only takes callers. */
+    upstream: upstream.optional(),
+    /** Services that callers reach through it; absent for all. */
+    calls: z.array(name).optional(),
+    renewal: milliseconds.default(defaults.renewal),
+    bodyLimit: z.number().int().positive().default(defaults.bodyLimit),
+    headerLimit: z.number().int().positive().default(defaults.headerLimit),
+    queueLength: z.number().int().nonnegative().default(defaults.queueLength),
+  })
+  .strict();
+
+/** Any settings file. */
+export const settingsSchema = z.discriminatedUnion('role', [
+  controlSchema,
+  relaySchema,
+  nodeSchema,
+]);
+
+export type ControlSettings = z.infer<typeof controlSchema>;
+export type RelaySettings = z.infer<typeof relaySchema>;
+export type NodeSettings = z.infer<typeof nodeSchema>;
+export type Settings = z.infer<typeof settingsSchema>;
+
+function isAddress(text: string): boolean {
+  const {host, port} = parseAddress(text);
+  return isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port < 65536;
+}
--- /dev/null
+++ b/src/time/fakes/fake-timers.ts
@@ -0,0 +1,93 @@
+import {Timers} from '../timers.js';
+import type {Subscription} from '../timers.js';
+
+interface Entry {
+  due: number;
+  order: number;
+  period: number | undefined;
+  task: () => void;
+}
+
+/** A timer service whose time is moved by the test. */
+export abstract class FakeTimers extends Timers {
+  /** Moves time on by `duration` milliseconds, running what falls due in order. */
+  abstract advance(duration: number): void;
+
+  /** Like `advance`, letting promises settle after each task. */
+  abstract advanceAsync(duration: number): Promise<void>;
+}
+
+/** Lets every promise that can settle without time passing do so. */
+export async function settle(turns = 10): Promise<void> {
+  for (let turn = 0; turn < turns; turn++) {
+    await new Promise<void>(resolve => setImmediate(resolve));
+  }
+}
+
+/** Creates a timer service that starts at `start` milliseconds. */
+export function createFakeTimers(start = 0): FakeTimers {
+  const entries = new Set<Entry>();
+  let now = start;
+  let order = 0;
+
+  function add(delay: number, period: number | undefined, task: () => void) {
+    const entry = {due: now + delay, order: order++, period, task};
+    entries.add(entry);
+    return {cancel: () => void entries.delete(entry)};
+  }
+
+  function next(limit: number): Entry | undefined {
+    let first: Entry | undefined;
+    for (const entry of entries) {
+      if (entry.due > limit) continue;
+      if (first === undefined || isBefore(entry, first)) first = entry;
+    }
+    return first;
+  }
+
+  function run(entry: Entry): void {
+    now = Math.max(now, entry.due);
+    if (entry.period === undefined) entries.delete(entry);
+    else entry.due += entry.period;
+    entry.task();
+  }
+
+  return new (class extends FakeTimers {
+    now(): number {
+      return now;
+    }
+
+    wall(): number {
+      return now;
+    }
+
+    after(delay: number, task: () => void): Subscription {
+      return add(delay, undefined, task);
+    }
+
+    every(period: number, task: () => void): Subscription {
+      return add(period, period, task);
+    }
+
+    advance(duration: number): void {
+      const limit = now + duration;
+      for (let entry = next(limit); entry; entry = next(limit)) run(entry);
+      now = limit;
+    }
+
+    async advanceAsync(duration: number): Promise<void> {
+      const limit = now + duration;
+      await settle();
+      for (let entry = next(limit); entry; entry = next(limit)) {
+        run(entry);
+        await settle();
+      }
+      now = limit;
+    }
+  })();
+}
+
+function isBefore(left: Entry, right: Entry): boolean {
+  if (left.due !== right.due) return left.due < right.due;
+  return left.order < right.order;
+}
