--- a/scripts/count.mjs
+++ b/scripts/count.mjs
@@ -1,4 +1,6 @@
 // Counts a TAP run and a lint run; prints failures, then the closing line.
+import console from 'node:console';
+import process from 'node:process';
 import {readFileSync} from 'node:fs';
 
 const [file, lint, status] = process.argv.slice(2);
