--- /dev/null
+++ b/src/claims/codes.ts
@@ -0,0 +1,61 @@
+import {defineCode} from '../result/code.js';
+
+/** Results of idempotency claims: 6000 to 6999. */
+export const claimCodes = {
+  keyReused: defineCode(
+    6001,
+    'key-reused',
+    'not-run',
+    422,
+    'The idempotency key was used before with another request. Take a fresh key for each piece of work.',
+  ),
+  inFlight: defineCode(
+    6002,
+    'run-in-flight',
+    'unknown',
+    409,
+    'An earlier request with this key was still running at the deadline. Send it again with the same key.',
+  ),
+  outcomeUnknown: defineCode(
+    6003,
+    'run-outcome-unknown',
+    'unknown',
+    409,
+    'An earlier request with this key began and its outcome is not known. Look the work up before taking a fresh key.',
+  ),
+  answerNotKept: defineCode(
+    6004,
+    'answer-not-kept',
+    'unknown',
+    409,
+    'An earlier request with this key ran to its end, but its answer was too large to keep. Look the work up.',
+  ),
+  keepersUnavailable: defineCode(
+    6005,
+    'keepers-unavailable',
+    'not-run',
+    503,
+    'Too few keepers of the service answered in time. Send it again with the same key.',
+  ),
+  keepersLost: defineCode(
+    6006,
+    'keepers-lost',
+    'not-run',
+    503,
+    'Most keepers of the service lost their claims. Keyed work waits until the retention time has passed or an operator accepts the loss.',
+  ),
+  contested: defineCode(
+    6007,
+    'claim-contested',
+    'not-run',
+    409,
+    'Requests with the same key met and none won. Send it again with the same key.',
+  ),
+  keepersFull: defineCode(
+    6008,
+    'keepers-full',
+    'not-run',
+    503,
+    'The keepers hold as many claims as they may. Send it again later with the same key.',
+  ),
+} as const;
