--- /dev/null
+++ b/bench/upstreams/main.ts
@@ -0,0 +1,90 @@
+/**
+ * A stand-in upstream as a process of its own; see `UpstreamOptions`. A TERM
+ * signal announces draining, lets its work finish, takes the announcement
+ * back and exits.
+ */
+import {parseArgs} from 'node:util';
+import {parseAddress} from '../../src/link/address.js';
+import {createRandom} from '../../src/random/random.js';
+import {createTimers} from '../../src/time/timers.js';
+import {createAnnouncing} from './announcement.js';
+import {serviceShapes} from './service.js';
+import type {ServiceName} from './service.js';
+import type {Overload} from './slots.js';
+import {createUpstream} from './upstream.js';
+
+const {values} = parseArgs({
+  options: {
+    service: {type: 'string'},
+    address: {type: 'string'},
+    announce: {type: 'string'},
+    instance: {type: 'string'},
+    slots: {type: 'string'},
+    connections: {type: 'string'},
+    work: {type: 'string'},
+    'cold-start': {type: 'string', default: '0'},
+    seed: {type: 'string', default: '1'},
+    lag: {type: 'string', default: '0'},
+    overload: {type: 'string', default: 'queue'},
+    /** Milliseconds between the announced drain and the stop. */
+    grace: {type: 'string', default: '1500'},
+  },
+});
+
+const service = values.service as ServiceName;
+const shape = serviceShapes[service];
+if (shape === undefined || values.address === undefined) {
+  process.stderr.write(
+    `--service ${Object.keys(serviceShapes).join('|')} --address IP:PORT\n`,
+  );
+  process.exit(2);
+}
+
+const timers = createTimers();
+const address = values.address;
+const {host, port} = parseAddress(address);
+const upstream = createUpstream({
+  service,
+  instance: values.instance ?? `${service}-${port}`,
+  slots: Number(values.slots ?? shape.slots),
+  connections: Number(values.connections ?? shape.connections),
+  work: Number(values.work ?? shape.work),
+  coldStart: Number(values['cold-start']),
+  lag: Number(values.lag),
+  overload: values.overload as Overload,
+  timers,
+  random: createRandom(Number(values.seed)),
+});
+upstream.server.listen(port, host, () => process.stdout.write('listening\n'));
+
+const announcing =
+  values.announce === undefined
+    ? undefined
+    : createAnnouncing(
+        values.announce,
+        () => ({
+          instance: values.instance ?? `${service}-${port}`,
+          service,
+          address,
+          slots: Number(values.slots ?? shape.slots),
+          connections: Number(values.connections ?? shape.connections),
+          healthPath: '/health',
+          state: upstream.state(),
+        }),
+        timers,
+      );
+
+async function stop(): Promise<void> {
+  upstream.drain();
+  await announcing?.renew();
+  const grace = announcing === undefined ? 0 : Number(values.grace);
+  await new Promise<void>(done => timers.after(grace, done));
+  await upstream.idle();
+  await announcing?.withdraw();
+  upstream.server.close(() => process.exit(0));
+  upstream.server.closeIdleConnections();
+  timers.after(Number(values.grace) + 1000, () => process.exit(0));
+}
+
+process.once('SIGTERM', () => void stop());
+process.once('SIGINT', () => void stop());
--- /dev/null
+++ b/bench/upstreams/slots.ts
@@ -0,0 +1,78 @@
+import type {Timers} from '../../src/time/timers.js';
+
+/** What happens to work that comes when all slots are taken. */
+export type Overload = 'queue' | 'shed';
+
+/** The slots of one instance; work waits its turn or is shed. */
+export interface Slots {
+  /** Resolves with true once a slot is held, with false when shed. */
+  take(): Promise<boolean>;
+  /** Gives a held slot back. */
+  give(): void;
+  readonly running: number;
+  readonly waiting: number;
+  /** The most that ever ran at once. */
+  readonly greatest: number;
+}
+
+/** Creates the slots of one instance. */
+export function createSlots(limit: number, overload: () => Overload): Slots {
+  const queue: Array<() => void> = [];
+  let running = 0;
+  let greatest = 0;
+
+  function start(): void {
+    running++;
+    greatest = Math.max(greatest, running);
+  }
+
+  return {
+    async take() {
+      if (running < limit) {
+        start();
+        return true;
+      }
+      if (overload() === 'shed') return false;
+      await new Promise<void>(resolve => queue.push(resolve));
+      return true;
+    },
+    give() {
+      running--;
+      const next = queue.shift();
+      if (next === undefined) return;
+      start();
+      next();
+    },
+    get running() {
+      return running;
+    },
+    get waiting() {
+      return queue.length;
+    },
+    get greatest() {
+      return greatest;
+    },
+  };
+}
+
+/** A value whose readers see it `lag` milliseconds late. */
+export interface Lagging<T> {
+  set(value: T): void;
+  get(): T;
+}
+
+/** Creates a value that is seen late, as health and load endpoints are. */
+export function createLagging<T>(
+  first: T,
+  lag: () => number,
+  timers: Timers,
+): Lagging<T> {
+  let seen = first;
+  return {
+    set(value) {
+      if (lag() === 0) seen = value;
+      else timers.after(lag(), () => (seen = value));
+    },
+    get: () => seen,
+  };
+}
--- /dev/null
+++ b/bench/upstreams/upstream.ts
@@ -0,0 +1,329 @@
+import {createHash} from 'node:crypto';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import polka from 'polka';
+import type {Request} from 'polka';
+import type {Random} from '../../src/random/random.js';
+import type {Timers} from '../../src/time/timers.js';
+import {createFaults, faultKinds, sendBent} from './faults.js';
+import type {FaultKind} from './faults.js';
+import {createLedger} from './ledger.js';
+import type {Counts} from './ledger.js';
+import {digestHeader, serviceShapes, tagHeader} from './service.js';
+import type {Duty, ServiceName} from './service.js';
+import {createLagging, createSlots} from './slots.js';
+import type {Overload} from './slots.js';
+
+/** How one stand-in instance behaves. */
+export interface UpstreamOptions {
+  readonly service: ServiceName;
+  readonly instance: string;
+  readonly slots: number;
+  readonly connections: number;
+  /** Milliseconds that a piece of work takes, on average. */
+  readonly work: number;
+  /** Milliseconds over which a fresh instance is slow. */
+  readonly coldStart: number;
+  /** Milliseconds by which health and load answers are late. */
+  readonly lag: number;
+  readonly overload: Overload;
+  readonly timers: Timers;
+  readonly random: Random;
+}
+
+/** A stand-in upstream. */
+export interface Upstream {
+  readonly server: Server;
+  state(): 'warming' | 'serving' | 'draining';
+  drain(): void;
+  counts(): Counts;
+  /** Resolves when no work runs or waits. */
+  idle(): Promise<void>;
+}
+
+interface Body {
+  readonly whole: boolean;
+  readonly digest: string;
+  readonly bytes: Buffer;
+}
+
+const coldFactor = 9;
+const keptFileLimit = 8 * 1024 * 1024;
+const keptFiles = 64;
+const idlePoll = 20;
+
+/** Creates a stand-in upstream; its server is not yet listening. */
+export function createUpstream(options: UpstreamOptions): Upstream {
+  const {timers, random} = options;
+  const ledger = createLedger();
+  const faults = createFaults();
+  const files = new Map<string, Buffer>();
+  const started = timers.now();
+  let overload = options.overload;
+  let work = options.work;
+  let lag = options.lag;
+  let drainedAt: number | undefined;
+  let lie: {health?: number; load?: number} = {};
+  const slots = createSlots(options.slots, () => overload);
+  const health = createLagging(200, () => lag, timers);
+  const load = createLagging(0, () => lag, timers);
+
+  const coldLeft = () =>
+    Math.max(0, 1 - (timers.now() - started) / (options.coldStart || 1));
+
+  function state(): 'warming' | 'serving' | 'draining' {
+    if (drainedAt !== undefined) return 'draining';
+    return options.coldStart > 0 && coldLeft() > 0 ? 'warming' : 'serving';
+  }
+
+  function setDrain(on: boolean): void {
+    drainedAt = on ? (drainedAt ?? timers.now()) : undefined;
+    health.set(on ? 503 : 200);
+  }
+
+  function noteLate(): void {
+    if (drainedAt === undefined) return;
+    ledger.lateWork++;
+    ledger.latestWork = timers.now() - drainedAt;
+  }
+
+  function duration(): number {
+    const cold = options.coldStart > 0 ? 1 + coldFactor * coldLeft() : 1;
+    return work * cold * (0.5 + random.fraction());
+  }
+
+  /** Works for its time; false when the caller left or the deadline passed. */
+  function labour(response: ServerResponse, timeout: number): Promise<boolean> {
+    const needed = duration();
+    return new Promise(resolve => {
+      const end = timers.after(Math.min(needed, timeout), () => {
+        response.off('close', leave);
+        if (timeout < needed) ledger.expired++;
+        resolve(timeout >= needed);
+      });
+      const leave = () => {
+        end.cancel();
+        ledger.cancelled++;
+        resolve(false);
+      };
+      if (response.destroyed) leave();
+      else response.once('close', leave);
+    });
+  }
+
+  function noteRun(request: Request): void {
+    const name = header(request, 'idempotency-key') ?? tagOf(request);
+    ledger.runs[name] = (ledger.runs[name] ?? 0) + 1;
+  }
+
+  function keep(path: string, body: Body): void {
+    ledger.uploads[path] = body.digest;
+    if (body.bytes.length > keptFileLimit) return;
+    files.set(path, body.bytes);
+    if (files.size > keptFiles) files.delete(files.keys().next().value!);
+  }
+
+  function answerBody(request: Request, duty: Duty, body: Body): Buffer {
+    const path = request.path;
+    if (duty === 'download') return files.get(path) ?? Buffer.alloc(0);
+    const fields = {
+      instance: options.instance,
+      path,
+      tag: tagOf(request),
+      received: body.digest,
+      runs: ledger.runs[header(request, 'idempotency-key') ?? ''],
+      note: 'x'.repeat(300),
+    };
+    return Buffer.from(JSON.stringify(fields));
+  }
+
+  async function perform(
+    request: Request,
+    response: ServerResponse,
+    duty: Duty,
+    body: Body,
+  ): Promise<void> {
+    const fault = faults.take();
+    if (fault === 'reset-unrun') return void request.socket.destroy();
+    ledger.begun++;
+    noteLate();
+    if (duty === 'once') noteRun(request);
+    const timeout = Number(header(request, 'foxbarrow-timeout') ?? Infinity);
+    if (!(await labour(response, timeout))) {
+      if (!response.destroyed) sendPlain(response, 504, 'the deadline passed');
+      return;
+    }
+    if (duty === 'upload') keep(request.path, body);
+    ledger.finished++;
+    sendAnswer(request, response, answerBody(request, duty, body), fault);
+  }
+
+  async function serve(
+    request: Request,
+    response: ServerResponse,
+    duty: Duty,
+  ): Promise<void> {
+    if (!(await slots.take())) {
+      ledger.shed++;
+      request.resume();
+      sendPlain(response, 503, 'all slots are taken');
+      return;
+    }
+    load.set(slots.running);
+    try {
+      const body = await readBody(request);
+      if (body.whole) await perform(request, response, duty, body);
+      else ledger.cutUploads++;
+    } finally {
+      slots.give();
+      load.set(slots.running);
+    }
+  }
+
+  /** Takes one command; each of its query parameters sets one thing. */
+  function command(request: Request, response: ServerResponse): void {
+    const query = new URLSearchParams(request.search ?? '');
+    const number = (name: string) => Number(query.get(name) ?? NaN);
+    switch (request.params.name) {
+      case 'drain':
+        setDrain(true);
+        break;
+      case 'undrain':
+        setDrain(false);
+        break;
+      case 'fault': {
+        const kind = query.get('kind') as FaultKind;
+        if (!faultKinds.includes(kind)) {
+          return sendPlain(response, 400, `kind: ${faultKinds.join(', ')}`);
+        }
+        faults.set(kind, number('count') || 1);
+        break;
+      }
+      case 'lie':
+        lie = {
+          ...(query.has('health') && {health: number('health')}),
+          ...(query.has('load') && {load: number('load')}),
+        };
+        break;
+      case 'set':
+        if (query.has('work')) work = number('work');
+        if (query.has('lag')) lag = number('lag');
+        if (query.has('overload')) overload = query.get('overload') as Overload;
+        break;
+      default:
+        return sendPlain(response, 404, 'drain, undrain, fault, lie or set');
+    }
+    sendPlain(response, 200, 'done');
+  }
+
+  function counts(): Counts {
+    return {...ledger, greatestConcurrency: slots.greatest};
+  }
+
+  const app = polka({server: createServer()});
+  for (const route of serviceShapes[options.service].routes) {
+    app.add(
+      route.method,
+      route.pattern,
+      (request: IncomingMessage, response: ServerResponse) =>
+        void serve(request as Request, response, route.duty),
+    );
+  }
+  app.get('/health', (_: IncomingMessage, response: ServerResponse) =>
+    sendPlain(response, lie.health ?? health.get(), 'health'),
+  );
+  app.get('/load', (_: IncomingMessage, response: ServerResponse) =>
+    sendJson(response, {
+      running: lie.load ?? load.get(),
+      slots: options.slots,
+    }),
+  );
+  app.get('/counts', (_: IncomingMessage, response: ServerResponse) =>
+    sendJson(response, counts()),
+  );
+  app.post(
+    '/control/:name',
+    (request: IncomingMessage, response: ServerResponse) =>
+      command(request as Request, response),
+  );
+  const server = app.server!;
+  server.on('request', (request, response) =>
+    app.handler(request as Request, response),
+  );
+  let open = 0;
+  server.on('connection', socket => {
+    open++;
+    ledger.greatestConnections = Math.max(ledger.greatestConnections, open);
+    socket.on('close', () => open--);
+    socket.on('error', () => socket.destroy());
+    if (open > options.connections) socket.destroy();
+  });
+  server.keepAliveTimeout = 60_000;
+  server.requestTimeout = 0;
+
+  return {
+    server,
+    state,
+    drain: () => setDrain(true),
+    counts,
+    async idle() {
+      while (slots.running + slots.waiting > 0) {
+        await new Promise<void>(done => timers.after(idlePoll, done));
+      }
+    },
+  };
+}
+
+function header(request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function tagOf(request: IncomingMessage): string {
+  return header(request, tagHeader) ?? '';
+}
+
+function digestOf(bytes: Buffer): string {
+  return createHash('sha256').update(bytes).digest('hex');
+}
+
+/** Reads a body; one that was cut is not whole. */
+function readBody(request: IncomingMessage): Promise<Body> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    const finish = (whole: boolean) => {
+      const bytes = Buffer.concat(chunks);
+      resolve({whole, digest: digestOf(bytes), bytes});
+    };
+    request.on('data', chunk => chunks.push(chunk));
+    request.once('end', () => finish(true));
+    request.once('close', () => finish(request.complete));
+    request.once('error', () => finish(false));
+  });
+}
+
+function sendAnswer(
+  request: Request,
+  response: ServerResponse,
+  body: Buffer,
+  fault: FaultKind | undefined,
+): void {
+  const headers = {
+    'content-type': 'application/octet-stream',
+    [tagHeader]: tagOf(request),
+    [digestHeader]: digestOf(body),
+  };
+  if (fault !== undefined) return sendBent(response, headers, body, fault);
+  response.writeHead(200, {...headers, 'content-length': body.length});
+  response.end(body);
+}
+
+function sendPlain(response: ServerResponse, status: number, text: string) {
+  response.writeHead(status, {'content-type': 'text/plain'});
+  response.end(`${text}\n`);
+}
+
+function sendJson(response: ServerResponse, value: unknown): void {
+  response.writeHead(200, {'content-type': 'application/json'});
+  response.end(JSON.stringify(value));
+}
