Configuration: a service's keeper assignment, as an optional part of the service

Claims may not be placed by soft state: two gates with different views would ask sets that do not intersect. The set with its epoch travels with the service, so digests, versions and the no-going-back rule cover it. Optional, so that no other slice has to change for it.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -6,11 +6,42 @@
 /** Whether a request may be run again. */
 export type Repeatability = 'idempotent' | 'once';
 
+/** One life of a node that holds claims; a restarted node is another one. */
+export interface Keeper {
+  readonly instance: string;
+  /** The incarnation that its node announced; its memory lasts as long. */
+  readonly incarnation: number;
+  /** Where it takes keeper messages, an IP address and port. */
+  readonly address: string;
+  readonly failureDomain: string;
+}
+
+/** The keepers of a service's claims in one epoch; see docs/design/claims.md. */
+export interface KeeperSet {
+  /** Rises by one with each set of the service. */
+  readonly epoch: number;
+  readonly members: readonly Keeper[];
+}
+
+/** Who holds a service's claims; put by the leader, never by operators. */
+export interface KeeperAssignment extends KeeperSet {
+  /** The set whose claims must be copied first; absent when there is none. */
+  readonly previous?: KeeperSet;
+  /**
+   * Milliseconds that the members wait before they hold claims, counted from
+   * when they learn of the set: after a loss of claims, until no resend of a
+   * lost one is within the retention time. Absent for none.
+   */
+  readonly quarantine?: number;
+}
+
 /** A group of upstream instances that answer the same requests. */
 export interface Service {
   readonly name: string;
   /** Milliseconds over which a new instance's share grows; 0 for none. */
   readonly slowStart: number;
+  /** Who holds its claims; kept as it is when an operator puts the service. */
+  readonly keepers?: KeeperAssignment;
 }
 
 /** A promise about a service's answers, used by the burn report. */
