Endpoints: announcements, leases and the table shared between homes, thin path

Soft state beside the log: a node announces its upstream to its home, homes share records by pushed deltas and bucket digests, nodes get sections and deltas of the services that they call. Order by (incarnation, sequence). Settings get announceAddress for the node's local listener.

--- /dev/null
+++ b/src/endpoints/record-store.ts
@@ -0,0 +1,247 @@
+import murmurhash from 'murmurhash';
+import type {Timers} from '../time/timers.js';
+import {digestKnown, digestText, emptyDigest, toggle} from './digest.js';
+import type {Digest} from './digest.js';
+import type {
+  Announcement,
+  EndpointRecord,
+  KnownInstance,
+  RecordSummary,
+} from './messages.js';
+import {isNewer} from './order.js';
+
+/** One instance in a home's table. */
+export interface Entry {
+  readonly announcement: Announcement;
+  readonly home: string;
+  readonly homeRegion: string;
+  readonly expired: boolean;
+  /** When it became gone, on this home's clock; undefined while it lives. */
+  readonly goneAt: number | undefined;
+  /** This home's own doubt; not shared with other homes. */
+  suspect: boolean;
+  /** Whether the tables' digests count it; old tombstones are left out. */
+  counted: boolean;
+}
+
+/** A change of one instance's entry; `before` is undefined for a new one. */
+export type Observer = (entry: Entry, before: Entry | undefined) => void;
+
+/** The table that every home has a copy of. */
+export interface RecordStore {
+  get(instance: string): Entry | undefined;
+  entries(): IterableIterator<Entry>;
+  ofService(service: string): Iterable<Entry>;
+  services(): IterableIterator<string>;
+  /** Live entries at one gate's address. */
+  atGate(gate: string): readonly Entry[];
+  /** Keeps a record if it is newer than what is held. */
+  merge(record: EndpointRecord): boolean;
+  setSuspect(instance: string, suspect: boolean): void;
+  /** Forgets tombstones whose time is over. */
+  sweep(): void;
+  record(entry: Entry): EndpointRecord;
+  root(): Digest;
+  bucketDigests(): number[];
+  summaries(buckets: readonly number[]): RecordSummary[];
+  bucketOf(service: string): number;
+  /** The digest of a service's live instances as nodes see them. */
+  serviceDigest(service: string): Digest;
+  /** The digest of all services as nodes see them. */
+  viewDigest(): Digest;
+  onChange(observe: Observer): void;
+  size(): number;
+  /** Live instances, suspects included. */
+  live(): number;
+}
+
+/** Settings of a home's table. */
+export interface RecordStoreOptions {
+  readonly timers: Timers;
+  /** Milliseconds for which a tombstone is kept. */
+  readonly tombstoneRetention: number;
+  /** Most instances kept, tombstones included. */
+  readonly limit: number;
+}
+
+/** Services are spread over so many buckets, which are compared one by one. */
+const bucketCount = 256;
+
+interface ServiceGroup {
+  readonly entries: Map<string, Entry>;
+  digest: Digest;
+}
+
+/** Creates an empty table. */
+export function createRecordStore(options: RecordStoreOptions): RecordStore {
+  const {timers, tombstoneRetention, limit} = options;
+  // A tombstone leaves the digests at half its time, so that homes which drop
+  // it some seconds apart do not hand it back to each other for ever.
+  const countedFor = tombstoneRetention / 2;
+  const entries = new Map<string, Entry>();
+  const groups = new Map<string, ServiceGroup>();
+  const gates = new Map<string, Set<string>>();
+  const members = Array.from({length: bucketCount}, () => new Set<string>());
+  const buckets: Digest[] = members.map(() => emptyDigest);
+  const observers: Observer[] = [];
+  let root = emptyDigest;
+  let view = emptyDigest;
+  let live = 0;
+
+  function toggleCounted(entry: Entry): void {
+    const digest = digestEntry(entry);
+    const bucket = bucketOf(entry.announcement.service);
+    buckets[bucket] = toggle(buckets[bucket]!, digest);
+    root = toggle(root, digest);
+  }
+
+  function toggleView(entry: Entry): void {
+    const group = groups.get(entry.announcement.service)!;
+    const digest = digestKnown(toKnown(entry));
+    group.digest = toggle(group.digest, digest);
+    view = toggle(view, digest);
+  }
+
+  function add(entry: Entry): void {
+    const {instance, service, gate} = entry.announcement;
+    entries.set(instance, entry);
+    let group = groups.get(service);
+    if (group === undefined) {
+      group = {entries: new Map(), digest: emptyDigest};
+      groups.set(service, group);
+    }
+    group.entries.set(instance, entry);
+    members[bucketOf(service)]!.add(instance);
+    if (entry.goneAt === undefined) addGate(gate, instance);
+    if (entry.counted) toggleCounted(entry);
+    toggleView(entry);
+  }
+
+  function remove(entry: Entry): void {
+    const {instance, service, gate} = entry.announcement;
+    toggleView(entry);
+    if (entry.counted) toggleCounted(entry);
+    if (entry.goneAt === undefined) removeGate(gate, instance);
+    entries.delete(instance);
+    members[bucketOf(service)]!.delete(instance);
+    const group = groups.get(service)!;
+    group.entries.delete(instance);
+    if (group.entries.size === 0) groups.delete(service);
+  }
+
+  function addGate(gate: string, instance: string): void {
+    live++;
+    const set = gates.get(gate) ?? new Set();
+    gates.set(gate, set.add(instance));
+  }
+
+  function removeGate(gate: string, instance: string): void {
+    live--;
+    const set = gates.get(gate)!;
+    set.delete(instance);
+    if (set.size === 0) gates.delete(gate);
+  }
+
+  function makeEntry(record: EndpointRecord): Entry {
+    const gone = record.announcement.state === 'gone';
+    return {
+      announcement: record.announcement,
+      home: record.home,
+      homeRegion: record.homeRegion,
+      expired: record.expired,
+      goneAt: gone ? timers.now() - record.goneFor : undefined,
+      suspect: false,
+      counted: !gone || record.goneFor < countedFor,
+    };
+  }
+
+  function merge(record: EndpointRecord): boolean {
+    const {announcement} = record;
+    const before = entries.get(announcement.instance);
+    if (before && !isNewer(announcement, before.announcement)) return false;
+    if (before === undefined && entries.size >= limit) return false;
+    const entry = makeEntry(record);
+    if (before !== undefined) remove(before);
+    add(entry);
+    for (const observe of observers) observe(entry, before);
+    return true;
+  }
+
+  function sweep(): void {
+    const now = timers.now();
+    for (const entry of [...entries.values()]) {
+      if (entry.goneAt === undefined) continue;
+      const age = now - entry.goneAt;
+      if (entry.counted && age >= countedFor) {
+        toggleCounted(entry);
+        entry.counted = false;
+      }
+      if (age >= tombstoneRetention) remove(entry);
+    }
+  }
+
+  function setSuspect(instance: string, suspect: boolean): void {
+    const entry = entries.get(instance);
+    if (entry === undefined || entry.suspect === suspect) return;
+    toggleView(entry);
+    entry.suspect = suspect;
+    toggleView(entry);
+    for (const observe of observers) observe(entry, entry);
+  }
+
+  return {
+    get: instance => entries.get(instance),
+    entries: () => entries.values(),
+    ofService: service => groups.get(service)?.entries.values() ?? [],
+    services: () => groups.keys(),
+    atGate: gate =>
+      [...(gates.get(gate) ?? [])].map(instance => entries.get(instance)!),
+    merge,
+    setSuspect,
+    sweep,
+    record: entry => ({
+      announcement: entry.announcement,
+      home: entry.home,
+      homeRegion: entry.homeRegion,
+      expired: entry.expired,
+      goneFor: entry.goneAt === undefined ? 0 : timers.now() - entry.goneAt,
+    }),
+    root: () => root,
+    bucketDigests: () => buckets.flatMap(({low, high}) => [low, high]),
+    summaries: wanted =>
+      wanted.flatMap(bucket =>
+        [...members[bucket]!]
+          .map(instance => entries.get(instance)!)
+          .filter(entry => entry.counted)
+          .map(summarize),
+      ),
+    bucketOf,
+    serviceDigest: service => groups.get(service)?.digest ?? emptyDigest,
+    viewDigest: () => view,
+    onChange: observe => void observers.push(observe),
+    size: () => entries.size,
+    live: () => live,
+  };
+}
+
+/** What nodes are told of an entry. */
+export function toKnown(entry: Entry): KnownInstance {
+  if (!entry.suspect) return entry.announcement;
+  return {...entry.announcement, suspect: true};
+}
+
+function bucketOf(service: string): number {
+  return murmurhash.v3(service) % bucketCount;
+}
+
+function digestEntry(entry: Entry): Digest {
+  const {instance, incarnation, sequence, gate} = entry.announcement;
+  const mark = entry.goneAt === undefined ? '' : 'g';
+  return digestText(`${instance} ${incarnation} ${sequence} ${gate}${mark}`);
+}
+
+function summarize(entry: Entry): RecordSummary {
+  const {instance, incarnation, sequence} = entry.announcement;
+  const gone = entry.goneAt !== undefined;
+  return {instance, incarnation, sequence, gone};
+}
--- /dev/null
+++ b/src/endpoints/registry.ts
@@ -0,0 +1,149 @@
+import type {Channels} from '../link/channel.js';
+import type {Log} from '../log/log.js';
+import type {Timers} from '../time/timers.js';
+import {createLeases} from './leases.js';
+import type {EndpointRecord, EndpointView, KnownInstance} from './messages.js';
+import {createNodeSessions} from './node-sessions.js';
+import {createPeers} from './peers.js';
+import {createRecordStore, toKnown} from './record-store.js';
+
+/** Settings of a home's registry; times in milliseconds. */
+export interface RegistryOptions {
+  /** The home's name, unique in the deployment. */
+  readonly name: string;
+  readonly region: string;
+  readonly timers: Timers;
+  readonly log: Log;
+  /** How long an instance counts as alive after its last renewal. */
+  readonly lease: number;
+  /** What is left of the lease once the node's link has closed; default 5000. */
+  readonly closedLease?: number;
+  /** How long instances of a dead home may take to find another; default three leases. */
+  readonly orphanLease?: number;
+  /** Share of a service whose leases may run out close together; default 0.25. */
+  readonly expiryShare?: number;
+  /** How close together counts for `expiryShare`; default 60,000. */
+  readonly expiryWindow?: number;
+  /** Nodes whose report clears an instance that is held back; default 2. */
+  readonly witnesses?: number;
+  /** How long changes are gathered before they go to nodes; default 50. */
+  readonly window?: number;
+  /** Time between two comparisons with each other home; default 1000. */
+  readonly comparison?: number;
+  /** Silence after which another home counts as cut off; default 5000. */
+  readonly peerTimeout?: number;
+  /** How long gone instances are remembered; default one day. */
+  readonly tombstoneRetention?: number;
+  /** Most instances kept, tombstones included; default 50,000. */
+  readonly limit?: number;
+}
+
+/** A home's part in membership: its nodes' leases and the shared table. */
+export interface Registry extends EndpointView {
+  /** Takes a node's link. */
+  accept(channels: Channels): void;
+  /** Takes a link to another home; both ends call it. */
+  peer(channels: Channels): void;
+  /** All services that have live instances. */
+  services(): readonly string[];
+  /** The table, tombstones included, ordered by instance. */
+  records(): readonly EndpointRecord[];
+  /** Ends the timers; links stay as they are. */
+  close(): void;
+}
+
+const defaults = {
+  closedLease: 5000,
+  orphanLeases: 3,
+  window: 50,
+  comparison: 1000,
+  peerTimeout: 5000,
+  tombstoneRetention: 24 * 60 * 60_000,
+  limit: 50_000,
+} as const;
+
+/** Creates the registry of a home. */
+export function createRegistry(options: RegistryOptions): Registry {
+  const {name, region, timers, lease} = options;
+  const log = options.log.scope('endpoints');
+  const comparison = options.comparison ?? defaults.comparison;
+  const store = createRecordStore({
+    timers,
+    tombstoneRetention:
+      options.tombstoneRetention ?? defaults.tombstoneRetention,
+    limit: options.limit ?? defaults.limit,
+  });
+  const peers = createPeers({
+    name,
+    region,
+    timers,
+    log,
+    store,
+    timeout: options.peerTimeout ?? defaults.peerTimeout,
+    onUnreachable: report => leases.witness(report),
+  });
+  const leases = createLeases({
+    name,
+    region,
+    timers,
+    log,
+    store,
+    peers,
+    lease,
+    closedLease: options.closedLease ?? defaults.closedLease,
+    orphanLease: options.orphanLease ?? lease * defaults.orphanLeases,
+    expiryShare: options.expiryShare,
+    expiryWindow: options.expiryWindow,
+    witnesses: options.witnesses,
+  });
+  const sessions = createNodeSessions({
+    name,
+    region,
+    timers,
+    log,
+    store,
+    peers,
+    leases,
+    window: options.window ?? defaults.window,
+    silence: lease,
+    completeAt:
+      timers.now() + lease + (options.closedLease ?? defaults.closedLease),
+  });
+  const ticking = timers.every(comparison, () => {
+    sessions.sweep();
+    peers.sweep();
+    leases.sweep();
+    store.sweep();
+    peers.compare();
+  });
+
+  function instances(service: string): readonly KnownInstance[] {
+    return [...store.ofService(service)]
+      .filter(entry => entry.goneAt === undefined)
+      .map(toKnown)
+      .sort((left, right) => (left.instance < right.instance ? -1 : 1));
+  }
+
+  return {
+    accept: sessions.accept,
+    peer: peers.accept,
+    instances,
+    onChange(observe) {
+      store.onChange((entry, before) => {
+        const {service} = entry.announcement;
+        observe(service);
+        const left = before?.announcement.service;
+        if (left !== undefined && left !== service) observe(left);
+      });
+    },
+    services: () =>
+      [...store.services()].filter(service => instances(service).length > 0),
+    records: () =>
+      [...store.entries()]
+        .map(store.record)
+        .sort((left, right) =>
+          left.announcement.instance < right.announcement.instance ? -1 : 1,
+        ),
+    close: () => ticking.cancel(),
+  };
+}
--- a/src/result/table.ts
+++ b/src/result/table.ts
@@ -1,3 +1,4 @@
+import {endpointCodes} from '../endpoints/codes.js';
 import {commonCodes} from './codes.js';
 import type {Code} from './code.js';
 
@@ -8,4 +9,5 @@
  */
 export const resultTable: readonly Code[] = [
   ...Object.values(commonCodes),
+  ...Object.values(endpointCodes),
 ].sort((left, right) => left.number - right.number);
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -109,6 +109,8 @@
     homes: z.array(address).min(1),
     /** The upstream beside it; absent for a node that only takes callers. */
     upstream: upstream.optional(),
+    /** Local address where the upstream announces itself; absent for none. */
+    announceAddress: address.optional(),
     /** Services that callers reach through it; absent for all. */
     calls: z.array(name).optional(),
     renewal: milliseconds.default(defaults.renewal),
