--- a/src/result/table.ts
+++ b/src/result/table.ts
@@ -1,4 +1,5 @@
 import {claimCodes} from '../claims/codes.js';
+import {endpointCodes} from '../endpoints/codes.js';
 import {commonCodes} from './codes.js';
 import type {Code} from './code.js';
 
@@ -10,4 +11,5 @@
 export const resultTable: readonly Code[] = [
   ...Object.values(commonCodes),
   ...Object.values(claimCodes),
+  ...Object.values(endpointCodes),
 ].sort((left, right) => left.number - right.number);
