Command line, stop signals, settings checks, admin listener

Ruled out: comparing tokens as strings (ends at the first wrong character); checking the token after the route (401 and 404 would tell which actions are).

--- /dev/null
+++ b/src/admin/admin-server.ts
@@ -0,0 +1,159 @@
+import {once} from 'node:events';
+import type {AddressInfo} from 'node:net';
+import {createServer} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
+import polka from 'polka';
+import type {Registry} from 'prom-client';
+import {parseAddress} from '../link/address.js';
+import type {Address} from '../link/link.js';
+import {commonCodes} from '../result/codes.js';
+import type {Result} from '../result/failure.js';
+import {failure} from '../result/failure.js';
+import {adminCodes} from './codes.js';
+import {createGuard} from './token.js';
+
+/** What a process says of itself. */
+export interface Health {
+  /** Why it can't take work now; empty when it is ready. */
+  notReady(): readonly string[];
+}
+
+/** A change of state that the listener offers; `argument` follows its name. */
+export type Action = (argument: string | undefined) => Promise<Result<unknown>>;
+
+/** What `createAdminServer` needs. */
+export interface AdminOptions {
+  /** Bound apart from callers. */
+  readonly address: Address;
+  /** Secret for changes of state; absent to refuse them all. */
+  readonly token?: string | undefined;
+  readonly registry: Registry;
+  readonly health: Health;
+  /** By name: `POST /actions/NAME` or `POST /actions/NAME/ARGUMENT`. */
+  readonly actions?: Readonly<Record<string, Action>>;
+}
+
+/** The running admin listener. */
+export interface AdminServer {
+  /** The address it listens on, with the port that was given to it. */
+  readonly address: Address;
+  close(): Promise<void>;
+}
+
+/**
+ * Creates the admin listener: `GET /metrics` for Prometheus, `GET /health`
+ * (200 while the loop runs), `GET /ready` (200 or 503 with the reasons) and
+ * the actions.
+ */
+export async function createAdminServer(
+  options: AdminOptions,
+): Promise<AdminServer> {
+  const server = createServer({requestTimeout: 5_000, maxHeaderSize: 8_192});
+  const app = polka({
+    server,
+    onNoMatch: (_request, response) => end(response, 404),
+  });
+  const guard = createGuard(options.token);
+
+  // Before the routes, so that a wrong token doesn't learn which actions exist.
+  app.use((request, response, next) => {
+    if (isRead(request) || guard(request.headers.authorization)) next();
+    else end(response as unknown as ServerResponse, 401);
+  });
+  addReads(app, options);
+  addActions(app, options.actions ?? {});
+
+  const {host, port} = parseAddress(options.address);
+  app.listen(port, host);
+  await once(server, 'listening');
+  return {
+    address: `${host}:${(server.address() as AddressInfo).port}`,
+    close: () => close(server),
+  };
+}
+
+function isRead(request: {method?: string | undefined}): boolean {
+  return request.method === 'GET' || request.method === 'HEAD';
+}
+
+function addReads(app: polka.Polka, options: AdminOptions): void {
+  const {registry, health} = options;
+  app.get('/metrics', async (_request, response) => {
+    const text = await registry.metrics();
+    response.setHeader('content-type', registry.contentType);
+    response.end(text);
+  });
+  app.get('/health', (_request, response) => {
+    json(response as unknown as ServerResponse, 200, {healthy: true});
+  });
+  app.get('/ready', (_request, response) => {
+    const reasons = health.notReady();
+    const ready = reasons.length === 0;
+    json(response as unknown as ServerResponse, ready ? 200 : 503, {
+      ready,
+      reasons,
+    });
+  });
+}
+
+function addActions(
+  app: polka.Polka,
+  actions: Readonly<Record<string, Action>>,
+): void {
+  app.post('/actions/:name/:argument?', async (request, response) => {
+    const {name, argument} = request.params as {
+      name: string;
+      argument?: string;
+    };
+    const action = Object.hasOwn(actions, name) ? actions[name] : undefined;
+    const result = await run(name, action, argument);
+    answer(response as unknown as ServerResponse, result);
+  });
+}
+
+async function run(
+  name: string,
+  action: Action | undefined,
+  argument: string | undefined,
+): Promise<Result<unknown>> {
+  if (action === undefined) {
+    return failure(adminCodes.actionUnknown, `there is no action ${name}`);
+  }
+  try {
+    return await action(argument);
+  } catch (error) {
+    return failure(commonCodes.unreachable, (error as Error).message);
+  }
+}
+
+function answer(response: ServerResponse, result: Result<unknown>): void {
+  const code = result.ok ? commonCodes.ok : result.code;
+  const message = result.ok ? 'done' : result.message;
+  json(response, code.status, {
+    code: code.number,
+    name: code.name,
+    effect: code.effect,
+    message,
+  });
+}
+
+function json(response: ServerResponse, status: number, body: object): void {
+  response.writeHead(status, {'content-type': 'application/json'});
+  response.end(JSON.stringify(body));
+}
+
+/** An answer without a body, the same for all who may not know more. */
+function end(
+  response: Pick<ServerResponse, 'writeHead' | 'end'>,
+  status: number,
+): void {
+  response.writeHead(status, {'content-length': 0});
+  response.end();
+}
+
+async function close(server: Server): Promise<void> {
+  const closed = once(server, 'close');
+  server.close();
+  server.closeIdleConnections();
+  await closed;
+}
--- /dev/null
+++ b/src/admin/codes.ts
@@ -0,0 +1,33 @@
+import {defineCode} from '../result/code.js';
+
+/** Results of administration and reports: 8000 to 8999. */
+export const adminCodes = {
+  actionUnknown: defineCode(
+    8001,
+    'action-unknown',
+    'not-run',
+    404,
+    'The admin listener has no such action. See docs/operators for the list.',
+  ),
+  samplesUnusable: defineCode(
+    8002,
+    'samples-unusable',
+    'not-run',
+    400,
+    'The samples file is not usable. Name another file, or move it away.',
+  ),
+  scrapeFailed: defineCode(
+    8003,
+    'scrape-failed',
+    'not-run',
+    502,
+    'No node gave its metrics. Check the admin addresses and that nodes run.',
+  ),
+  objectivesMissing: defineCode(
+    8004,
+    'objectives-missing',
+    'not-run',
+    400,
+    'No policy with an objective was found. Name control or an objectives file.',
+  ),
+} as const;
--- /dev/null
+++ b/src/cli/stop-signals.test.ts
@@ -0,0 +1,49 @@
+import {EventEmitter} from 'node:events';
+import test from 'ava';
+import {settle} from '../time/fakes/fake-timers.js';
+import {createSilentLog} from '../log/log.js';
+import {handleStopSignals} from './stop-signals.js';
+
+function start(stop: () => Promise<void>) {
+  const signals = new EventEmitter();
+  const exits: number[] = [];
+  const exit = (code: number) => void exits.push(code);
+  handleStopSignals({signals, stop, exit, log: createSilentLog()});
+  return {signals, exits};
+}
+
+test('a stop signal begins one planned stop and exits 0 when it has ended', async t => {
+  let finish = () => {};
+  let stops = 0;
+  const {signals, exits} = start(() => {
+    stops++;
+    return new Promise(resolve => (finish = resolve));
+  });
+  signals.emit('SIGTERM');
+  await settle();
+  t.deepEqual(exits, [], 'work in flight holds the process');
+  finish();
+  await settle();
+  t.deepEqual(exits, [0]);
+  t.is(stops, 1);
+});
+
+test('a second signal ends the process at once with 128 plus its number', async t => {
+  let stops = 0;
+  const {signals, exits} = start(() => {
+    stops++;
+    return new Promise(() => {});
+  });
+  signals.emit('SIGTERM');
+  signals.emit('SIGINT');
+  await settle();
+  t.deepEqual(exits, [130]);
+  t.is(stops, 1);
+});
+
+test('a stop that fails exits 1', async t => {
+  const {signals, exits} = start(() => Promise.reject(new Error('disk')));
+  signals.emit('SIGINT');
+  await settle();
+  t.deepEqual(exits, [1]);
+});
--- a/src/result/table.ts
+++ b/src/result/table.ts
@@ -1,3 +1,4 @@
+import {adminCodes} from '../admin/codes.js';
 import {commonCodes} from './codes.js';
 import type {Code} from './code.js';
 
@@ -8,4 +9,5 @@
  */
 export const resultTable: readonly Code[] = [
   ...Object.values(commonCodes),
+  ...Object.values(adminCodes),
 ].sort((left, right) => left.number - right.number);
--- a/src/settings/resolve.ts
+++ b/src/settings/resolve.ts
@@ -3,6 +3,7 @@
 import {commonCodes} from '../result/codes.js';
 import {failure, success} from '../result/failure.js';
 import type {Result} from '../result/failure.js';
+import {findClash} from './clashes.js';
 import {settingsSchema} from './schema.js';
 import type {Settings} from './schema.js';
 
@@ -44,17 +45,3 @@
   const path = issue.path.join('.') || 'the file';
   return `${path}: ${issue.message}`;
 }
-
-/** Two listeners on one port would fail at start in an order left to chance. */
-function findClash(settings: Settings): string | undefined {
-  const seen = new Map<string, string>();
-  for (const [key, value] of Object.entries(settings)) {
-    if (!key.endsWith('Address') || typeof value !== 'string') continue;
-    const other = seen.get(value);
-    if (other !== undefined) {
-      return `${key}: ${value} is also ${other}; give each listener its own port`;
-    }
-    seen.set(value, key);
-  }
-  return undefined;
-}
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -7,9 +7,16 @@
 
 const name = z
   .string()
-  .regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'letters a-z, digits, dot or hyphen');
+  .regex(
+    /^[a-z0-9][a-z0-9.-]{0,62}$/,
+    'must be 1 to 63 of letters a-z, digits, dot or hyphen',
+  );
 
-const address = z.string().refine(isAddress, 'an IP number and a port');
+const addressForm = 'must be an IP number and a port, such as 127.0.0.1:7000';
+
+const address = z
+  .string({required_error: addressForm, invalid_type_error: addressForm})
+  .refine(isAddress, addressForm);
 
 const milliseconds = z.number().int().nonnegative();
 
