Metrics with bounded labels, and the bench as a tool

Slices report to the abstract class in src/metrics/metrics.ts and so load no Prometheus library; src/admin/metrics.ts publishes.

--- /dev/null
+++ b/bench/measurements.ts
@@ -0,0 +1,32 @@
+import type {Experiment, Row, RunOptions} from './experiment.js';
+
+/** Rows of docs/MEASUREMENTS.md. */
+
+/** One table row per figure that was set against its baseline. */
+export function measurementRows(
+  date: string,
+  experiment: Experiment,
+  options: RunOptions,
+  rows: readonly Row[],
+): string {
+  const command = `npm run bench -- ${experiment.name} --seed ${options.seed} --seconds ${options.seconds}`;
+  return rows
+    .map(row =>
+      [
+        date,
+        experiment.name,
+        `\`${command}\``,
+        experiment.baseline,
+        `${row.figure} ${formatFigure(row.value)} ${row.unit}`,
+        row.ratio === undefined ? '(baseline)' : formatFigure(row.ratio),
+      ].join(' | '),
+    )
+    .map(cells => `| ${cells} |\n`)
+    .join('');
+}
+
+/** A figure with four digits that count. */
+export function formatFigure(value: number): string {
+  if (Number.isInteger(value)) return value.toString();
+  return Number(value.toPrecision(4)).toString();
+}
--- a/scripts/examples.mjs
+++ b/scripts/examples.mjs
@@ -45,7 +45,13 @@
   let place = 0;
   for (const service of deployment.services) {
     for (let number = 1; number <= service.instances; number++) {
-      const settings = nodeSettings(deployment, members, service, number, place);
+      const settings = nodeSettings(
+        deployment,
+        members,
+        service,
+        number,
+        place,
+      );
       write(folder, settings.name, settings);
       place++;
     }
--- /dev/null
+++ b/src/admin/metrics.test.ts
@@ -0,0 +1,103 @@
+import test from 'ava';
+import {Registry} from 'prom-client';
+import {commonCodes} from '../result/codes.js';
+import {createMetrics, judge} from './metrics.js';
+
+function answer(route: string, status = 200, duration = 5) {
+  return {
+    route,
+    service: `service-of-${route}`,
+    policy: 'lookups',
+    code: commonCodes.ok,
+    status,
+    duration,
+    objective: 50,
+  };
+}
+
+test('answers are counted by route, code and verdict', async t => {
+  const registry = new Registry();
+  const metrics = createMetrics({registry});
+  metrics.answered(answer('stock'));
+  metrics.answered(answer('stock', 200, 51));
+  metrics.answered(answer('stock', 503));
+  const text = await registry.metrics();
+  for (const verdict of ['good', 'slow', 'failed']) {
+    t.true(
+      text.includes(
+        `foxbarrow_requests_total{route="stock",service="service-of-stock",policy="lookups",code="1000",verdict="${verdict}"} 1`,
+      ),
+      verdict,
+    );
+  }
+  t.regex(text, /foxbarrow_request_seconds_count\{route="stock"\} 3/);
+});
+
+test("a caller's own error spends no budget; refusals and late answers do", t => {
+  t.is(judge(answer('a', 404)), 'good');
+  t.is(judge(answer('a', 429)), 'failed');
+  t.is(judge(answer('a', 502)), 'failed');
+  t.is(judge(answer('a', 200, 51)), 'slow');
+  t.is(judge(answer('a', 200, 50)), 'good');
+});
+
+test('at 710 services the series stay bounded and no answer goes uncounted', async t => {
+  // Without the limit the scrape grows with the fleet's routes until the
+  // process runs out of its memory.
+  const routeLimit = 64;
+  const registry = new Registry();
+  const metrics = createMetrics({registry, routeLimit});
+  for (let number = 0; number < 710; number++) {
+    metrics.answered(answer(`route-${number}`));
+    metrics.retried(`service-${number}`);
+  }
+  const lines = (await registry.metrics()).split('\n');
+  const counted = lines.filter(line => line.startsWith('foxbarrow_requests_'));
+  t.is(counted.length, routeLimit + 1);
+  const total = counted
+    .map(line => Number(line.split(' ').at(-1)))
+    .reduce((sum, count) => sum + count, 0);
+  t.is(total, 710);
+  t.true(counted.some(line => line.includes('route="other",service="other"')));
+  const seriesAtMost = (routeLimit + 1) * 17 + 100;
+  t.true(lines.filter(line => !line.startsWith('#')).length < seriesAtMost);
+
+  const unbounded = new Registry();
+  const free = createMetrics({registry: unbounded, routeLimit: Infinity});
+  for (let number = 0; number < 710; number++) {
+    free.answered(answer(`route-${number}`));
+  }
+  const many = (await unbounded.metrics()).split('\n').length;
+  t.true(many > seriesAtMost, 'the limit is what keeps them few');
+});
+
+test('states of the gate, the group and the versions are published', async t => {
+  const registry = new Registry();
+  const metrics = createMetrics({registry});
+  metrics.load({queued: 2, running: 10, slots: 10});
+  metrics.waited(4);
+  metrics.inForce(17);
+  metrics.converged(120);
+  metrics.traffic('configuration', 10, 20);
+  metrics.traffic('configuration', 1, 2);
+  metrics.control({
+    term: 3,
+    isLeader: true,
+    commitIndex: 17,
+    logBytes: 100,
+    snapshotBytes: 50,
+  });
+  metrics.linked(12);
+  const text = await registry.metrics();
+  for (const line of [
+    'foxbarrow_gate_requests{kind="queued"} 2',
+    'foxbarrow_gate_wait_seconds_bucket{le="0.005"} 1',
+    'foxbarrow_configuration_version{kind="in-force"} 17',
+    'foxbarrow_convergence_seconds_bucket{le="0.25"} 1',
+    'foxbarrow_control_bytes_total{plane="configuration",direction="out"} 22',
+    'foxbarrow_control_group{kind="leader"} 1',
+    'foxbarrow_linked_nodes{kind="linked"} 12',
+  ]) {
+    t.true(text.includes(line), line);
+  }
+});
--- /dev/null
+++ b/src/metrics/metrics.ts
@@ -0,0 +1,74 @@
+import type {Code} from '../result/code.js';
+
+/** What slices report; `src/admin/metrics.ts` publishes it to Prometheus. */
+
+/** Planes of traffic between the system's own processes. */
+export type Traffic =
+  'configuration' | 'endpoints' | 'fleet' | 'peer' | 'claims';
+
+/** One request that an entry has answered. */
+export interface AnsweredRequest {
+  readonly route: string;
+  readonly service: string;
+  readonly policy: string;
+  readonly code: Code;
+  /** The HTTP status that the caller got. */
+  readonly status: number;
+  /** Milliseconds from the request's first byte to the answer's last. */
+  readonly duration: number;
+  /** Milliseconds within which the policy's objective counts it as good. */
+  readonly objective: number;
+}
+
+/** Work waiting and running at one gate. */
+export interface GateLoad {
+  readonly queued: number;
+  readonly running: number;
+  readonly slots: number;
+}
+
+/** The state of one control process. */
+export interface ControlState {
+  readonly term: number;
+  readonly isLeader: boolean;
+  readonly commitIndex: number;
+  readonly logBytes: number;
+  readonly snapshotBytes: number;
+}
+
+/** Where slices report; it has no cost worth a check at the caller. */
+export abstract class Metrics {
+  /** Entry: a request was answered, by an upstream or by a refusal. */
+  abstract answered(request: AnsweredRequest): void;
+  /** Entry: an attempt after the first began. */
+  abstract retried(service: string): void;
+  /** Gate: work began, ended, came into the queue or left it. */
+  abstract load(load: GateLoad): void;
+  /** Gate: milliseconds that one request waited for a slot. */
+  abstract waited(duration: number): void;
+  /** Node, relay: a version came into force here. */
+  abstract inForce(version: number): void;
+  /** Control: milliseconds from accepting a change until it was in force everywhere. */
+  abstract converged(duration: number): void;
+  /** Any link's end: bytes that one plane received and sent, with framing. */
+  abstract traffic(plane: Traffic, received: number, sent: number): void;
+  /** Control: its part in the group changed, or its log grew. */
+  abstract control(state: ControlState): void;
+  /** Control, relay: how many nodes are linked to it. */
+  abstract linked(nodes: number): void;
+}
+
+/** Creates metrics that go nowhere, for tests and benches. */
+export function createNoMetrics(): Metrics {
+  return new (class extends Metrics {
+    answered(): void {}
+    retried(): void {}
+    load(): void {}
+    waited(): void {}
+    inForce(): void {}
+    converged(): void {}
+    traffic(): void {}
+    control(): void {}
+    linked(): void {}
+  })();
+}
