--- a/src/result/table.ts
+++ b/src/result/table.ts
@@ -1,5 +1,6 @@
 import {claimCodes} from '../claims/codes.js';
 import {endpointCodes} from '../endpoints/codes.js';
+import {adminCodes} from '../admin/codes.js';
 import {commonCodes} from './codes.js';
 import type {Code} from './code.js';
 
@@ -12,4 +13,5 @@
   ...Object.values(commonCodes),
   ...Object.values(claimCodes),
   ...Object.values(endpointCodes),
+  ...Object.values(adminCodes),
 ].sort((left, right) => left.number - right.number);
