Distribution and fleet, thin: sections, pushes, proofs, homes, acknowledgements summed

Cause: control, relay and node need a way in which accepted changes reach nodes. A distributor (the same in control and relay) hands out states over Channels; a subscriber builds each next state aside and swaps one pointer; a home keeps one link by rendezvous hash with pings and freshness marks; the fleet sums acknowledgements.

--- /dev/null
+++ b/src/distribution/fakes/stage.ts
@@ -0,0 +1,234 @@
+import type {
+  Configuration,
+  Policy,
+  Route,
+  Service,
+} from '../../configuration/configuration.js';
+import {emptyConfiguration} from '../../configuration/configuration.js';
+import {createFleet} from '../../fleet/fleet.js';
+import type {Fleet} from '../../fleet/fleet.js';
+import type {Hello, ProcessKind} from '../../fleet/messages.js';
+import {createChannels} from '../../link/channel.js';
+import {createFakeNetwork} from '../../link/fakes/fake-network.js';
+import type {FakeNetwork} from '../../link/fakes/fake-network.js';
+import type {Address} from '../../link/link.js';
+import {createSilentLog} from '../../log/log.js';
+import {createRandom} from '../../random/random.js';
+import {commonCodes} from '../../result/codes.js';
+import {failure, success} from '../../result/failure.js';
+import {createFakeTimers} from '../../time/fakes/fake-timers.js';
+import type {FakeTimers} from '../../time/fakes/fake-timers.js';
+import {createDistributor} from '../distributor.js';
+import type {Distributor, DistributorOptions} from '../distributor.js';
+import {createFreshness} from '../freshness.js';
+import {createHome} from '../home.js';
+import type {Home, HomeOptions} from '../home.js';
+import type {HomeAddress} from '../rendezvous.js';
+import {createSectionSource} from '../section-source.js';
+import type {SectionSource} from '../section-source.js';
+import {createSubscriber} from '../subscriber.js';
+import type {Subscriber, SubscriberOptions} from '../subscriber.js';
+
+/** The operators' side of a test: what control has accepted. */
+export interface Operator {
+  current(): Configuration;
+  onChange(observe: () => void): void;
+  /** Accepts the next version: services by name, each with its routes. */
+  accept(change: Change): void;
+  /** What has been accepted, whether or not `current` shows it yet. */
+  accepted(): Configuration;
+}
+
+/** One accepted change. */
+export interface Change {
+  /** Services put, each with one route `/NAME` and policy `usual`. */
+  readonly put?: readonly string[];
+  readonly remove?: readonly string[];
+  /** Deadline of policy `usual`; to change what all sections hold. */
+  readonly deadline?: number;
+}
+
+/** A home in a test. */
+export interface StagedHome {
+  readonly name: string;
+  readonly address: Address;
+  readonly distributor: Distributor;
+  readonly fleet: Fleet;
+  /** Set to false when no quorum answers this home. */
+  quorum: boolean;
+}
+
+/** A node in a test. */
+export interface StagedNode {
+  readonly home: Home;
+  readonly subscriber: Subscriber;
+  /** Versions in the order in which they came into force. */
+  readonly versions: number[];
+}
+
+/** Processes on a fake network with fake time. */
+export interface Stage {
+  readonly timers: FakeTimers;
+  readonly network: FakeNetwork;
+  control(
+    name: string,
+    operator: Operator,
+    options?: Partial<DistributorOptions>,
+  ): Promise<StagedHome>;
+  relay(
+    name: string,
+    sources: readonly Address[],
+    options?: Partial<DistributorOptions>,
+  ): Promise<StagedHome & StagedNode>;
+  node(
+    name: string,
+    homes: ReadonlyArray<Address | HomeAddress>,
+    options?: Partial<SubscriberOptions>,
+    homeOptions?: Partial<HomeOptions>,
+  ): StagedNode;
+}
+
+/** Creates an operator over an empty configuration. */
+export function createOperator(): Operator {
+  let configuration = emptyConfiguration;
+  const observers: Array<() => void> = [];
+  return {
+    current: () => configuration,
+    accepted: () => configuration,
+    onChange: observe => void observers.push(observe),
+    accept(change) {
+      configuration = applyChange(configuration, change);
+      for (const observe of observers) observe();
+    },
+  };
+}
+
+function applyChange(before: Configuration, change: Change): Configuration {
+  const services = new Map<string, Service>(before.services);
+  const routes = new Map<string, Route>(before.routes);
+  const policies = new Map<string, Policy>(before.policies);
+  if (!policies.has('usual') || change.deadline !== undefined) {
+    policies.set('usual', makePolicy(change.deadline ?? 1000));
+  }
+  for (const name of change.remove ?? []) {
+    services.delete(name);
+    routes.delete(name);
+  }
+  for (const name of change.put ?? []) {
+    services.set(name, {name, slowStart: before.version});
+    routes.set(name, {
+      name,
+      prefix: `/${name}`,
+      methods: [],
+      service: name,
+      policy: 'usual',
+    });
+  }
+  const version = before.version + 1;
+  return {version, services, routes, policies, drains: before.drains};
+}
+
+function makePolicy(deadline: number): Policy {
+  return {
+    name: 'usual',
+    priority: 'normal',
+    deadline,
+    attempts: 1,
+    repeatability: 'once',
+    bodyLimit: 1024,
+    objective: {target: 0.99, latency: 100},
+  };
+}
+
+/** Creates an empty stage; a message takes 1 ms one way. */
+export function createStage(seed = 1): Stage {
+  const timers = createFakeTimers();
+  const network = createFakeNetwork(timers);
+  const log = createSilentLog();
+  let port = 1000;
+  let seeds = seed;
+  const shared = () => ({timers, log, random: createRandom(++seeds)});
+  const helloOf = (kind: ProcessKind, name: string): Hello => ({
+    kind,
+    name,
+    failureDomain: 'a',
+    region: 'r',
+  });
+
+  async function serve(
+    self: Hello,
+    source: SectionSource,
+    barrier: DistributorOptions['barrier'],
+    asOf: () => number | undefined,
+    options: Partial<DistributorOptions>,
+  ) {
+    const {name} = self;
+    const distributor = createDistributor({
+      source,
+      barrier,
+      batchWindow: 0,
+      ...shared(),
+      ...options,
+    });
+    const position = () => ({version: distributor.version(), asOf: asOf()});
+    const fleet = createFleet({self, timers, log, position});
+    fleet.onHello((_hello, channels) => distributor.accept(channels));
+    const address = `127.0.0.1:${++port}`;
+    await network.from(name).listen(address, link => {
+      fleet.accept(createChannels(link));
+    });
+    return {name, address, distributor, fleet};
+  }
+
+  function subscribe(
+    self: Hello,
+    homes: ReadonlyArray<Address | HomeAddress>,
+    options: Partial<SubscriberOptions>,
+    homeOptions: Partial<HomeOptions>,
+  ): StagedNode {
+    const home = createHome({
+      network: network.from(self.name),
+      homes,
+      self,
+      ...shared(),
+      ...homeOptions,
+    });
+    const subscriber = createSubscriber({home, ...shared(), ...options});
+    const versions: number[] = [];
+    subscriber.onSwitch(next => versions.push(next.version));
+    return {home, subscriber, versions};
+  }
+
+  return {
+    timers,
+    network,
+    async control(name, operator, options = {}) {
+      const staged = {quorum: true};
+      const barrier = async () =>
+        staged.quorum
+          ? success(operator.current().version)
+          : failure(commonCodes.unreachable, 'no quorum');
+      const freshness = createFreshness(barrier, timers);
+      const source = createSectionSource(operator);
+      const self = helloOf('control', name);
+      const made = await serve(self, source, barrier, freshness.asOf, options);
+      return Object.assign(staged, made);
+    },
+    async relay(name, sources, options = {}) {
+      const self = helloOf('relay', name);
+      const node = subscribe(self, sources, {}, {});
+      const {subscriber, home} = node;
+      const made = await serve(
+        self,
+        subscriber.sections,
+        subscriber.barrier,
+        home.asOf,
+        options,
+      );
+      home.onChannels(made.fleet.report);
+      return {quorum: true, ...made, ...node};
+    },
+    node: (name, homes, options = {}, homeOptions = {}) =>
+      subscribe(helloOf('node', name), homes, options, homeOptions),
+  };
+}
--- /dev/null
+++ b/src/distribution/limits.ts
@@ -0,0 +1,37 @@
+/** Bounds and periods of distribution; times in milliseconds. */
+export const distributionLimits = {
+  /** Period of a node's pings; the freshness mark rides on their answers. */
+  nodeHeartbeat: 1000,
+  /** Period of a relay's pings, short as its nodes' marks build on its own. */
+  relayHeartbeat: 250,
+  /** Period of the quorum rounds that renew control's freshness mark. */
+  freshnessRound: 250,
+  /** Age of a mark after which a home is left for another. */
+  freshness: 3000,
+  /** Pings without an answer after which a link counts as dead. */
+  missedHeartbeats: 3,
+  /** How long a home that failed is tried after all others. */
+  suspicion: 10_000,
+  /** Period, jittered, after which a process looks for a nearer home again. */
+  returnPeriod: 30_000,
+  /** Delay before a lost link is opened again. */
+  reconnect: {first: 200, most: 5000},
+  /** How long a nonce may stay without an answer. */
+  proofTimeout: 2000,
+  /** How long a request for differing sections may stay without an answer. */
+  compareTimeout: 1000,
+  /** States remembered for deltas. */
+  ringLength: 1024,
+  /** Bytes of state that may be handed out in a second. */
+  syncBytesPerSecond: 16 * 1024 * 1024,
+  /** Bytes that a sync counts for besides its own, for its processor time. */
+  syncOverhead: 8 * 1024,
+  /** Seconds' worth of syncs that may wait; the rest are told to come back. */
+  syncHorizon: 1,
+  /** Period in which waiting syncs are admitted. */
+  syncTick: 20,
+  /** Bytes not yet taken by a link above which its pushes are held. */
+  pendingBytes: 1024 * 1024,
+  /** Period in which held pushes are tried again. */
+  pendingTick: 100,
+} as const;
--- /dev/null
+++ b/src/distribution/section.ts
@@ -0,0 +1,131 @@
+import {Packr} from 'msgpackr';
+import type {
+  Configuration,
+  Drain,
+  Policy,
+  Route,
+  Service,
+} from '../configuration/configuration.js';
+import {distributionCodes} from './codes.js';
+import {failure, success} from '../result/failure.js';
+import type {Result} from '../result/failure.js';
+import type {PackedSection, Section} from './messages.js';
+
+const packr = new Packr({useRecords: false, variableMapSize: true});
+
+/** Cuts a configuration into one section for each service. */
+export function splitSections(
+  configuration: Configuration,
+): Map<string, Section> {
+  const routes = groupByService(configuration.routes.values());
+  const drains = groupByService(configuration.drains.values());
+  const sections = new Map<string, Section>();
+  for (const service of configuration.services.values()) {
+    const ownRoutes = routes.get(service.name) ?? [];
+    sections.set(service.name, {
+      service,
+      routes: ownRoutes,
+      policies: policiesOf(ownRoutes, configuration),
+      drains: drains.get(service.name) ?? [],
+    });
+  }
+  return sections;
+}
+
+/** Packs a section; equal sections give equal bytes in every process. */
+export function packSection(section: Section): PackedSection {
+  return {name: section.service.name, bytes: packr.pack(sortKeys(section))};
+}
+
+/** Unpacks a section; bytes that are none give a numbered refusal. */
+export function unpackSection(packed: PackedSection): Result<Section> {
+  try {
+    const section = packr.unpack(packed.bytes as Buffer) as Section;
+    if (section.service.name === packed.name) return success(section);
+    return malformed(`section ${packed.name} is of ${section.service.name}`);
+  } catch (error) {
+    return malformed(`section ${packed.name}: ${(error as Error).message}`);
+  }
+}
+
+/** Joins sections into a configuration, or refuses a reference without target. */
+export function joinSections(
+  version: number,
+  sections: Iterable<Section>,
+): Result<Configuration> {
+  const services = new Map<string, Service>();
+  const routes = new Map<string, Route>();
+  const policies = new Map<string, Policy>();
+  const drains = new Map<string, Drain>();
+  for (const section of sections) {
+    const problem = findBadReference(section, routes);
+    if (problem !== undefined) {
+      return failure(distributionCodes.badReference, problem);
+    }
+    services.set(section.service.name, section.service);
+    for (const route of section.routes) routes.set(route.name, route);
+    for (const policy of section.policies) policies.set(policy.name, policy);
+    for (const drain of section.drains) drains.set(drain.name, drain);
+  }
+  return success({version, services, routes, policies, drains});
+}
+
+function findBadReference(
+  section: Section,
+  routes: ReadonlyMap<string, Route>,
+): string | undefined {
+  const service = section.service.name;
+  const policies = new Set(section.policies.map(policy => policy.name));
+  for (const route of section.routes) {
+    if (route.service !== service) {
+      return `route ${route.name} of section ${service} is to ${route.service}`;
+    }
+    if (!policies.has(route.policy)) {
+      return `route ${route.name} lacks its policy ${route.policy}`;
+    }
+    if (routes.has(route.name)) {
+      return `route ${route.name} stands in two sections, one is ${service}`;
+    }
+  }
+  return undefined;
+}
+
+function groupByService<T extends {name: string; service: string}>(
+  items: Iterable<T>,
+): Map<string, T[]> {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const group = groups.get(item.service);
+    if (group === undefined) groups.set(item.service, [item]);
+    else group.push(item);
+  }
+  for (const group of groups.values()) group.sort(byName);
+  return groups;
+}
+
+function policiesOf(
+  routes: readonly Route[],
+  configuration: Configuration,
+): Policy[] {
+  const names = [...new Set(routes.map(route => route.policy))].sort();
+  const policies = names.map(name => configuration.policies.get(name));
+  return policies.filter(policy => policy !== undefined);
+}
+
+function byName(left: {name: string}, right: {name: string}): number {
+  if (left.name === right.name) return 0;
+  return left.name < right.name ? -1 : 1;
+}
+
+/** Rebuilds a value with its keys in order, as items may come from two codecs. */
+function sortKeys(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(sortKeys);
+  if (typeof value !== 'object' || value === null) return value;
+  const entries = Object.entries(value).filter(([, one]) => one !== undefined);
+  entries.sort(([left], [right]) => (left < right ? -1 : 1));
+  return Object.fromEntries(entries.map(([key, one]) => [key, sortKeys(one)]));
+}
+
+function malformed(problem: string): Result<never> {
+  return failure(distributionCodes.malformed, problem);
+}
--- /dev/null
+++ b/src/fleet/fleet.ts
@@ -0,0 +1,230 @@
+import type {Channel, Channels} from '../link/channel.js';
+import type {Log} from '../log/log.js';
+import type {Subscription, Timers} from '../time/timers.js';
+import {receiveHello} from './hello.js';
+import {fleetLimits} from './limits.js';
+import type {
+  FleetMessage,
+  Hello,
+  HomeSummary,
+  Ping,
+  Report,
+} from './messages.js';
+import {createRoster} from './roster.js';
+import type {Member} from './roster.js';
+import {joinSummaries} from './summary.js';
+import type {FleetSummary} from './summary.js';
+
+/** What a home tells its nodes of its own state. */
+export interface Position {
+  /** The version last sent to all; undefined before the first. */
+  readonly version: number | undefined;
+  /** Local time at which a quorum confirmed it; undefined if never. */
+  readonly asOf: number | undefined;
+}
+
+/** Settings of a fleet. */
+export interface FleetOptions {
+  readonly self: Hello;
+  readonly timers: Timers;
+  readonly log: Log;
+  /** What pings are answered with. */
+  readonly position: () => Position;
+}
+
+/** The nodes and fellow homes of one home. */
+export interface Fleet {
+  /** Takes an accepted link: hello, heartbeats, acknowledgements. */
+  accept(channels: Channels): void;
+  /** Calls `observe` when an accepted link has introduced itself. */
+  onHello(observe: (hello: Hello, channels: Channels) => void): void;
+  /** Sends this home's reports over a link that it opened itself. */
+  report(channels: Channels): void;
+  /** Takes a report that came over a link that this home opened itself. */
+  receive(report: Report): void;
+  /** What is in force where, for `version`; by default this home's own. */
+  summary(version?: number): FleetSummary;
+  stop(): void;
+}
+
+interface Received {
+  readonly summary: HomeSummary;
+  /** Local time at which the summary was made, as far as is known. */
+  readonly madeAt: number;
+}
+
+/** Creates the fleet of one home. */
+export function createFleet(options: FleetOptions): Fleet {
+  const {self, timers, log, position} = options;
+  const roster = createRoster(timers);
+  const received = new Map<string, Received>();
+  /** Homes that this one speaks for: relays below it. */
+  const below = new Set<string>();
+  const observers: Array<(hello: Hello, channels: Channels) => void> = [];
+  const upstreams = new Set<Channel>();
+  let changed = false;
+  let reportedAt = Number.NEGATIVE_INFINITY;
+
+  function accept(channels: Channels): void {
+    const fleet = channels.on('fleet');
+    receiveHello(
+      fleet,
+      hello => greet(hello, channels),
+      () => {
+        log.warn('link without a hello', {peer: channels.link.peer});
+        channels.link.close();
+      },
+    );
+  }
+
+  function greet(
+    hello: Hello,
+    channels: Channels,
+  ): (message: FleetMessage) => void {
+    const watch = watchSilence(channels, hello);
+    const receiveFrom =
+      hello.kind === 'node'
+        ? greetNode(hello, channels)
+        : greetHome(hello, channels);
+    for (const observe of observers) observe(hello, channels);
+    return message => {
+      watch.hear();
+      receiveFrom(message);
+    };
+  }
+
+  /** A link that died without a word keeps its end open; silence tells. */
+  function watchSilence(channels: Channels, hello: Hello) {
+    let heardAt = timers.now();
+    const timer: Subscription = timers.every(fleetLimits.silence / 2, () => {
+      if (timers.now() - heardAt <= fleetLimits.silence) return;
+      timer.cancel();
+      log.warn('link is silent', {name: hello.name});
+      channels.link.close();
+    });
+    channels.onClose(() => timer.cancel());
+    return {hear: () => void (heardAt = timers.now())};
+  }
+
+  function greetNode(hello: Hello, channels: Channels) {
+    const member = roster.add(hello, channels);
+    changed = true;
+    channels.onClose(() => {
+      roster.lose(member);
+      changed = true;
+    });
+    const fleet = channels.on('fleet');
+    return (message: FleetMessage) => receiveFromNode(member, fleet, message);
+  }
+
+  function receiveFromNode(
+    member: Member,
+    fleet: Channel,
+    message: FleetMessage,
+  ): void {
+    member.heardAt = timers.now();
+    switch (message.kind) {
+      case 'ping':
+        acknowledge(member, message.version);
+        answer(fleet, message);
+        break;
+      case 'acknowledgement':
+        acknowledge(member, message.version);
+        break;
+      case 'goodbye':
+        roster.remove(member);
+        changed = true;
+        break;
+    }
+  }
+
+  function acknowledge(member: Member, version: number | undefined): void {
+    if (version === undefined || version === member.version) return;
+    member.version = Math.max(version, member.version ?? version);
+    changed = true;
+  }
+
+  function greetHome(hello: Hello, channels: Channels) {
+    const fleet = channels.on('fleet');
+    if (hello.kind === 'control') report(channels);
+    if (hello.kind === 'relay') below.add(hello.name);
+    return (message: FleetMessage) => {
+      if (message.kind === 'ping') answer(fleet, message);
+      if (message.kind === 'report') receive(message);
+    };
+  }
+
+  function answer(fleet: Channel, ping: Ping): void {
+    const {version, asOf} = position();
+    fleet.send({
+      kind: 'pong',
+      number: ping.number,
+      ...(asOf !== undefined && {age: Math.ceil(timers.now() - asOf)}),
+      ...(version !== undefined && {version}),
+    });
+  }
+
+  function report(channels: Channels): void {
+    const fleet = channels.on('fleet');
+    upstreams.add(fleet);
+    channels.onClose(() => upstreams.delete(fleet));
+    changed = true;
+  }
+
+  function receive(message: Report): void {
+    for (const summary of message.summaries) {
+      const madeAt = timers.now() - summary.age;
+      const known = received.get(summary.home);
+      if (known !== undefined && known.madeAt > madeAt) continue;
+      received.set(summary.home, {summary, madeAt});
+      if (below.has(summary.home)) changed = true;
+    }
+  }
+
+  function own(): HomeSummary {
+    return roster.summarize(self.name, position().version ?? 0);
+  }
+
+  function aged({summary, madeAt}: Received): HomeSummary {
+    return {...summary, age: timers.now() - madeAt};
+  }
+
+  function sendReports(): void {
+    roster.forget();
+    dropOld();
+    const now = timers.now();
+    const isDue = changed || now - reportedAt >= fleetLimits.reportIdle;
+    if (!isDue || upstreams.size === 0) return;
+    changed = false;
+    reportedAt = now;
+    const relays = [...below]
+      .map(name => received.get(name))
+      .filter(one => one !== undefined);
+    const summaries = [own(), ...relays.map(aged)];
+    for (const fleet of upstreams) fleet.send({kind: 'report', summaries});
+  }
+
+  function dropOld(): void {
+    const oldest = timers.now() - fleetLimits.summaryDropped;
+    for (const [name, {madeAt}] of received) {
+      if (madeAt > oldest) continue;
+      log.warn('home dropped from the summary', {home: name});
+      received.delete(name);
+      below.delete(name);
+    }
+  }
+
+  const timer = timers.every(fleetLimits.reportPeriod, sendReports);
+
+  return {
+    accept,
+    onHello: observe => void observers.push(observe),
+    report,
+    receive,
+    summary(version = position().version ?? 0) {
+      const homes = [own(), ...[...received.values()].map(aged)];
+      return joinSummaries(version, homes);
+    },
+    stop: () => timer.cancel(),
+  };
+}
--- /dev/null
+++ b/src/fleet/messages.ts
@@ -0,0 +1,85 @@
+/**
+ * The messages of the fleet plane: who is at the other end, heartbeats with
+ * the freshness mark, and acknowledgements. Times are in milliseconds.
+ */
+
+/** What a process of the system is. */
+export type ProcessKind = 'node' | 'relay' | 'control';
+
+/** The first message on each link, from the end that opened it. */
+export interface Hello {
+  readonly kind: ProcessKind;
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly region: string;
+}
+
+/** Asks the home for its freshness mark and shows that the sender lives. */
+export interface Ping {
+  readonly kind: 'ping';
+  readonly number: number;
+  /** The version that the sender has in force; absent before the first. */
+  readonly version?: number;
+}
+
+/** Answers a ping. */
+export interface Pong {
+  readonly kind: 'pong';
+  readonly number: number;
+  /** Milliseconds since a quorum confirmed the home's state; absent if never. */
+  readonly age?: number;
+  /** The version that the home last sent to all of its subscribers. */
+  readonly version?: number;
+}
+
+/** Tells that a node has switched to a version. */
+export interface Acknowledgement {
+  readonly kind: 'acknowledgement';
+  readonly version: number;
+}
+
+/** Tells that a node ends the link by its own will. */
+export interface Goodbye {
+  readonly kind: 'goodbye';
+}
+
+/** Nodes that have one version in force. */
+export interface VersionCount {
+  readonly version: number;
+  readonly nodes: number;
+}
+
+/** What one home knows of its nodes in one failure domain; of bounded size. */
+export interface DomainSummary {
+  readonly failureDomain: string;
+  /** Nodes whose link is up. */
+  readonly nodes: number;
+  /** Nodes whose link ended without a goodbye, for a while. */
+  readonly unknown: number;
+  /** Nodes that have nothing in force yet. */
+  readonly starting: number;
+  /** Least version in force; absent when no node has one. */
+  readonly least?: number;
+  /** Newest first; the last entry also counts nodes with older ones. */
+  readonly versions: readonly VersionCount[];
+}
+
+/** What one home knows of its nodes; of bounded size. */
+export interface HomeSummary {
+  readonly home: string;
+  /** Milliseconds since it was made, as the sender knows it. */
+  readonly age: number;
+  readonly version: number;
+  readonly domains: readonly DomainSummary[];
+  /** Names of nodes that lack `version`, oldest first; 20 at most. */
+  readonly laggards: readonly string[];
+}
+
+/** Carries summaries from a home to control or between control processes. */
+export interface Report {
+  readonly kind: 'report';
+  readonly summaries: readonly HomeSummary[];
+}
+
+/** Any message of the fleet plane but the first. */
+export type FleetMessage = Ping | Pong | Acknowledgement | Goodbye | Report;
--- /dev/null
+++ b/src/fleet/roster.ts
@@ -0,0 +1,130 @@
+import type {Channels} from '../link/channel.js';
+import type {Timers} from '../time/timers.js';
+import {fleetLimits} from './limits.js';
+import type {
+  DomainSummary,
+  Hello,
+  HomeSummary,
+  VersionCount,
+} from './messages.js';
+
+/** A node as its home knows it. */
+export interface Member {
+  readonly hello: Hello;
+  readonly channels: Channels;
+  /** The version in force there, as the node itself said. */
+  version: number | undefined;
+  heardAt: number;
+  /** When the link ended; undefined while it is up. */
+  lostAt: number | undefined;
+}
+
+/** The nodes of one home. */
+export interface Roster {
+  add(hello: Hello, channels: Channels): Member;
+  /** A node left by its own will. */
+  remove(member: Member): void;
+  /** A node's link ended without a word. */
+  lose(member: Member): void;
+  members(): Iterable<Member>;
+  /** Drops nodes that were lost long ago. */
+  forget(): void;
+  summarize(home: string, version: number): HomeSummary;
+}
+
+/** Creates an empty roster. */
+export function createRoster(timers: Timers): Roster {
+  const members = new Map<string, Member>();
+  const isPresent = (member: Member) =>
+    members.get(member.hello.name) === member;
+
+  return {
+    add(hello, channels) {
+      const member: Member = {
+        hello,
+        channels,
+        version: undefined,
+        heardAt: timers.now(),
+        lostAt: undefined,
+      };
+      members.set(hello.name, member);
+      return member;
+    },
+    remove(member) {
+      if (isPresent(member)) members.delete(member.hello.name);
+    },
+    lose(member) {
+      member.lostAt ??= timers.now();
+    },
+    members: () => members.values(),
+    forget() {
+      const oldest = timers.now() - fleetLimits.remembered;
+      for (const member of members.values()) {
+        if (member.lostAt === undefined || member.lostAt > oldest) continue;
+        members.delete(member.hello.name);
+      }
+    },
+    summarize(home, version) {
+      const domains = new Map<string, Member[]>();
+      for (const member of members.values()) {
+        const {failureDomain} = member.hello;
+        const group = domains.get(failureDomain);
+        if (group === undefined) domains.set(failureDomain, [member]);
+        else group.push(member);
+      }
+      return {
+        home,
+        age: 0,
+        version,
+        domains: [...domains].map(([name, group]) => summarize(name, group)),
+        laggards: findLaggards(members.values(), version),
+      };
+    },
+  };
+}
+
+function summarize(failureDomain: string, group: Member[]): DomainSummary {
+  const counts = new Map<number, number>();
+  let nodes = 0;
+  let unknown = 0;
+  let starting = 0;
+  for (const {version, lostAt} of group) {
+    if (lostAt !== undefined) {
+      unknown++;
+      continue;
+    }
+    nodes++;
+    if (version === undefined) starting++;
+    else counts.set(version, (counts.get(version) ?? 0) + 1);
+  }
+  const least = counts.size > 0 ? Math.min(...counts.keys()) : undefined;
+  return {
+    failureDomain,
+    nodes,
+    unknown,
+    starting,
+    ...(least !== undefined && {least}),
+    versions: bound(counts),
+  };
+}
+
+/** Merges the oldest versions into one entry, at the least of them. */
+function bound(counts: Map<number, number>): VersionCount[] {
+  const sorted = [...counts].sort(([left], [right]) => right - left);
+  const entries = sorted.map(([version, nodes]) => ({version, nodes}));
+  const kept = entries.slice(0, fleetLimits.versions - 1);
+  const rest = entries.slice(fleetLimits.versions - 1);
+  if (rest.length === 0) return kept;
+  const nodes = rest.reduce((sum, entry) => sum + entry.nodes, 0);
+  return [...kept, {version: rest[rest.length - 1]!.version, nodes}];
+}
+
+function findLaggards(members: Iterable<Member>, version: number): string[] {
+  const behind: Member[] = [];
+  for (const member of members) {
+    const isBehind = member.version === undefined || member.version < version;
+    if (isBehind || member.lostAt !== undefined) behind.push(member);
+  }
+  behind.sort((left, right) => (left.version ?? -1) - (right.version ?? -1));
+  return behind.slice(0, fleetLimits.laggards).map(one => one.hello.name);
+}
--- a/src/result/table.ts
+++ b/src/result/table.ts
@@ -1,5 +1,6 @@
 import {claimCodes} from '../claims/codes.js';
 import {commonCodes} from './codes.js';
+import {distributionCodes} from '../distribution/codes.js';
 import type {Code} from './code.js';
 
 /**
@@ -10,4 +11,5 @@
 export const resultTable: readonly Code[] = [
   ...Object.values(commonCodes),
   ...Object.values(claimCodes),
+  ...Object.values(distributionCodes),
 ].sort((left, right) => left.number - right.number);
