--- a/src/result/table.ts
+++ b/src/result/table.ts
@@ -2,6 +2,7 @@
 import {endpointCodes} from '../endpoints/codes.js';
 import {adminCodes} from '../admin/codes.js';
 import {commonCodes} from './codes.js';
+import {distributionCodes} from '../distribution/codes.js';
 import type {Code} from './code.js';
 
 /**
@@ -14,4 +15,5 @@
   ...Object.values(claimCodes),
   ...Object.values(endpointCodes),
   ...Object.values(adminCodes),
+  ...Object.values(distributionCodes),
 ].sort((left, right) => left.number - right.number);
