Consensus: thin replicated log with elections, synced acceptance, restart

Own protocol of the Raft family. The decisions are a synchronous core (event in, actions out); createConsensus drives disk, links and timers around it. Status gains learners, bytesOut and logBytes.

--- a/src/consensus/consensus.ts
+++ b/src/consensus/consensus.ts
@@ -30,6 +30,12 @@
   readonly lastIndex: number;
   readonly snapshotIndex: number;
   readonly voters: readonly Member[];
+  /** Members that receive the log and do not count yet. */
+  readonly learners: readonly Member[];
+  /** Bytes sent to the other members since the start. */
+  readonly bytesOut: number;
+  /** Size of the log on disk in bytes. */
+  readonly logBytes: number;
 }
 
 /** The control group as one of its processes sees it. */
--- /dev/null
+++ b/src/consensus/fakes/group.ts
@@ -0,0 +1,216 @@
+import {createHash} from 'node:crypto';
+import {createFakeDisk} from '../../disk/fakes/fake-disk.js';
+import type {FakeDisk, FakeDiskOptions} from '../../disk/fakes/fake-disk.js';
+import {createFakeNetwork} from '../../link/fakes/fake-network.js';
+import type {FakeNetwork} from '../../link/fakes/fake-network.js';
+import {createSilentLog} from '../../log/log.js';
+import {createRandom} from '../../random/random.js';
+import type {Failure, Result} from '../../result/failure.js';
+import {createFakeTimers, settle} from '../../time/fakes/fake-timers.js';
+import type {FakeTimers} from '../../time/fakes/fake-timers.js';
+import {StateMachine} from '../consensus.js';
+import type {Consensus, Member} from '../consensus.js';
+import {createConsensus} from '../create-consensus.js';
+import type {ConsensusOptions} from '../create-consensus.js';
+
+/** A state machine that keeps every entry. */
+export interface Journal extends StateMachine {
+  readonly entries: ReadonlyArray<{index: number; text: string}>;
+  /** Hash over all that was applied, in order. */
+  digest(): string;
+}
+
+/** Creates the state machine of a test. */
+export function createJournal(): Journal {
+  let entries: Array<{index: number; text: string}> = [];
+  return new (class extends StateMachine {
+    get entries() {
+      return entries;
+    }
+
+    apply(index: number, entry: Uint8Array): Uint8Array {
+      entries.push({index, text: Buffer.from(entry).toString()});
+      return Buffer.from(`${index}`);
+    }
+
+    snapshot(): Uint8Array {
+      return Buffer.from(JSON.stringify(entries));
+    }
+
+    restore(index: number, snapshot: Uint8Array): void {
+      entries = JSON.parse(Buffer.from(snapshot).toString());
+    }
+
+    digest(): string {
+      const text = JSON.stringify(entries);
+      return createHash('sha256').update(text).digest('hex');
+    }
+  })();
+}
+
+/** One member of a group under test, across its lives. */
+export interface TestMember {
+  readonly member: Member;
+  readonly disk: FakeDisk;
+  consensus: Consensus | undefined;
+  journal: Journal;
+  failure: Failure | undefined;
+}
+
+/** A control group in memory. */
+export interface TestGroup {
+  readonly timers: FakeTimers;
+  readonly network: FakeNetwork;
+  member(name: string): TestMember;
+  readonly names: readonly string[];
+  /** Starts a life of a member. */
+  start(name: string): Promise<void>;
+  /** Ends a life at once; unsynced bytes are lost. */
+  kill(name: string): void;
+  /** Adds a member that is not among the founders. */
+  add(name: string): void;
+  /** Lets time pass. */
+  run(duration: number): Promise<void>;
+  /** Runs until `done`, or throws after `limit` milliseconds. */
+  until(done: () => boolean, limit?: number): Promise<void>;
+  /** The name of the one leader, when there is just one. */
+  leader(): string | undefined;
+  /** Runs until there is a leader and names it. */
+  elect(): Promise<string>;
+  /** Has a member accept an entry and runs until it answered. */
+  propose(name: string, text: string): Promise<Result<Uint8Array>>;
+  /** Runs until a promise has settled. */
+  settled<T>(promise: Promise<T>): Promise<T>;
+  /** Cuts all messages between `name` and the others, both ways. */
+  isolate(name: string): void;
+}
+
+/** How a test group differs from the usual. */
+export interface TestGroupOptions extends Partial<ConsensusOptions> {
+  readonly seed?: number;
+  readonly diskOptions?: FakeDiskOptions;
+}
+
+const electionTimeout = 500;
+const heartbeat = 50;
+
+/** Creates a group of `size` members named a, b, c and so on; starts none. */
+export function createTestGroup(
+  size: number,
+  options: TestGroupOptions = {},
+): TestGroup {
+  const timers = createFakeTimers();
+  const network = createFakeNetwork(timers);
+  const all = new Map<string, TestMember>();
+  const random = createRandom(options.seed ?? 1);
+
+  function add(name: string): void {
+    const address = `10.0.0.${all.size + 1}:7000`;
+    all.set(name, {
+      member: {name, address, failureDomain: `domain-${name}`},
+      disk: createFakeDisk({timers, ...options.diskOptions}),
+      consensus: undefined,
+      journal: createJournal(),
+      failure: undefined,
+    });
+  }
+
+  for (let at = 0; at < size; at++) add(String.fromCharCode(97 + at));
+  const founders = [...all.values()].map(({member}) => member);
+  const running = () => [...all.values()].filter(({consensus}) => consensus);
+
+  async function start(name: string): Promise<void> {
+    const one = all.get(name)!;
+    one.journal = createJournal();
+    one.failure = undefined;
+    one.consensus = await createConsensus({
+      self: one.member,
+      members: founders,
+      disk: one.disk.open(),
+      network: network.from(name),
+      timers,
+      random: createRandom(random.integer(1_000_000)),
+      log: createSilentLog(),
+      machine: one.journal,
+      heartbeat,
+      electionTimeout,
+      snapshotEntries: 1000,
+      onFailure(failure) {
+        one.failure = failure;
+      },
+      ...options,
+    });
+  }
+
+  function kill(name: string): void {
+    const one = all.get(name)!;
+    network.kill(name);
+    one.disk.crash();
+    void one.consensus?.stop().catch(() => {});
+    one.consensus = undefined;
+  }
+
+  function leader(): string | undefined {
+    const leaders = running().filter(
+      ({consensus}) => consensus!.status().role === 'leader',
+    );
+    return leaders.length === 1 ? leaders[0]!.member.name : undefined;
+  }
+
+  async function until(done: () => boolean, limit = 20_000): Promise<void> {
+    const end = timers.now() + limit;
+    await settle();
+    while (!done()) {
+      if (timers.now() >= end) throw new Error('it did not come to pass');
+      await timers.advanceAsync(10);
+    }
+  }
+
+  async function settled<T>(promise: Promise<T>): Promise<T> {
+    let isSettled = false;
+    const mark = () => (isSettled = true);
+    promise.then(mark, mark);
+    await until(() => isSettled);
+    return promise;
+  }
+
+  return {
+    timers,
+    network,
+    member: name => all.get(name)!,
+    get names() {
+      return [...all.keys()];
+    },
+    start,
+    kill,
+    add,
+    run: duration => timers.advanceAsync(duration),
+    until,
+    leader,
+    async elect() {
+      await until(() => leader() !== undefined);
+      return leader()!;
+    },
+    propose: (name, text) =>
+      settled(all.get(name)!.consensus!.propose(Buffer.from(text))),
+    settled,
+    isolate(name) {
+      for (const other of all.keys()) {
+        if (other === name) continue;
+        network.cut(name, other);
+        network.cut(other, name);
+      }
+    },
+  };
+}
+
+/** Creates a group, starts all its members and waits for a leader. */
+export async function startTestGroup(
+  size: number,
+  options: TestGroupOptions = {},
+): Promise<TestGroup> {
+  const group = createTestGroup(size, options);
+  for (const name of group.names) await group.start(name);
+  await group.elect();
+  return group;
+}
--- /dev/null
+++ b/src/consensus/membership.ts
@@ -0,0 +1,150 @@
+import type {Membership, Voter} from './messages.js';
+import {membershipOf} from './core-state.js';
+import type {CoreState} from './core-state.js';
+import type {Replication} from './replication.js';
+
+/** Whether a replacement was begun, or why not. */
+export type ReplaceAnswer =
+  'begun' | 'not-leader' | 'busy' | 'unknown' | 'present';
+
+/** Changes of the group's membership, one voter at a time. */
+export interface MembershipChanges {
+  /** A member told which data folder it runs on. */
+  onMet(peer: Voter): void;
+  onParted(name: string): void;
+  replace(leaving: string, joining: Voter): ReplaceAnswer;
+  /** Takes the next step of a change in progress. */
+  tick(): void;
+}
+
+/** Election timeouts after which a silent learner is given up. */
+const abandonTimeouts = 60;
+
+/**
+ * Creates the leader's part in membership changes. Each step adds or removes
+ * one voter, so that any majority before it meets any majority after it; the
+ * next step waits until the last one is committed and an entry of this term is,
+ * else two leaders could each build on a membership that the other never saw.
+ */
+export function createMembershipChanges(
+  state: CoreState,
+  replication: Replication,
+): MembershipChanges {
+  const {self, electionTimeout} = state.options;
+  const met = new Map<string, Voter>();
+
+  const isLeader = () => state.role.current === 'leader';
+
+  const mayChange = () =>
+    state.log.membershipIndex <= state.commitIndex &&
+    state.commitIndex >= replication.startIndex;
+
+  function propose(membership: Membership): void {
+    const index = state.log.lastIndex + 1;
+    const {term} = state;
+    replication.append([{kind: 'membership', index, term, membership}]);
+  }
+
+  const without = (members: readonly Voter[], name: string) =>
+    members.filter(member => member.name !== name);
+
+  /**
+   * A voter came back on another data folder: it forgot its votes and entries.
+   * It stops being counted and starts again as a learner.
+   */
+  function demoteReturned(): boolean {
+    const {voters, learners, replacement} = membershipOf(state);
+    const returned = [...voters, ...learners].find(member => {
+      const folder = met.get(member.name)?.storage;
+      return folder !== undefined && folder !== member.storage;
+    });
+    if (returned === undefined) return false;
+    const {name} = returned;
+    propose({
+      voters: without(voters, name),
+      learners: [...without(learners, name), met.get(name)!],
+      replacement,
+    });
+    return true;
+  }
+
+  /** A learner that holds the whole log, synced, becomes a voter. */
+  function promoteReady(): boolean {
+    const {voters, learners, replacement} = membershipOf(state);
+    const ready = learners.find(learner => {
+      const progress = replication.progressOf(learner.name);
+      if (progress === undefined || progress.feed !== 'stream') return false;
+      return progress.match >= state.commitIndex;
+    });
+    if (ready === undefined) return false;
+    propose({
+      voters: [...voters, ready],
+      learners: without(learners, ready.name),
+      replacement,
+    });
+    return true;
+  }
+
+  /** The joining member counts: the leaving one may go. */
+  function finishReplacement(): boolean {
+    const {voters, learners, replacement} = membershipOf(state);
+    if (replacement === undefined) return false;
+    const {leaving, joining} = replacement;
+    if (!voters.some(voter => voter.name === joining)) return false;
+    propose({voters: without(voters, leaving), learners});
+    return true;
+  }
+
+  /** A learner that stays silent would block every later change. */
+  function abandonSilent(): boolean {
+    const {voters, learners, replacement} = membershipOf(state);
+    const silent = learners.find(learner => {
+      const progress = replication.progressOf(learner.name);
+      const heardAt = progress?.heardAt ?? state.now;
+      return state.now - heardAt >= abandonTimeouts * electionTimeout;
+    });
+    if (silent === undefined) return false;
+    const isJoining = replacement?.joining === silent.name;
+    propose({
+      voters,
+      learners: without(learners, silent.name),
+      replacement: isJoining ? undefined : replacement,
+    });
+    return true;
+  }
+
+  const isMember = (name: string) => {
+    const {voters, learners} = membershipOf(state);
+    return [...voters, ...learners].some(member => member.name === name);
+  };
+
+  return {
+    onMet(peer) {
+      if (peer.name !== self.name) met.set(peer.name, peer);
+    },
+    onParted(name) {
+      met.delete(name);
+    },
+    replace(leaving, joining) {
+      const {voters, learners, replacement} = membershipOf(state);
+      if (!isLeader()) return 'not-leader';
+      if (replacement !== undefined || learners.length > 0) return 'busy';
+      if (!mayChange()) return 'busy';
+      if (!voters.some(voter => voter.name === leaving)) return 'unknown';
+      if (isMember(joining.name)) return 'present';
+      propose({
+        voters,
+        learners: [joining],
+        replacement: {leaving, joining: joining.name},
+      });
+      return 'begun';
+    },
+    tick() {
+      if (!mayChange()) return;
+      if (demoteReturned()) return;
+      if (promoteReady()) return;
+      if (finishReplacement()) return;
+      abandonSilent();
+    },
+  };
+}
--- /dev/null
+++ b/src/consensus/messages.ts
@@ -0,0 +1,160 @@
+import type {Member} from './consensus.js';
+
+/** What the members of the control group store and send to each other. */
+
+/** A member with the identity of its data folder. */
+export interface Voter extends Member {
+  /** Random, made with the folder: an emptied or swapped disk has another. */
+  readonly storage: string;
+}
+
+/** A replacement in progress; kept in the log so that a new leader goes on. */
+export interface Replacement {
+  readonly leaving: string;
+  readonly joining: string;
+}
+
+/** Who counts for majorities and who only receives the log. */
+export interface Membership {
+  readonly voters: readonly Voter[];
+  readonly learners: readonly Voter[];
+  readonly replacement?: Replacement;
+}
+
+/** One log entry; index and term together name it once and for all. */
+export type Entry =
+  | {
+      readonly kind: 'command';
+      readonly index: number;
+      readonly term: number;
+      readonly data: Uint8Array;
+    }
+  | {readonly kind: 'no-op'; readonly index: number; readonly term: number}
+  | {
+      readonly kind: 'membership';
+      readonly index: number;
+      readonly term: number;
+      readonly membership: Membership;
+    };
+
+/** The state after all entries up to `index`, in place of these entries. */
+export interface Snapshot {
+  readonly index: number;
+  readonly term: number;
+  readonly membership: Membership;
+  /** The state machine's bytes; empty at index 0. */
+  readonly data: Uint8Array;
+}
+
+/** What the storage of a member must never forget. */
+export interface Vote {
+  readonly term: number;
+  /** Storage identity of the candidate voted for in `term`. */
+  readonly votedFor: string | undefined;
+}
+
+/** Who sent a message: the name and the data folder behind it. */
+export interface Peer {
+  readonly name: string;
+  readonly storage: string;
+}
+
+/** The first message on each link, sent again when the group is formed. */
+export interface Hello {
+  readonly kind: 'hello';
+  readonly member: Member;
+  readonly storage: string;
+  /** Identity of the group; absent while the folder belongs to none. */
+  readonly group?: string;
+  /** The first voters of the group; absent together with `group`. */
+  readonly founders?: readonly Voter[];
+}
+
+/** Asks for a vote, or with `trial` whether a vote would be given. */
+export interface VoteRequest {
+  readonly kind: 'vote-request';
+  readonly term: number;
+  readonly trial: boolean;
+  readonly lastIndex: number;
+  readonly lastTerm: number;
+  /** The data folder that the candidate counts as a voter. */
+  readonly voter: string;
+}
+
+/** Answers a vote request of the same term. */
+export interface VoteAnswer {
+  readonly kind: 'vote-answer';
+  readonly term: number;
+  readonly trial: boolean;
+  readonly granted: boolean;
+}
+
+/** Entries for a follower; without entries it is a heartbeat. */
+export interface Append {
+  readonly kind: 'append';
+  readonly term: number;
+  readonly previousIndex: number;
+  readonly previousTerm: number;
+  readonly entries: readonly Entry[];
+  readonly commitIndex: number;
+  /** Number of the leader's latest quorum round. */
+  readonly round: number;
+}
+
+/** Answers an append. */
+export interface Appended {
+  readonly kind: 'appended';
+  readonly term: number;
+  readonly accepted: boolean;
+  /** Accepted: synced and equal to the leader's log up to here. Else: try from here. */
+  readonly matchIndex: number;
+  /** Refused: the entry that did not match. */
+  readonly previousIndex: number;
+  readonly round: number;
+}
+
+/** One part of a snapshot for a follower that the log no longer reaches. */
+export interface SnapshotPart {
+  readonly kind: 'snapshot-part';
+  readonly term: number;
+  readonly index: number;
+  readonly snapshotTerm: number;
+  readonly membership: Membership;
+  readonly offset: number;
+  readonly size: number;
+  readonly data: Uint8Array;
+  readonly round: number;
+}
+
+/** Tells the leader how much of a snapshot is here. */
+export interface SnapshotTaken {
+  readonly kind: 'snapshot-taken';
+  readonly term: number;
+  readonly index: number;
+  readonly offset: number;
+  readonly round: number;
+}
+
+/** A follower asks the leader for a read barrier. */
+export interface BarrierRequest {
+  readonly kind: 'barrier-request';
+  readonly id: number;
+}
+
+/** Answers a barrier request; without an index there was none to give. */
+export interface BarrierAnswer {
+  readonly kind: 'barrier-answer';
+  readonly id: number;
+  readonly index?: number;
+}
+
+/** What the decisions of the group exchange. */
+export type Message =
+  | VoteRequest
+  | VoteAnswer
+  | Append
+  | Appended
+  | SnapshotPart
+  | SnapshotTaken
+  | BarrierRequest
+  | BarrierAnswer;
--- /dev/null
+++ b/src/consensus/replication.ts
@@ -0,0 +1,286 @@
+import type {Appended, Entry, Peer, SnapshotTaken, Voter} from './messages.js';
+import {
+  adoptTerm,
+  appendEntries,
+  commitTo,
+  isSame,
+  majorityOf,
+  membershipOf,
+  roleOf,
+  send,
+  stepDown,
+} from './core-state.js';
+import type {CoreState} from './core-state.js';
+import {createProgress} from './progress.js';
+import type {Progress} from './progress.js';
+
+/** Most entries in one append. */
+const batchEntries = 256;
+/** About the most bytes in one append; one larger entry still goes alone. */
+const batchBytes = 128 * 1024;
+/** Most batches on their way to one follower without an acknowledgement. */
+const windowBatches = 8;
+/** Bytes of a snapshot in one message. */
+const partBytes = 128 * 1024;
+
+/** The leader's side of replication. */
+export interface Replication {
+  /** Begins a term as its leader. */
+  start(): void;
+  /** Index of the entry that began this term. */
+  readonly startIndex: number;
+  tick(): void;
+  append(entries: Entry[]): void;
+  /** Takes note that own entries were synced. */
+  onSynced(): void;
+  onAppended(from: Peer, message: Appended): void;
+  onSnapshotTaken(from: Peer, message: SnapshotTaken): void;
+  /** Sends heartbeats now, under a new round number, which it returns. */
+  beginRound(): number;
+  /** Whether a majority answered a round. */
+  isRoundOver(round: number): boolean;
+  progressOf(name: string): Progress | undefined;
+}
+
+/** Creates the leader's part. */
+export function createReplication(state: CoreState): Replication {
+  const {self, heartbeat, electionTimeout, safeguards} = state.options;
+  let members = new Map<string, Progress>();
+  let startIndex = 0;
+  let round = 0;
+  let beatAt = -Infinity;
+
+  function refresh(): void {
+    const {voters, learners} = membershipOf(state);
+    const kept = new Map<string, Progress>();
+    for (const peer of [...voters, ...learners]) {
+      if (peer.name === self.name) continue;
+      const known = members.get(peer.name);
+      const isKept = known?.peer.storage === peer.storage;
+      const fresh = () => createProgress(peer, state.log.lastIndex, state.now);
+      kept.set(peer.name, isKept ? known : fresh());
+    }
+    members = kept;
+  }
+
+  function sendAppend(progress: Progress, entries: readonly Entry[]): void {
+    const previousIndex = progress.next - 1;
+    send(state, progress.peer.name, {
+      kind: 'append',
+      term: state.term,
+      previousIndex,
+      previousTerm: state.log.termAt(previousIndex)!,
+      entries,
+      commitIndex: state.commitIndex,
+      round,
+    });
+  }
+
+  function stream(progress: Progress): boolean {
+    const first = progress.next;
+    // Without a bound, a follower that stalls makes the leader hold and send
+    // its whole backlog again and again, until it serves nobody in time.
+    const window = safeguards.flowControl ? windowBatches : Infinity;
+    while (
+      progress.next <= state.log.lastIndex &&
+      progress.batches.length < window
+    ) {
+      const entries = nextBatch(progress);
+      sendAppend(progress, entries);
+      progress.next = entries.at(-1)!.index + 1;
+      progress.batches.push(progress.next - 1);
+    }
+    return progress.next > first;
+  }
+
+  const nextBatch = (progress: Progress) =>
+    state.log.after(progress.next - 1, batchEntries, batchBytes);
+
+  function probe(progress: Progress): void {
+    if (progress.waitingSince !== undefined) return;
+    progress.waitingSince = state.now;
+    sendAppend(progress, nextBatch(progress));
+  }
+
+  function sendPart(progress: Progress): void {
+    if (progress.waitingSince !== undefined) return;
+    const {snapshot} = state;
+    if (progress.snapshotIndex !== snapshot.index) progress.offset = 0;
+    progress.snapshotIndex = snapshot.index;
+    progress.waitingSince = state.now;
+    const {offset} = progress;
+    send(state, progress.peer.name, {
+      kind: 'snapshot-part',
+      term: state.term,
+      index: snapshot.index,
+      snapshotTerm: snapshot.term,
+      membership: snapshot.membership,
+      offset,
+      size: snapshot.data.length,
+      data: snapshot.data.subarray(offset, offset + partBytes),
+      round,
+    });
+  }
+
+  /** Sends what may be sent; true when an append went out. */
+  function feed(progress: Progress): boolean {
+    if (progress.next <= state.log.baseIndex) progress.feed = 'snapshot';
+    if (progress.feed === 'stream') return stream(progress);
+    if (progress.feed === 'snapshot') sendPart(progress);
+    else probe(progress);
+    return false;
+  }
+
+  function feedAll(): void {
+    for (const progress of members.values()) feed(progress);
+  }
+
+  function beat(): void {
+    beatAt = state.now;
+    for (const progress of members.values()) {
+      const since = progress.waitingSince;
+      const isLost =
+        since !== undefined && state.now - since >= electionTimeout;
+      if (isLost) progress.waitingSince = undefined;
+      if (progress.feed === 'snapshot') sendPart(progress);
+      else sendAppend(progress, []);
+    }
+  }
+
+  function matchOf(voter: Voter): number {
+    if (isSame(state, voter, self)) return state.syncedIndex;
+    return members.get(voter.name)?.match ?? 0;
+  }
+
+  /**
+   * Commits what a majority has synced. Entries of earlier terms are only
+   * committed by one of this term: counted alone, a majority's copies of an
+   * old entry could still be overwritten by a later leader.
+   */
+  function advanceCommit(): void {
+    const matches = membershipOf(state).voters.map(matchOf);
+    matches.sort((left, right) => right - left);
+    const index = matches[majorityOf(state) - 1]!;
+    if (index <= state.commitIndex) return;
+    if (state.log.termAt(index) !== state.term) return;
+    commitTo(state, index);
+    for (const progress of members.values()) {
+      const isIdle = progress.feed === 'stream' && !feed(progress);
+      if (isIdle && progress.next > state.log.lastIndex) {
+        sendAppend(progress, []);
+      }
+    }
+  }
+
+  /**
+   * A leader whose answers no longer come back may have been replaced without
+   * hearing of it; it stops, so that its callers look for the real one.
+   */
+  function checkQuorum(): void {
+    if (!safeguards.checkQuorum) return;
+    const heard = membershipOf(state).voters.filter(voter => {
+      if (isSame(state, voter, self)) return true;
+      const at = members.get(voter.name)?.heardAt ?? -Infinity;
+      return state.now - at < electionTimeout;
+    });
+    if (heard.length < majorityOf(state)) stepDown(state);
+  }
+
+  /** The member behind an answer of this term, or undefined. */
+  function findAnswerer(
+    from: Peer,
+    message: Appended | SnapshotTaken,
+  ): Progress | undefined {
+    adoptTerm(state, message.term);
+    if (roleOf(state) !== 'leader' || message.term !== state.term) return;
+    const progress = members.get(from.name);
+    if (progress === undefined) return;
+    if (!isSame(state, progress.peer, from)) return;
+    progress.heardAt = state.now;
+    progress.round = Math.max(progress.round, message.round);
+    return progress;
+  }
+
+  function onAccepted(progress: Progress, matchIndex: number): void {
+    if (progress.feed === 'probe') progress.waitingSince = undefined;
+    const isReached = matchIndex >= progress.snapshotIndex;
+    if (progress.feed !== 'snapshot' || isReached) progress.feed = 'stream';
+    if (matchIndex > progress.match) progress.match = matchIndex;
+    progress.next = Math.max(progress.next, progress.match + 1);
+    const {match} = progress;
+    progress.batches = progress.batches.filter(last => last > match);
+    advanceCommit();
+  }
+
+  function onRefused(progress: Progress, message: Appended): void {
+    if (progress.feed === 'snapshot') return;
+    if (message.previousIndex <= progress.match) return;
+    const hint = Math.min(message.matchIndex + 1, message.previousIndex);
+    progress.next = Math.max(progress.match + 1, hint);
+    progress.batches = [];
+    progress.waitingSince = undefined;
+    // A folder without a group has no log to append to, not even an empty one.
+    progress.feed = message.matchIndex < 0 ? 'snapshot' : 'probe';
+  }
+
+  return {
+    get startIndex() {
+      return startIndex;
+    },
+    start() {
+      members = new Map();
+      round = 0;
+      beatAt = state.now;
+      startIndex = state.log.lastIndex + 1;
+      refresh();
+      this.append([{kind: 'no-op', index: startIndex, term: state.term}]);
+    },
+    append(entries) {
+      appendEntries(state, entries);
+      refresh();
+      feedAll();
+      advanceCommit();
+    },
+    tick() {
+      checkQuorum();
+      if (roleOf(state) !== 'leader') return;
+      if (state.now - beatAt >= heartbeat) beat();
+    },
+    onSynced() {
+      advanceCommit();
+    },
+    onAppended(from, message) {
+      const progress = findAnswerer(from, message);
+      if (progress === undefined) return;
+      if (message.accepted) onAccepted(progress, message.matchIndex);
+      else onRefused(progress, message);
+      feed(progress);
+    },
+    onSnapshotTaken(from, message) {
+      const progress = findAnswerer(from, message);
+      if (progress === undefined || progress.feed !== 'snapshot') return;
+      if (message.index !== progress.snapshotIndex) return;
+      progress.offset = message.offset;
+      progress.waitingSince = undefined;
+      const isWhole = message.offset >= state.snapshot.data.length;
+      // Whole: wait for it to be durable, which an `appended` tells.
+      if (isWhole) progress.waitingSince = state.now;
+      else sendPart(progress);
+    },
+    beginRound() {
+      round++;
+      beat();
+      return round;
+    },
+    isRoundOver(wanted) {
+      if (!safeguards.quorumRead) return true;
+      const answered = membershipOf(state).voters.filter(
+        voter =>
+          isSame(state, voter, self) ||
+          (members.get(voter.name)?.round ?? 0) >= wanted,
+      );
+      return answered.length >= majorityOf(state);
+    },
+    progressOf: name => members.get(name),
+  };
+}
--- /dev/null
+++ b/src/consensus/writer.ts
@@ -0,0 +1,185 @@
+import type {Code} from '../result/code.js';
+import {Failure} from '../result/failure.js';
+import {consensusCodes} from './codes.js';
+import type {Entry, Message, Snapshot, Vote, Voter} from './messages.js';
+import type {Storage} from './storage.js';
+
+/** One thing for the disk, or one that must wait for the disk. */
+export type Job =
+  | {readonly kind: 'save-vote'; readonly vote: Vote}
+  | {
+      readonly kind: 'append';
+      readonly entries: readonly Entry[];
+      readonly epoch: number;
+    }
+  | {readonly kind: 'cut'; readonly index: number}
+  | {
+      readonly kind: 'install';
+      readonly snapshot: Snapshot;
+      readonly epoch: number;
+      readonly group: string;
+      readonly founders: readonly Voter[];
+    }
+  | {
+      readonly kind: 'save-snapshot';
+      readonly snapshot: Snapshot;
+      readonly keepAfter: number;
+      readonly keepAfterTerm: number;
+    }
+  | {readonly kind: 'mark'}
+  | {readonly kind: 'send'; readonly to: string; readonly message: Message};
+
+/** What the writer reports. */
+export interface WriterEvents {
+  onSynced(index: number, epoch: number): void;
+  onSnapshotSaved(snapshot: Snapshot, keepAfter: number): void;
+  onInstalled(): void;
+  send(to: string, message: Message): void;
+  /** The disk failed; nothing more is written. */
+  onFailure(failure: Failure): void;
+}
+
+/** Does the disk's work in order, one piece at a time. */
+export interface Writer {
+  /** Whether a vote is not durable yet, so that sends must wait. */
+  readonly holdsVote: boolean;
+  readonly isIdle: boolean;
+  push(job: Job): void;
+  /** Lets what was begun end and takes no more. */
+  stop(): Promise<void>;
+}
+
+/** How the writer works; tests and measurements change it. */
+export interface WriterOptions {
+  /** Whether entries that wait share one sync. */
+  readonly groupCommit: boolean;
+  /** Whether a failed sync ends the writer; off only to show why it must. */
+  readonly stopOnFailure: boolean;
+}
+
+/** Creates the writer of a member's storage. */
+export function createWriter(
+  storage: Storage,
+  events: WriterEvents,
+  options: WriterOptions,
+): Writer {
+  let jobs: Job[] = [];
+  let votes = 0;
+  let running: Promise<void> | undefined;
+  let isStopped = false;
+
+  /** The entries of all appends at the head of the queue. */
+  function takeAppends(first: Job & {kind: 'append'}): Job & {kind: 'append'} {
+    const entries = [...first.entries];
+    let {epoch} = first;
+    while (options.groupCommit && jobs[0]?.kind === 'append') {
+      const next = jobs.shift() as Job & {kind: 'append'};
+      entries.push(...next.entries);
+      ({epoch} = next);
+    }
+    return {kind: 'append', entries, epoch};
+  }
+
+  async function append(entries: readonly Entry[], epoch: number) {
+    await storage.append(entries);
+    await storage.sync();
+    events.onSynced(entries.at(-1)!.index, epoch);
+  }
+
+  async function appendEach(entries: readonly Entry[], epoch: number) {
+    for (const entry of entries) await append([entry], epoch);
+  }
+
+  async function run(job: Job): Promise<void> {
+    switch (job.kind) {
+      case 'save-vote':
+        await storage.saveVote(job.vote);
+        votes--;
+        return;
+      case 'append': {
+        const {entries, epoch} = takeAppends(job);
+        if (options.groupCommit) return append(entries, epoch);
+        return appendEach(entries, epoch);
+      }
+      case 'cut':
+        return storage.cut(job.index);
+      case 'install':
+        await storage.install(job.snapshot, job.group, job.founders);
+        events.onInstalled();
+        events.onSynced(job.snapshot.index, job.epoch);
+        return;
+      case 'save-snapshot':
+        await storage.saveSnapshot(
+          job.snapshot,
+          job.keepAfter,
+          job.keepAfterTerm,
+        );
+        events.onSnapshotSaved(job.snapshot, job.keepAfter);
+        return;
+      case 'mark':
+        return storage.mark();
+      case 'send':
+        events.send(job.to, job.message);
+        return;
+    }
+  }
+
+  /**
+   * After a failed sync the kernel may have dropped the bytes and call the next
+   * sync a success. So the first failure ends the writer: what is really on
+   * disk is found out by starting again.
+   */
+  function fail(error: unknown): void {
+    isStopped = true;
+    jobs = [];
+    events.onFailure(toFailure(error));
+  }
+
+  async function drain(): Promise<void> {
+    while (jobs.length > 0 && !isStopped) {
+      const job = jobs.shift()!;
+      try {
+        await run(job);
+      } catch (error) {
+        if (options.stopOnFailure) fail(error);
+        else retry(job);
+      }
+    }
+    running = undefined;
+  }
+
+  /** The unsafe way: takes the failed sync for a passing trouble. */
+  function retry(job: Job): void {
+    if (job.kind !== 'append') return;
+    events.onSynced(job.entries.at(-1)!.index, job.epoch);
+  }
+
+  return {
+    get holdsVote() {
+      return votes > 0;
+    },
+    get isIdle() {
+      return running === undefined;
+    },
+    push(job) {
+      if (isStopped) return;
+      if (job.kind === 'save-vote') votes++;
+      jobs.push(job);
+      running ??= Promise.resolve().then(drain);
+    },
+    async stop() {
+      await running;
+      isStopped = true;
+    },
+  };
+}
+
+function toFailure(error: unknown): Failure {
+  const cause = error as NodeJS.ErrnoException;
+  if (cause instanceof Failure) return cause;
+  const isFull = cause.code === 'ENOSPC' || cause.code === 'EDQUOT';
+  const code: Code = isFull
+    ? consensusCodes.diskFull
+    : consensusCodes.syncFailed;
+  return new Failure(code, "the data folder can't be written", cause);
+}
--- a/src/result/table.ts
+++ b/src/result/table.ts
@@ -1,6 +1,7 @@
 import {claimCodes} from '../claims/codes.js';
 import {endpointCodes} from '../endpoints/codes.js';
 import {adminCodes} from '../admin/codes.js';
+import {consensusCodes} from '../consensus/codes.js';
 import {commonCodes} from './codes.js';
 import {distributionCodes} from '../distribution/codes.js';
 import type {Code} from './code.js';
@@ -16,4 +17,5 @@
   ...Object.values(endpointCodes),
   ...Object.values(adminCodes),
   ...Object.values(distributionCodes),
+  ...Object.values(consensusCodes),
 ].sort((left, right) => left.number - right.number);
