Claims: keepers by majority, through epochs that seal and hand over

A gate runs keyed work only with the votes of two of three keepers. Keeper sets change by epochs: a new member seals a majority of the set before, one of them active, and takes over its claims before its first vote. A keeper is named by its life, so a restarted one with empty memory does not count.

Shown failing without and passing with: majority (partition), incarnation (restart under the old address), handover (members replaced one by one).

--- /dev/null
+++ b/src/claims/interleavings.test.ts
@@ -0,0 +1,172 @@
+import test from 'ava';
+import type {Keeper, KeeperAssignment} from '../configuration/configuration.js';
+import type {Fate} from '../link/fakes/fake-network.js';
+import {createRandom} from '../random/random.js';
+import {createClaimCluster} from './fakes/claim-cluster.js';
+import type {
+  ClaimCluster,
+  ClusterOptions,
+  Course,
+  Gate,
+} from './fakes/claim-cluster.js';
+
+const names = ['k1', 'k2', 'k3', 'k4', 'k5'];
+const courses: Course[] = [
+  'answer',
+  'answer',
+  'die-before-run',
+  'die-during-run',
+  'die-after-run',
+  'lose-answer',
+  'release',
+];
+const steps = 60;
+
+interface Tally {
+  /** Keys whose work ran twice or more. */
+  doubled: number;
+  ran: number;
+  submitted: number;
+  epochs: number;
+}
+
+/**
+ * One run of chance: few keys, resent through gates that die at every moment;
+ * keepers that restart empty; epochs that race the claims; messages that are
+ * lost, doubled, held and crossed; processes that learn of epochs late.
+ */
+async function runOnce(seed: number, options: ClusterOptions): Promise<Tally> {
+  const cluster: ClaimCluster = createClaimCluster({seed, ...options});
+  const random = createRandom(seed * 7919 + 1);
+  const {network, timers} = cluster;
+  const gates: Gate[] = [];
+  let submitted = 0;
+  for (const name of names) await cluster.startKeeper(name);
+  const identityOf = (name: string) => cluster.keepers.get(name)!.identity;
+  let set: KeeperAssignment = {
+    epoch: 1,
+    members: names.slice(0, 3).map(identityOf),
+  };
+  cluster.assign(set);
+  for (const name of ['a', 'b', 'c']) gates.push(cluster.startGate(name));
+
+  function submit(): void {
+    const index = random.integer(gates.length);
+    if (!gates[index]!.alive)
+      gates[index] = cluster.startGate(gates[index]!.name);
+    const key = `key-${random.integer(4)}`;
+    const timeout = 50 + random.integer(400);
+    const work = random.integer(30);
+    submitted++;
+    void cluster.submit(gates[index]!, key, random.pick(courses), {
+      timeout,
+      work,
+    });
+  }
+
+  async function restartKeeper(): Promise<void> {
+    const name = random.pick(names);
+    cluster.killKeeper(name);
+    await cluster.startKeeper(name);
+  }
+
+  function isLost(member: Keeper): boolean {
+    const life = cluster.keepers.get(member.instance);
+    return life?.identity.incarnation !== member.incarnation;
+  }
+
+  /** Replaces the dead members, or one by chance, as a leader might. */
+  function moveOn(): void {
+    const lost = set.members.filter(isLost);
+    const outside = names.filter(
+      name => !set.members.some(member => member.instance === name),
+    );
+    const others = set.members.filter(member => !isLost(member));
+    const leaving = lost.length > 0 ? lost : [random.pick(set.members)];
+    const joining =
+      lost.length > 0
+        ? lost.map(member => identityOf(member.instance))
+        : [identityOf(random.pick(outside))];
+    const staying = others.filter(member => !leaving.includes(member));
+    const members = [...staying, ...joining];
+    const {epoch} = set;
+    set =
+      lost.length > 1
+        ? {epoch: epoch + 1, members, quarantine: 3_600_000}
+        : {epoch: epoch + 1, members, previous: {epoch, members: set.members}};
+    const told = [...names, 'a', 'b', 'c'].filter(() => random.integer(3) > 0);
+    cluster.assign(set, told);
+  }
+
+  function shakeNetwork(): void {
+    const everyone = [...names, 'a', 'b', 'c'];
+    const kind = random.integer(5);
+    if (kind === 0) network.cut(random.pick(everyone), random.pick(everyone));
+    if (kind === 1) network.heal();
+    if (kind === 2) network.release(random.integer(2) === 0);
+    if (kind > 2) network.decide(chooseFate);
+  }
+
+  function chooseFate(): Fate {
+    const draw = random.integer(100);
+    if (draw < 4) return 'drop';
+    if (draw < 8) return 'double';
+    return draw < 14 ? 'hold' : 'deliver';
+  }
+
+  for (let step = 0; step < steps; step++) {
+    const draw = random.integer(20);
+    if (draw < 10) submit();
+    else if (draw < 12) shakeNetwork();
+    else if (draw < 13) await restartKeeper();
+    else if (draw < 15) moveOn();
+    else if (draw < 16) cluster.assign(set);
+    await timers.advanceAsync(random.integer(25));
+  }
+  network.decide(() => 'deliver');
+  network.heal();
+  network.release(true);
+  cluster.assign(set);
+  await timers.advanceAsync(3000);
+  const counts = [...cluster.runs.values()];
+  return {
+    doubled: counts.filter(count => count > 1).length,
+    ran: counts.length,
+    submitted,
+    epochs: set.epoch,
+  };
+}
+
+async function runMany(seeds: number, options: ClusterOptions): Promise<Tally> {
+  const sum: Tally = {doubled: 0, ran: 0, submitted: 0, epochs: 0};
+  for (let seed = 1; seed <= seeds; seed++) {
+    const tally = await runOnce(seed, options);
+    sum.doubled += tally.doubled;
+    sum.ran += tally.ran;
+    sum.submitted += tally.submitted;
+    sum.epochs += tally.epochs;
+  }
+  return sum;
+}
+
+// What the caller must never see: two bookings under one key. Gates die before,
+// during and after runs, answers are lost, keepers restart empty, sets change
+// under way, messages cross. Runs per key are counted where work begins.
+test('no key runs twice in any interleaving tried', async t => {
+  const tally = await runMany(100, {});
+  t.log(tally);
+  t.is(tally.doubled, 0);
+  t.true(tally.ran > 100);
+});
+
+test('the same interleavings find each safeguard when it is missing', async t => {
+  const majority = await runMany(20, {votesNeeded: () => 1});
+  t.true(majority.doubled > 0, 'one vote instead of a majority');
+  const handover = await runMany(40, {keeperSafeguards: {handover: false}});
+  t.true(handover.doubled > 0, 'epochs without a handover');
+  const incarnation = await runMany(40, {
+    keeperSafeguards: {incarnation: false},
+  });
+  t.true(incarnation.doubled > 0, 'a new life that answers for the old');
+  t.log({majority, handover, incarnation});
+});
--- /dev/null
+++ b/src/claims/keeper.ts
@@ -0,0 +1,137 @@
+/** The keeper's side of claims: holds them for the services it is named for. */
+import type {Keeper, KeeperAssignment} from '../configuration/configuration.js';
+import type {Link, Listener, Network} from '../link/link.js';
+import type {Log} from '../log/log.js';
+import type {Timers} from '../time/timers.js';
+import {createClaimTable} from './claim-table.js';
+import type {ClaimLimits} from './claim-table.js';
+import type {Envelope, Question, Reply, SealedPage} from './messages.js';
+import {createKeeperPeers} from './peers.js';
+import {allKeeperSafeguards, createTenure} from './tenure.js';
+import type {KeeperSafeguards, Tenure} from './tenure.js';
+
+/** What a keeper is made of. */
+export interface KeeperOptions {
+  /** This life of the node; its address is where it listens. */
+  readonly self: Keeper;
+  readonly network: Network;
+  readonly timers: Timers;
+  readonly log: Log;
+  readonly limits: ClaimLimits;
+  /** Test only; all on by default. */
+  readonly safeguards?: Partial<KeeperSafeguards>;
+}
+
+/** Holds claims in memory while its node lives. */
+export interface ClaimKeeper {
+  /** Takes part in a service's keeper set, or leaves it. */
+  assign(service: string, assignment: KeeperAssignment): void;
+  /** Claims held, over all services. */
+  readonly size: number;
+  stop(): Promise<void>;
+}
+
+const sweepPeriod = 1000;
+const pageRecords = 256;
+
+/** Creates a keeper that listens on its address. */
+export async function createKeeper(
+  options: KeeperOptions,
+): Promise<ClaimKeeper> {
+  const {self, network, timers, limits} = options;
+  const log = options.log.scope('keeper');
+  const safeguards = {...allKeeperSafeguards, ...options.safeguards};
+  const peers = createKeeperPeers(network, timers);
+  const tenures = new Map<string, Tenure>();
+  const links = new Set<Link>();
+
+  function find(service: string): Tenure {
+    let tenure = tenures.get(service);
+    if (tenure === undefined) {
+      const createTable = () => createClaimTable(timers, limits);
+      tenure = createTenure({
+        service,
+        self,
+        peers,
+        timers,
+        createTable,
+        retention: limits.retention,
+        safeguards,
+      });
+      tenures.set(service, tenure);
+    }
+    return tenure;
+  }
+
+  function sendPages(page: SealedPage, reply: (reply: Reply) => void): void {
+    const {records} = page;
+    const lastStart = Math.max(0, records.length - pageRecords);
+    for (let start = 0; ; start += pageRecords) {
+      const part = records.slice(start, start + pageRecords);
+      const last = start >= lastStart;
+      reply({...page, records: part, last});
+      if (last) return;
+    }
+  }
+
+  function answer(question: Question, reply: (reply: Reply) => void): void {
+    const tenure = find(question.service);
+    switch (question.kind) {
+      case 'acquire':
+        return reply(tenure.vote(question, reply));
+      case 'settle':
+        return reply({kind: tenure.settle(question) ? 'settled' : 'stale'});
+      case 'seal':
+        return sendPages({...tenure.seal(question.epoch), last: true}, reply);
+      case 'inquire':
+        return reply(tenure.standing());
+    }
+  }
+
+  function receive(link: Link, {id, incarnation, question}: Envelope): void {
+    const reply = (message: Reply) => link.send({id, reply: message});
+    // A restarted keeper has the address of its former life but none of its
+    // claims: its empty vote or empty page would let a second run begin.
+    const isMeant = incarnation === self.incarnation;
+    if (safeguards.incarnation && !isMeant) return reply({kind: 'stranger'});
+    answer(question, reply);
+  }
+
+  function accept(link: Link): void {
+    links.add(link);
+    link.onMessage(message => receive(link, message as Envelope));
+    link.onClose(() => links.delete(link));
+  }
+
+  function sweep(): void {
+    for (const [service, tenure] of tenures) {
+      tenure.sweep();
+      if (!tenure.isForgettable()) continue;
+      tenure.stop();
+      tenures.delete(service);
+    }
+  }
+
+  const listener: Listener = await network.listen(self.address, accept);
+  const sweeping = timers.every(sweepPeriod, sweep);
+
+  return {
+    assign(service, assignment) {
+      const tenure = find(service);
+      const before = tenure.standing().epoch;
+      tenure.adopt(assignment);
+      if (tenure.standing().epoch === before) return;
+      log.info('keeper set adopted', {service, epoch: assignment.epoch});
+    },
+    get size() {
+      return [...tenures.values()].reduce((sum, {size}) => sum + size, 0);
+    },
+    async stop() {
+      sweeping.cancel();
+      for (const tenure of tenures.values()) tenure.stop();
+      peers.stop();
+      for (const link of links) link.close();
+      await listener.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/claims/tenure.test.ts
@@ -0,0 +1,171 @@
+import test from 'ava';
+import type {Keeper, KeeperAssignment} from '../configuration/configuration.js';
+import {createClaimCluster} from './fakes/claim-cluster.js';
+import type {ClaimCluster, ClusterOptions} from './fakes/claim-cluster.js';
+
+async function startSet(options: ClusterOptions = {}) {
+  const cluster = createClaimCluster(options);
+  const members: Keeper[] = [];
+  for (const name of ['k1', 'k2', 'k3']) {
+    members.push(await cluster.startKeeper(name));
+  }
+  const first: KeeperAssignment = {epoch: 1, members};
+  cluster.assign(first);
+  return {...cluster, first};
+}
+
+function replaceMember(
+  set: KeeperAssignment,
+  instance: string,
+  next: Keeper,
+): KeeperAssignment {
+  const members = set.members.map(member =>
+    member.instance === instance ? next : member,
+  );
+  const previous = {epoch: set.epoch, members: set.members};
+  return {epoch: set.epoch + 1, members, previous};
+}
+
+async function ask(cluster: ClaimCluster, gateName: string): Promise<string> {
+  const gate = cluster.startGate(gateName);
+  const pending = cluster.submit(gate, 'key');
+  await cluster.timers.advanceAsync(4000);
+  const outcome = await pending;
+  return outcome.kind === 'refused' ? outcome.code.name : outcome.kind;
+}
+
+/**
+ * Booked with k1, k2 (k3 cut off); then k1 and k2 are replaced one after the
+ * other while nothing fails, until no keeper of the first vote is left.
+ */
+async function bookAcrossMoves(options: ClusterOptions): Promise<number> {
+  const cluster = await startSet(options);
+  const {network, timers} = cluster;
+  const gate = cluster.startGate('a');
+  network.cut('a', 'k3');
+  void cluster.submit(gate, 'key', 'lose-answer');
+  await timers.advanceAsync(100);
+  cluster.killGate(gate);
+  network.heal();
+  let set = cluster.first;
+  for (const [old, next] of [
+    ['k1', 'k4'],
+    ['k2', 'k5'],
+  ]) {
+    set = replaceMember(set, old!, await cluster.startKeeper(next!));
+    cluster.assign(set);
+    await timers.advanceAsync(500);
+  }
+  await ask(cluster, 'b');
+  return cluster.runs.get('key') ?? 0;
+}
+
+// What the caller sees: two bookings for one key. Order: the keepers that
+// voted for the first are replaced, and the new ones know nothing of it. With
+// the handover each takes over what a sealed majority of the set before held.
+test('without the handover a change of keepers books twice', async t => {
+  t.is(await bookAcrossMoves({keeperSafeguards: {handover: false}}), 2);
+  t.is(await bookAcrossMoves({}), 1);
+});
+
+test('a restarted keeper counts again after the next epoch', async t => {
+  const cluster = await startSet();
+  const gate = cluster.startGate('a');
+  void cluster.submit(gate, 'key');
+  await cluster.timers.advanceAsync(100);
+  cluster.killKeeper('k1');
+  const again = await cluster.startKeeper('k1');
+  const second = replaceMember(cluster.first, 'k1', again);
+  cluster.assign(second);
+  await cluster.timers.advanceAsync(500);
+  t.is(cluster.keepers.get('k1')!.part.size, 1);
+  // k1 and k2 are a majority of the new set: k3 may now fail.
+  cluster.killKeeper('k3');
+  t.is(await ask(cluster, 'b'), 'answered');
+  t.is(cluster.runs.get('key'), 1);
+});
+
+// What the caller sees: its first booking is under way while the keepers
+// change, and it resends. Order: gate a still asks epoch 1 after k2 and k3 were
+// sealed for epoch 2; it must try again in epoch 2 and meet the resend there.
+test('a gate that is behind loses no key and runs none twice', async t => {
+  const cluster = await startSet();
+  const [a, b] = [cluster.startGate('a'), cluster.startGate('b')];
+  const second = replaceMember(
+    cluster.first,
+    'k1',
+    await cluster.startKeeper('k4'),
+  );
+  cluster.assign(second, ['k2', 'k3', 'k4', 'b']);
+  await cluster.timers.advanceAsync(100);
+  const late = cluster.submit(a, 'key');
+  await cluster.timers.advanceAsync(100);
+  const early = cluster.submit(b, 'key');
+  await cluster.timers.advanceAsync(100);
+  cluster.assign(second, ['a', 'k1']);
+  await cluster.timers.advanceAsync(2000);
+  t.is((await early).kind, 'granted');
+  t.is((await late).kind, 'answered');
+  t.is(cluster.runs.get('key'), 1);
+});
+
+test('a set whose predecessor lost two of three stays shut', async t => {
+  const cluster = await startSet();
+  cluster.killKeeper('k1');
+  cluster.killKeeper('k2');
+  const fresh = await cluster.startKeeper('k4');
+  cluster.assign(replaceMember(cluster.first, 'k1', fresh));
+  await cluster.timers.advanceAsync(1000);
+  t.is(await ask(cluster, 'b'), 'keepers-unavailable');
+  t.is(cluster.runs.size, 0);
+});
+
+// Two of three keepers lost their claims, k3's alone prove nothing. The next
+// set waits for the retention time, so that no lost claim can still be resent
+// within it; its keyed work is refused as not run, with its own code.
+test('after a loss the next set opens when the retention passed', async t => {
+  const cluster = await startSet({retention: 60_000});
+  cluster.killKeeper('k1');
+  cluster.killKeeper('k2');
+  const members = [
+    await cluster.startKeeper('k1'),
+    await cluster.startKeeper('k2'),
+    cluster.first.members[2]!,
+  ];
+  cluster.assign({epoch: 2, members, quarantine: 60_000});
+  t.is(await ask(cluster, 'b'), 'keepers-lost');
+  await cluster.timers.advanceAsync(60_000);
+  t.is(await ask(cluster, 'c'), 'granted');
+});
+
+test('a quarantine outlives a further change of keepers', async t => {
+  const cluster = await startSet({retention: 60_000});
+  cluster.killKeeper('k1');
+  cluster.killKeeper('k2');
+  const members = [
+    await cluster.startKeeper('k1'),
+    await cluster.startKeeper('k2'),
+    cluster.first.members[2]!,
+  ];
+  const second = {epoch: 2, members, quarantine: 60_000};
+  cluster.assign(second);
+  await cluster.timers.advanceAsync(1000);
+  cluster.assign(replaceMember(second, 'k1', await cluster.startKeeper('k4')));
+  await cluster.timers.advanceAsync(30_000);
+  t.is(await ask(cluster, 'b'), 'keepers-lost');
+  await cluster.timers.advanceAsync(30_000);
+  t.is(await ask(cluster, 'c'), 'granted');
+});
+
+test('a handover larger than a page arrives whole', async t => {
+  const cluster = await startSet();
+  const gate = cluster.startGate('a');
+  for (let index = 0; index < 600; index++) {
+    void cluster.submit(gate, `key-${index}`);
+  }
+  await cluster.timers.advanceAsync(2000);
+  const fresh = await cluster.startKeeper('k4');
+  cluster.assign(replaceMember(cluster.first, 'k1', fresh));
+  await cluster.timers.advanceAsync(500);
+  t.is(cluster.keepers.get('k4')!.part.size, 600);
+});
--- /dev/null
+++ b/src/claims/tenure.ts
@@ -0,0 +1,253 @@
+/**
+ * One service's claims at one keeper, through the epochs of its keeper sets.
+ *
+ * A keeper votes only in the epoch in which it is active. To become active in
+ * epoch E it seals a majority of E's predecessor, one of them active, and takes
+ * over their claims. A claim granted before had a majority; each sealed
+ * majority shares a keeper with it, and that keeper voted before it was sealed.
+ */
+import {createMachine, interpret, state, transition} from 'robot3';
+import type {
+  Keeper,
+  KeeperAssignment,
+  KeeperSet,
+} from '../configuration/configuration.js';
+import type {Subscription, Timers} from '../time/timers.js';
+import type {ClaimTable, Watcher} from './claim-table.js';
+import type {
+  Acquire,
+  ClaimRecord,
+  SealedPage,
+  Settle,
+  Standing,
+  Vote,
+} from './messages.js';
+import type {Hearing, KeeperPeers} from './peers.js';
+
+/** Where a keeper is with one service. */
+type Stage = 'idle' | 'syncing' | 'quarantined' | 'active' | 'sealed';
+
+const machine = createMachine('idle', {
+  idle: state(transition('adopt', 'syncing'), transition('seal', 'sealed')),
+  syncing: state(
+    transition('adopt', 'syncing'),
+    transition('activate', 'active'),
+    transition('wait', 'quarantined'),
+    transition('seal', 'sealed'),
+  ),
+  quarantined: state(
+    transition('adopt', 'syncing'),
+    transition('activate', 'active'),
+    transition('seal', 'sealed'),
+  ),
+  active: state(transition('adopt', 'syncing'), transition('seal', 'sealed')),
+  sealed: state(transition('adopt', 'syncing'), transition('seal', 'sealed')),
+});
+
+/** The safeguards that a test may take out, to show what they are for. */
+export interface KeeperSafeguards {
+  /** A keeper answers only for its own life. */
+  readonly incarnation: boolean;
+  /** The predecessor's claims are sealed and copied before the first vote. */
+  readonly handover: boolean;
+}
+
+export const allKeeperSafeguards: KeeperSafeguards = {
+  incarnation: true,
+  handover: true,
+};
+
+/** What a tenure is made of. */
+export interface TenureOptions {
+  readonly service: string;
+  readonly self: Keeper;
+  readonly peers: KeeperPeers;
+  readonly timers: Timers;
+  readonly createTable: () => ClaimTable;
+  /** Milliseconds for which a former member can still be asked. */
+  readonly retention: number;
+  readonly safeguards: KeeperSafeguards;
+}
+
+/** One service's claims at one keeper. */
+export interface Tenure {
+  adopt(assignment: KeeperAssignment): void;
+  vote(acquire: Acquire, watcher: Watcher): Vote;
+  /** False when the keeper holds no claims of the service. */
+  settle(settle: Settle): boolean;
+  /** Ends an epoch here and gives its claims. */
+  seal(epoch: number): Omit<SealedPage, 'last'>;
+  standing(): Standing;
+  sweep(): void;
+  stop(): void;
+  /** Whether it is no member and nothing is lost by forgetting it. */
+  isForgettable(): boolean;
+  readonly size: number;
+}
+
+interface Handover {
+  active: boolean;
+  quarantine: number;
+  records: ClaimRecord[];
+  whole: boolean;
+}
+
+/** Milliseconds until a predecessor that did not answer is asked again. */
+const sealRetry = 100;
+
+/** Creates the tenure of a service in which the keeper holds nothing yet. */
+export function createTenure(options: TenureOptions): Tenure {
+  const {service, self, peers, timers, safeguards} = options;
+  const actor = interpret(machine, () => {});
+  let table = options.createTable();
+  let epoch = 0;
+  /** The last epoch in which it held claims. */
+  let activeEpoch = 0;
+  /** The last epoch that it promised not to vote in any more. */
+  let sealedEpoch = 0;
+  let openAt = 0;
+  let leftAt: number | undefined;
+  let asked: Subscription[] = [];
+
+  function isSelf(member: Keeper): boolean {
+    if (safeguards.incarnation) return isSameLife(member, self);
+    return member.instance === self.instance;
+  }
+
+  const stage = () => actor.machine.current as Stage;
+  const quarantineLeft = () => Math.max(0, openAt - timers.now());
+
+  function cancelAsked(): void {
+    for (const subscription of asked) subscription.cancel();
+    asked = [];
+  }
+
+  function activate(quarantine: number): void {
+    cancelAsked();
+    if (sealedEpoch >= epoch) return actor.send('seal');
+    activeEpoch = epoch;
+    openAt = timers.now() + quarantine;
+    if (quarantine === 0) return actor.send('activate');
+    actor.send('wait');
+    asked.push(timers.after(quarantine, () => actor.send('activate')));
+  }
+
+  function takeOver(handovers: readonly Handover[]): void {
+    for (const handover of handovers) table.merge(handover.records);
+    activate(Math.max(...handovers.map(handover => handover.quarantine)));
+  }
+
+  /** Seals the previous set and takes its claims over. */
+  function succeed(previous: KeeperSet): void {
+    const handovers: Handover[] = [];
+    const majority = Math.floor(previous.members.length / 2) + 1;
+
+    function check(): void {
+      const whole = handovers.filter(handover => handover.whole);
+      if (whole.length < majority) return;
+      // A keeper that was never active in the epoch has none of the claims
+      // that the epoch took over, so it can't stand for them alone.
+      if (!whole.some(handover => handover.active)) return;
+      takeOver(whole);
+    }
+
+    function hear(member: Keeper, handover: Handover, hearing: Hearing): void {
+      if (handover.whole) return;
+      if (hearing.kind === 'sealed') {
+        handover.active = hearing.active;
+        handover.quarantine = hearing.quarantine;
+        handover.records.push(...hearing.records);
+        handover.whole = hearing.last;
+        if (hearing.last) check();
+      }
+      if (hearing.kind === 'unreachable' || hearing.kind === 'stranger') {
+        handover.records = [];
+        asked.push(timers.after(sealRetry, () => ask(member, handover)));
+      }
+    }
+
+    function ask(member: Keeper, handover: Handover): void {
+      const question = {kind: 'seal', service, epoch: previous.epoch} as const;
+      const receive = (hearing: Hearing) => hear(member, handover, hearing);
+      asked.push(peers.ask(member, question, receive));
+    }
+
+    for (const member of previous.members) {
+      const isOwn = isSelf(member);
+      const handover: Handover = {
+        active: isOwn && activeEpoch >= previous.epoch,
+        quarantine: isOwn ? quarantineLeft() : 0,
+        records: [],
+        whole: isOwn,
+      };
+      handovers.push(handover);
+      if (!isOwn) ask(member, handover);
+    }
+    check();
+  }
+
+  function adopt(assignment: KeeperAssignment): void {
+    if (assignment.epoch <= epoch) return;
+    cancelAsked();
+    epoch = assignment.epoch;
+    if (!assignment.members.some(isSelf)) {
+      leftAt = timers.now();
+      return actor.send('seal');
+    }
+    leftAt = undefined;
+    const {previous} = assignment;
+    const isCurrent = previous !== undefined && activeEpoch >= previous.epoch;
+    if (!isCurrent) table = options.createTable();
+    actor.send('adopt');
+    if (previous === undefined) return activate(assignment.quarantine ?? 0);
+    if (safeguards.handover) succeed(previous);
+    else activate(0);
+  }
+
+  return {
+    adopt,
+    vote(acquire, watcher) {
+      if (acquire.epoch !== epoch) return {kind: 'stale'};
+      if (stage() === 'active') return table.vote(acquire, watcher);
+      if (stage() !== 'quarantined') return {kind: 'stale'};
+      return {kind: 'quarantined', left: quarantineLeft()};
+    },
+    settle(settle) {
+      if (epoch === 0) return false;
+      table.settle(settle);
+      return true;
+    },
+    seal(sealed) {
+      sealedEpoch = Math.max(sealedEpoch, sealed);
+      if (sealedEpoch >= epoch && stage() !== 'syncing') actor.send('seal');
+      const active = activeEpoch >= sealed;
+      return {
+        kind: 'sealed',
+        active,
+        quarantine: quarantineLeft(),
+        records: active ? table.records() : [],
+      };
+    },
+    standing() {
+      const isHolding = stage() === 'active' || stage() === 'quarantined';
+      return {kind: 'standing', epoch, active: isHolding};
+    },
+    sweep: () => table.sweep(),
+    stop: cancelAsked,
+    isForgettable() {
+      // A promise not to vote in an epoch that is yet to be learned of must
+      // not be forgotten: the keeper would become active in it after all.
+      if (leftAt === undefined || sealedEpoch > epoch) return false;
+      return leftAt + options.retention <= timers.now();
+    },
+    get size() {
+      return table.size;
+    },
+  };
+}
+
+/** Whether two descriptions mean one life of one node. */
+export function isSameLife(left: Keeper, right: Keeper): boolean {
+  if (left.instance !== right.instance) return false;
+  return left.incarnation === right.incarnation;
+}
