Endpoints: what ends a lease, and what must not

Causes found while the tests were written: a partial cut between homes took a living home for dead (now vouched for by homes that still hear it); an id or a gate that another process takes over waited for as long as its dead owner was held back (now contested, two renewals' time); another region's lost leases counted against this region's share (now apart). Each safeguard is shown without and with: order of announcements, tombstones, comparison of digests, share of expiries, orphans' lease, vouching, region, contest.

--- a/src/endpoints/announcer.ts
+++ b/src/endpoints/announcer.ts
@@ -71,6 +71,8 @@
   let current: Announcement | undefined;
   let warming: Subscription | undefined;
   let lastIncarnation = 0;
+  /** The incarnation of another process that was last complained of. */
+  let rival: number | undefined;
 
   function publish(announcement: Announcement): Announcement {
     current = announcement;
@@ -162,6 +164,8 @@
     if (current === undefined || known.instance !== current.instance) return;
     if (!isNewer(known, current)) return;
     if (isOtherLive(known)) {
+      if (rival === known.incarnation) return;
+      rival = known.incarnation;
       log.error('another process announces this instance', {
         code: endpointCodes.instanceDuplicate.number,
         instance: known.instance,
--- a/src/endpoints/endpoint-table.ts
+++ b/src/endpoints/endpoint-table.ts
@@ -4,6 +4,8 @@
 import {allowedExpiries, defaultExpiryShare} from './expiry-share.js';
 import type {EndpointView, KnownInstance, ServiceDigest} from './messages.js';
 import {compareAnnouncements} from './order.js';
+import {allSafeguards} from './safeguards.js';
+import type {Safeguards} from './safeguards.js';
 
 /** Settings of a node's table. */
 export interface EndpointTableOptions {
@@ -14,6 +16,8 @@
   readonly tombstoneRetention?: number;
   /** Milliseconds for which instances that vanished together are kept. */
   readonly absentRetention?: number;
+  /** For tests only. */
+  readonly safeguards?: Partial<Safeguards>;
 }
 
 /** What a node knows of instances, merged from whatever home it has. */
@@ -62,6 +66,7 @@
   const share = options.expiryShare ?? defaultExpiryShare;
   const tombstoneRetention = options.tombstoneRetention ?? day;
   const absentRetention = options.absentRetention ?? defaultAbsentRetention;
+  const safeguards = {...allSafeguards, ...options.safeguards};
   const entries = new Map<string, Entry>();
   const groups = new Map<string, Group>();
   const observers: Array<(service: string) => void> = [];
@@ -112,7 +117,7 @@
       return;
     }
     const order = compareAnnouncements(known, held.known);
-    if (order < 0) return;
+    if (order < 0 && safeguards.order) return;
     if (order === 0 && sameFlags(known, held)) return;
     remove(held);
     if (isWanted(known.service)) add(known, false);
--- a/src/endpoints/fakes/mesh.ts
+++ b/src/endpoints/fakes/mesh.ts
@@ -56,6 +56,15 @@
   /** Starts a home that links to all others and links again when cut off. */
   home(name: string, options?: Partial<RegistryOptions>): Promise<FakeHome>;
   node(name: string, options?: FakeNodeOptions): FakeNode;
+  /** Starts a node on a home, with an upstream where one is given. */
+  join(
+    home: string,
+    name: string,
+    said?: Upstream,
+    options?: FakeNodeOptions,
+  ): Promise<FakeNode>;
+  /** Moves a node to a home. */
+  move(node: FakeNode, home: string): Promise<void>;
   /** Moves time on, letting promises settle. */
   advance(duration: number): Promise<void>;
 }
@@ -178,11 +187,24 @@
     };
   }
 
+  async function move(node: FakeNode, home: string): Promise<void> {
+    const done = node.connect(home);
+    await timers.advanceAsync(5);
+    await done;
+  }
+
   return {
     timers,
     network,
     home: startHome,
     node: startNode,
+    async join(home, name, said, options) {
+      const node = startNode(name, options);
+      if (said !== undefined) node.announcer.announce(said);
+      await move(node, home);
+      return node;
+    },
+    move,
     advance: duration => timers.advanceAsync(duration),
   };
 }
--- a/src/endpoints/leases.ts
+++ b/src/endpoints/leases.ts
@@ -4,6 +4,7 @@
 import type {EndpointRecord} from './messages.js';
 import type {Peers, Report} from './peers.js';
 import type {Entry, RecordStore} from './record-store.js';
+import type {Safeguards} from './safeguards.js';
 
 /** Settings of a home's leases; times in milliseconds. */
 export interface LeasesOptions {
@@ -19,6 +20,8 @@
   readonly expiryShare?: number;
   readonly expiryWindow?: number;
   readonly witnesses?: number;
+  readonly contestLease: number;
+  readonly safeguards: Safeguards;
 }
 
 /** Decides when an instance that is no longer heard of counts as gone. */
@@ -29,6 +32,11 @@
   closed(instance: string): void;
   /** Counts a node's evidence against an instance that is held back. */
   witness(report: Report): void;
+  /**
+   * Another process claims the instance's id or gate: unless its node renews
+   * within the contest's lease it is gone, however many others are due.
+   */
+  contest(instance: string): void;
   /** Expires, or holds back, what is due. */
   sweep(): void;
 }
@@ -48,12 +56,18 @@
   const witnesses = options.witnesses ?? defaultWitnesses;
   const until = new Map<string, number>();
   const reports = new Map<string, Map<string, number>>();
+  /** When the lease of a contested instance ends. */
+  const contested = new Map<string, number>();
 
   /** Whether an instance has run out, by what this home can know. */
   function isDue(entry: Entry): boolean {
-    if (entry.goneAt !== undefined) return false;
-    if (entry.home === name) return isOwnDue(entry.announcement.instance);
-    if (peers.linked(entry.home)) return false;
+    const {instance} = entry.announcement;
+    if (entry.home === name) return isOwnDue(instance);
+    if (peers.linked(entry.home)) {
+      contested.delete(instance);
+      return false;
+    }
+    if (isContestOver(instance)) return true;
     return peers.absence(entry.home) >= options.orphanLease;
   }
 
@@ -63,6 +77,7 @@
    */
   function isOwnDue(instance: string): boolean {
     const end = until.get(instance);
+    if (isContestOver(instance)) return true;
     if (end !== undefined) return end <= timers.now();
     until.set(instance, timers.now() + options.orphanLease);
     return false;
@@ -72,7 +87,36 @@
    * Another region's instances are that region's to declare gone. While it is
    * cut off they are only suspects here, so the merge takes none away.
    */
-  const mayExpire = (entry: Entry) => entry.homeRegion === region;
+  const mayExpire = (entry: Entry) =>
+    entry.homeRegion === region || !options.safeguards.region;
+
+  function isContestOver(instance: string): boolean {
+    const end = contested.get(instance);
+    return end !== undefined && end <= timers.now();
+  }
+
+  const isHeldElsewhere = (entry: Entry) =>
+    entry.home !== name && peers.linked(entry.home);
+
+  function contest(instance: string): void {
+    const entry = store.get(instance);
+    if (!options.safeguards.contest) return;
+    if (entry === undefined || entry.goneAt !== undefined) return;
+    if (isHeldElsewhere(entry)) peers.contest(entry.home, instance);
+    else if (!contested.has(instance)) {
+      contested.set(instance, timers.now() + options.contestLease);
+    }
+  }
+
+  /** One process binds an address, so of two instances at a gate one is dead. */
+  function contestGate(entry: Entry): void {
+    if (entry.goneAt !== undefined) return;
+    const rivals = store.atGate(entry.announcement.gate);
+    if (rivals.length < 2) return;
+    for (const rival of rivals) {
+      if (!isHeldElsewhere(rival)) contest(rival.announcement.instance);
+    }
+  }
 
   function expire(entry: Entry): void {
     const {announcement} = entry;
@@ -84,6 +128,7 @@
       goneFor: 0,
     };
     until.delete(announcement.instance);
+    contested.delete(announcement.instance);
     reports.delete(announcement.instance);
     options.log.info('lease ran out', {
       instance: announcement.instance,
@@ -96,17 +141,16 @@
     const since = timers.now() - window;
     let count = 0;
     for (const entry of entries) {
-      if (entry.expired && entry.goneAt !== undefined && entry.goneAt > since) {
-        count++;
-      }
+      if (entry.goneAt === undefined || !mayExpire(entry)) continue;
+      if (entry.expired && entry.goneAt > since) count++;
     }
     return count;
   }
 
-  function countLive(service: string): number {
+  function countLive(entries: Iterable<Entry>): number {
     let count = 0;
-    for (const entry of store.ofService(service)) {
-      if (entry.goneAt === undefined) count++;
+    for (const entry of entries) {
+      if (entry.goneAt === undefined && mayExpire(entry)) count++;
     }
     return count;
   }
@@ -117,44 +161,65 @@
    * leave callers with none. They are kept as suspects, and the nodes' own
    * connections decide.
    */
-  function isMass(service: string, due: readonly Entry[]): boolean {
+  function isMass(service: string, due: number): boolean {
     const recent = recentlyExpired(store.ofService(service));
-    const total = countLive(service) + recent;
-    return due.length + recent > allowedExpiries(total, share);
+    const total = countLive(store.ofService(service)) + recent;
+    return due + recent > allowedExpiries(total, share);
   }
 
+  /** The same for all services together, which may have one instance each. */
   function isHerd(due: number): boolean {
     const recent = recentlyExpired(store.entries());
-    const allowed = (store.live() + recent) * share;
+    const allowed = (countLive(store.entries()) + recent) * share;
     return due + recent > Math.max(smallHerd, allowed);
   }
 
-  function sweep(): void {
-    const due = new Map<string, Entry[]>();
-    let count = 0;
+  function collectDue(): Entry[] {
+    const due: Entry[] = [];
     for (const entry of store.entries()) {
-      if (!isDue(entry)) {
-        store.setSuspect(entry.announcement.instance, false);
-        continue;
-      }
-      count++;
-      const {service} = entry.announcement;
-      const group = due.get(service) ?? [];
-      due.set(service, [...group, entry]);
+      if (entry.goneAt !== undefined) continue;
+      if (isDue(entry)) due.push(entry);
+      else store.setSuspect(entry.announcement.instance, false);
     }
-    const herd = count > 0 && isHerd(count);
-    for (const [service, group] of due) {
-      settle(group, herd || isMass(service, group));
+    return due;
+  }
+
+  function sweep(): void {
+    const doubtful: Entry[] = [];
+    for (const entry of collectDue()) {
+      if (!mayExpire(entry)) suspect(entry);
+      else if (isProved(entry)) expire(entry);
+      else doubtful.push(entry);
     }
+    if (doubtful.length > 0) settle(doubtful);
     forgetReports();
   }
 
-  function settle(group: readonly Entry[], held: boolean): void {
-    for (const entry of group) {
-      const {instance} = entry.announcement;
-      if (mayExpire(entry) && (!held || isWitnessed(entry))) expire(entry);
-      else store.setSuspect(instance, true);
+  /** Expires what is due, service by service, or holds it back as suspect. */
+  function settle(doubtful: readonly Entry[]): void {
+    const counts = new Map<string, number>();
+    for (const {announcement} of doubtful) {
+      const {service} = announcement;
+      counts.set(service, (counts.get(service) ?? 0) + 1);
     }
+    const herd = isHerd(doubtful.length);
+    const held = new Set<string>();
+    for (const [service, count] of counts) {
+      if (herd || isMass(service, count)) held.add(service);
+    }
+    for (const entry of doubtful) {
+      if (held.has(entry.announcement.service)) suspect(entry);
+      else expire(entry);
+    }
+  }
+
+  const suspect = (entry: Entry) =>
+    store.setSuspect(entry.announcement.instance, true);
+
+  /** Whether more than a lost renewal speaks against the instance. */
+  function isProved(entry: Entry): boolean {
+    const {instance} = entry.announcement;
+    return isContestOver(instance) || isWitnessed(entry);
   }
 
   function isWitnessed(entry: Entry): boolean {
@@ -174,7 +239,7 @@
     const entry = store.get(report.instance);
     if (entry === undefined || entry.goneAt !== undefined) return;
     if (entry.announcement.incarnation !== report.incarnation) return;
-    if (entry.home !== name && peers.linked(entry.home)) {
+    if (isHeldElsewhere(entry)) {
       peers.report(entry.home, report);
       return;
     }
@@ -190,20 +255,26 @@
     until.set(instance, Math.min(end, timers.now() + left));
   }
 
-  store.onChange(entry => {
+  store.onChange((entry, before) => {
+    if (entry === before) return;
     const {instance} = entry.announcement;
+    contested.delete(instance);
     if (entry.home !== name || entry.goneAt !== undefined) {
       until.delete(instance);
     }
+    contestGate(entry);
   });
 
   return {
     renew(instance) {
+      if (store.get(instance)?.home !== name) return;
       until.set(instance, timers.now() + options.lease);
+      contested.delete(instance);
       store.setSuspect(instance, false);
     },
     closed: instance => shorten(instance, options.closedLease),
     witness,
+    contest,
     sweep,
   };
 }
--- a/src/endpoints/messages.ts
+++ b/src/endpoints/messages.ts
@@ -121,10 +121,17 @@
 
 /** Messages between homes. */
 export type PeerMessage =
-  | {readonly kind: 'hello'; readonly name: string; readonly region: string}
   | {readonly kind: 'records'; readonly records: readonly EndpointRecord[]}
   /** The digest of the whole table; also says that the home is alive. */
-  | {readonly kind: 'root'; readonly digest: Digest}
+  | {
+      readonly kind: 'root';
+      readonly name: string;
+      readonly digest: Digest;
+      /** Homes that the sender has no link to. */
+      readonly missing: readonly string[];
+      /** Of the homes that the receiver misses, those linked to the sender. */
+      readonly linked: readonly string[];
+    }
   /** Digests of all buckets: low and high parts in turn. */
   | {readonly kind: 'buckets'; readonly digests: readonly number[]}
   /** All that the sender has in the buckets that differ. */
@@ -134,6 +141,8 @@
       readonly entries: readonly RecordSummary[];
     }
   | {readonly kind: 'wanted'; readonly instances: readonly string[]}
+  /** Another process claims the instance's id or gate. */
+  | {readonly kind: 'contest'; readonly instance: string}
   /** A node of the sender cannot reach an instance that the receiver holds. */
   | {
       readonly kind: 'unreachable';
--- a/src/endpoints/node-sessions.ts
+++ b/src/endpoints/node-sessions.ts
@@ -74,6 +74,7 @@
         ? 1
         : compareAnnouncements(announcement, known.announcement);
     if (order < 0) {
+      if (isRival(announcement, known!)) leases.contest(instance);
       send(session, {kind: 'refuted', known: known!.announcement});
       return;
     }
@@ -81,6 +82,15 @@
     if (announcement.state !== 'gone') leases.renew(instance);
   }
 
+  /** Whether two processes claim one instance id. */
+  function isRival(announcement: Announcement, known: Entry): boolean {
+    const {incarnation, gate} = known.announcement;
+    if (known.goneAt !== undefined) return false;
+    return (
+      incarnation !== announcement.incarnation && gate !== announcement.gate
+    );
+  }
+
   function isUsable(session: Session, announcement: Announcement): boolean {
     const {instance, incarnation, sequence} = announcement;
     const numbers =
@@ -132,7 +142,8 @@
     instance: string,
     message: NodeMessage & {kind: 'renew'},
   ): void {
-    const known = store.get(instance)?.announcement;
+    const entry = store.get(instance);
+    const known = entry?.announcement;
     const order =
       known === undefined
         ? 1
@@ -141,7 +152,7 @@
     if (order > 0) send(session, {kind: 'announce-again'});
     else if (order < 0) send(session, {kind: 'refuted', known: known!});
     else if (known!.state !== 'gone') leases.renew(instance);
-    else send(session, {kind: 'refuted', known: known!});
+    else if (entry!.expired) send(session, {kind: 'refuted', known: known!});
   }
 
   function digestFor(session: Session): Digest {
--- a/src/endpoints/peers.ts
+++ b/src/endpoints/peers.ts
@@ -1,10 +1,10 @@
 import type {Channel, Channels} from '../link/channel.js';
-import type {Log} from '../log/log.js';
 import type {Timers} from '../time/timers.js';
 import {equalDigests} from './digest.js';
 import type {Digest} from './digest.js';
 import type {EndpointRecord, PeerMessage, RecordSummary} from './messages.js';
 import type {RecordStore} from './record-store.js';
+import type {Safeguards} from './safeguards.js';
 
 /** A node's report that it cannot reach an instance. */
 export interface Report {
@@ -17,13 +17,13 @@
 /** Settings of a home's links to the others. */
 export interface PeersOptions {
   readonly name: string;
-  readonly region: string;
   readonly timers: Timers;
-  readonly log: Log;
   readonly store: RecordStore;
   /** Milliseconds of silence after which a home counts as cut off. */
   readonly timeout: number;
+  readonly safeguards: Safeguards;
   readonly onUnreachable: (report: Report) => void;
+  readonly onContest: (instance: string) => void;
 }
 
 /** The other homes. Renewals stay at home: a live link vouches for its holder. */
@@ -37,16 +37,23 @@
   sweep(): void;
   /** Whether a link to the home is alive. */
   linked(home: string): boolean;
-  /** Milliseconds since the home was last linked, or first asked after. */
+  /**
+   * Milliseconds since the home was last linked here or to another home that
+   * is linked here, or since it was first asked after.
+   */
   absence(home: string): number;
   /** Passes a report on to the home that holds the instance. */
   report(home: string, report: Report): void;
+  /** Tells the holder that another process claims its instance's id or gate. */
+  contest(home: string, instance: string): void;
 }
 
 interface Session {
   readonly channels: Channels;
   readonly channel: Channel;
   name: string | undefined;
+  /** Homes that the other end misses. */
+  missing: readonly string[];
   lastHeard: number;
 }
 
@@ -55,8 +62,10 @@
 
 /** Creates a home's links to the others. */
 export function createPeers(options: PeersOptions): Peers {
-  const {name, region, timers, store} = options;
+  const {name, timers, store} = options;
   const sessions = new Set<Session>();
+  /** One session for each home, also where both ends opened a link. */
+  const named = new Map<string, Session>();
   const missingSince = new Map<string, number>();
 
   const send = (session: Session, message: PeerMessage) =>
@@ -72,21 +81,48 @@
     }
   }
 
-  function sessionOf(home: string): Session | undefined {
-    for (const session of sessions) if (session.name === home) return session;
-    return undefined;
-  }
-
   function remove(session: Session): void {
     sessions.delete(session);
     const home = session.name;
-    if (home === undefined || sessionOf(home) !== undefined) return;
-    missingSince.set(home, timers.now());
+    if (home === undefined || named.get(home) !== session) return;
+    named.delete(home);
+    for (const other of sessions) {
+      if (other.name === home) named.set(home, other);
+    }
+    if (!named.has(home)) missingSince.set(home, timers.now());
+  }
+
+  function identify(session: Session, home: string): void {
+    session.name = home;
+    named.set(home, session);
+    missingSince.delete(home);
+  }
+
+  function sendRoot(session: Session): void {
+    send(session, {
+      kind: 'root',
+      name,
+      digest: store.root(),
+      missing: [...missingSince.keys()],
+      linked: session.missing.filter(home => named.has(home)),
+    });
+  }
+
+  /**
+   * A home whose link to this one alone is cut is not dead. Were it taken for
+   * dead, its instances would be declared gone while their nodes renew there.
+   */
+  function noteLinked(homes: readonly string[]): void {
+    if (!options.safeguards.vouching) return;
+    for (const home of homes) {
+      if (missingSince.has(home)) missingSince.set(home, timers.now());
+    }
   }
 
   /** Of two homes the one whose name sorts first leads a comparison. */
   function compareRoot(session: Session, digest: Digest): void {
     if (session.name === undefined || name > session.name) return;
+    if (!options.safeguards.comparison) return;
     if (equalDigests(digest, store.root())) return;
     send(session, {kind: 'buckets', digests: store.bucketDigests()});
   }
@@ -140,14 +176,13 @@
   function receive(session: Session, message: PeerMessage): void {
     session.lastHeard = timers.now();
     switch (message.kind) {
-      case 'hello':
-        session.name = message.name;
-        missingSince.delete(message.name);
-        return;
       case 'records':
         for (const record of message.records) store.merge(record);
         return;
       case 'root':
+        identify(session, message.name);
+        session.missing = message.missing;
+        noteLinked(message.linked);
         return compareRoot(session, message.digest);
       case 'buckets':
         return compareBuckets(session, message.digests);
@@ -155,20 +190,13 @@
         return compareSummary(session, message.buckets, message.entries);
       case 'wanted':
         return sendInstances(session, message.instances);
+      case 'contest':
+        return options.onContest(message.instance);
       case 'unreachable':
         options.onUnreachable(message);
     }
   }
 
-  /** One session for each home, also where both ends opened a link. */
-  function named(): Session[] {
-    const byName = new Map<string, Session>();
-    for (const session of sessions) {
-      if (session.name !== undefined) byName.set(session.name, session);
-    }
-    return [...byName.values()];
-  }
-
   return {
     accept(channels) {
       const channel = channels.on('endpoints');
@@ -176,6 +204,7 @@
         channels,
         channel,
         name: undefined,
+        missing: [],
         lastHeard: timers.now(),
       };
       sessions.add(session);
@@ -183,15 +212,13 @@
         if (sessions.has(session)) receive(session, body as PeerMessage);
       });
       channels.onClose(() => remove(session));
-      send(session, {kind: 'hello', name, region});
-      send(session, {kind: 'root', digest: store.root()});
+      sendRoot(session);
     },
     push(records) {
-      for (const session of named()) sendRecords(session, records);
+      for (const session of named.values()) sendRecords(session, records);
     },
     compare() {
-      const digest = store.root();
-      for (const session of sessions) send(session, {kind: 'root', digest});
+      for (const session of sessions) sendRoot(session);
     },
     sweep() {
       const now = timers.now();
@@ -201,16 +228,20 @@
         remove(session);
       }
     },
-    linked: home => sessionOf(home) !== undefined,
+    linked: home => named.has(home),
     absence(home) {
       const since = missingSince.get(home) ?? timers.now();
       missingSince.set(home, since);
       return timers.now() - since;
     },
     report(home, report) {
-      const session = sessionOf(home);
-      if (session === undefined) return;
-      send(session, {kind: 'unreachable', ...report});
+      const session = named.get(home);
+      if (session !== undefined)
+        send(session, {kind: 'unreachable', ...report});
+    },
+    contest(home, instance) {
+      const session = named.get(home);
+      if (session !== undefined) send(session, {kind: 'contest', instance});
     },
   };
 }
--- a/src/endpoints/record-store.ts
+++ b/src/endpoints/record-store.ts
@@ -9,6 +9,7 @@
   RecordSummary,
 } from './messages.js';
 import {isNewer} from './order.js';
+import type {Safeguards} from './safeguards.js';
 
 /** One instance in a home's table. */
 export interface Entry {
@@ -62,6 +63,7 @@
   readonly tombstoneRetention: number;
   /** Most instances kept, tombstones included. */
   readonly limit: number;
+  readonly safeguards: Safeguards;
 }
 
 /** Services are spread over so many buckets, which are compared one by one. */
@@ -158,7 +160,7 @@
   function merge(record: EndpointRecord): boolean {
     const {announcement} = record;
     const before = entries.get(announcement.instance);
-    if (before && !isNewer(announcement, before.announcement)) return false;
+    if (before && isStale(announcement, before.announcement)) return false;
     if (before === undefined && entries.size >= limit) return false;
     const entry = makeEntry(record);
     if (before !== undefined) remove(before);
@@ -167,9 +169,17 @@
     return true;
   }
 
+  /**
+   * Records cross on their way through several homes. Were the last to come
+   * kept, an instance that is gone would come back and take requests.
+   */
+  function isStale(next: Announcement, held: Announcement): boolean {
+    return options.safeguards.order && !isNewer(next, held);
+  }
+
   function sweep(): void {
     const now = timers.now();
-    for (const entry of [...entries.values()]) {
+    for (const entry of entries.values()) {
       if (entry.goneAt === undefined) continue;
       const age = now - entry.goneAt;
       if (entry.counted && age >= countedFor) {
--- a/src/endpoints/registry.ts
+++ b/src/endpoints/registry.ts
@@ -6,6 +6,8 @@
 import {createNodeSessions} from './node-sessions.js';
 import {createPeers} from './peers.js';
 import {createRecordStore, toKnown} from './record-store.js';
+import {allSafeguards} from './safeguards.js';
+import type {Safeguards} from './safeguards.js';
 
 /** Settings of a home's registry; times in milliseconds. */
 export interface RegistryOptions {
@@ -36,6 +38,13 @@
   readonly tombstoneRetention?: number;
   /** Most instances kept, tombstones included; default 50,000. */
   readonly limit?: number;
+  /**
+   * What is left of a lease once another process claims the instance's id or
+   * gate; more than two renewals. Default 5000.
+   */
+  readonly contestLease?: number;
+  /** For tests only. */
+  readonly safeguards?: Partial<Safeguards>;
 }
 
 /** A home's part in membership: its nodes' leases and the shared table. */
@@ -55,6 +64,7 @@
 const defaults = {
   closedLease: 5000,
   orphanLeases: 3,
+  contestLease: 5000,
   window: 50,
   comparison: 1000,
   peerTimeout: 5000,
@@ -67,20 +77,22 @@
   const {name, region, timers, lease} = options;
   const log = options.log.scope('endpoints');
   const comparison = options.comparison ?? defaults.comparison;
+  const safeguards = {...allSafeguards, ...options.safeguards};
   const store = createRecordStore({
     timers,
     tombstoneRetention:
       options.tombstoneRetention ?? defaults.tombstoneRetention,
     limit: options.limit ?? defaults.limit,
+    safeguards,
   });
   const peers = createPeers({
     name,
-    region,
     timers,
-    log,
     store,
     timeout: options.peerTimeout ?? defaults.peerTimeout,
+    safeguards,
     onUnreachable: report => leases.witness(report),
+    onContest: instance => leases.contest(instance),
   });
   const leases = createLeases({
     name,
@@ -95,6 +107,8 @@
     expiryShare: options.expiryShare,
     expiryWindow: options.expiryWindow,
     witnesses: options.witnesses,
+    contestLease: options.contestLease ?? defaults.contestLease,
+    safeguards,
   });
   const sessions = createNodeSessions({
     name,
@@ -106,8 +120,7 @@
     leases,
     window: options.window ?? defaults.window,
     silence: lease,
-    completeAt:
-      timers.now() + lease + (options.closedLease ?? defaults.closedLease),
+    completeAt: timers.now() + lease + defaults.closedLease,
   });
   const ticking = timers.every(comparison, () => {
     sessions.sweep();
