Settings: a home may name its failure domain and region

Cause: nodes prefer homes of their own failure domain, which plain addresses do not tell. A plain address still does; it then counts as far away. The example deployments name the failure domains. Ruled out: learning it from a hello of the home, since the choice comes before the link.

--- a/scripts/examples.mjs
+++ b/scripts/examples.mjs
@@ -98,7 +98,10 @@
     gateAddress: `${host}:${port + 1}`,
     announceAddress: `${host}:${port + 2}`,
     adminAddress: `${host}:${port + 3}`,
-    homes: members.map(member => member.distributionAddress),
+    homes: members.map(member => ({
+      address: member.distributionAddress,
+      failureDomain: member.failureDomain,
+    })),
   };
 }
 
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -18,6 +18,25 @@
   .string({required_error: addressForm, invalid_type_error: addressForm})
   .refine(isAddress, addressForm);
 
+/** A process that links go to; its place lets those nearby prefer it. */
+const home = z.union(
+  [
+    address,
+    z
+      .object({
+        address,
+        failureDomain: name.optional(),
+        region: name.optional(),
+      })
+      .strict(),
+  ],
+  {
+    errorMap: () => ({
+      message: 'an IP number and a port, or an object with such an `address`',
+    }),
+  },
+);
+
 const milliseconds = z.number().int().nonnegative();
 
 const common = {
@@ -82,7 +101,7 @@
     ...common,
     distributionAddress: address,
     /** Distribution addresses of the control processes. */
-    sources: z.array(address).min(1),
+    sources: z.array(home).min(1),
     /** Distribution addresses of the other relays. */
     relays: z.array(address).default([]),
     batchWindow: milliseconds.default(defaults.batchWindow),
@@ -113,7 +132,7 @@
     /** Where other nodes reach the gate. */
     gateAddress: address,
     /** Distribution addresses of relays or control processes, any order. */
-    homes: z.array(address).min(1),
+    homes: z.array(home).min(1),
     /** The upstream beside it; absent for a node that only takes callers. */
     upstream: upstream.optional(),
     /** Local address where the upstream announces itself; absent for none. */
