Relay role and the host that serves nodes

Cause: control and relay serve nodes alike, so one composition carries both. Ruled out: two compositions (doubled wiring of hello, leases and acknowledgements).

--- /dev/null
+++ b/src/relay/distribution-host.ts
@@ -0,0 +1,115 @@
+/**
+ * What a process needs to serve nodes: it accepts their links, hands them
+ * configuration, keeps their leases and sums their acknowledgements. Control
+ * processes and relays run the same one.
+ */
+import {createDistributor} from '../distribution/distributor.js';
+import type {DistributorOptions} from '../distribution/distributor.js';
+import type {Distributor} from '../distribution/distributor.js';
+import {createMesh} from '../distribution/mesh.js';
+import {createRegistry} from '../endpoints/registry.js';
+import type {Registry} from '../endpoints/registry.js';
+import {createFleet} from '../fleet/fleet.js';
+import type {Fleet} from '../fleet/fleet.js';
+import type {Hello} from '../fleet/messages.js';
+import {createChannels} from '../link/channel.js';
+import type {Channels} from '../link/channel.js';
+import type {Address, Network} from '../link/link.js';
+import type {Log} from '../log/log.js';
+import type {Random} from '../random/random.js';
+import type {Timers} from '../time/timers.js';
+
+/** Options of `createDistributionHost`; times in milliseconds. */
+export interface DistributionHostOptions {
+  readonly self: Hello;
+  /** Where nodes and fellow homes reach it. */
+  readonly address: Address;
+  /** Where fellow homes of the same kind are reached, this one among them. */
+  readonly fellows: readonly Address[];
+  readonly source: DistributorOptions['source'];
+  readonly barrier: DistributorOptions['barrier'];
+  /** Local time at which a quorum last confirmed the source's state. */
+  readonly asOf: () => number | undefined;
+  readonly batchWindow: number;
+  readonly lease: number;
+  readonly network: Network;
+  readonly timers: Timers;
+  readonly random: Random;
+  readonly log: Log;
+}
+
+/** Serves nodes; see the module. */
+export interface DistributionHost {
+  readonly distributor: Distributor;
+  readonly fleet: Fleet;
+  readonly registry: Registry;
+  /** Shares endpoints and reports over a link that this process opened. */
+  join(channels: Channels): void;
+  stop(): Promise<void>;
+}
+
+/** Opens the listener and the links to fellow homes. */
+export async function createDistributionHost(
+  options: DistributionHostOptions,
+): Promise<DistributionHost> {
+  const {self, address, network, timers, random, log} = options;
+  const distributor = createDistributor(options);
+  const registry = createRegistry({
+    name: self.name,
+    region: self.region,
+    timers,
+    log,
+    lease: options.lease,
+  });
+  const fleet = createFleet({
+    self,
+    timers,
+    log,
+    position: distributor.position,
+  });
+
+  fleet.onHello((hello, channels) => {
+    distributor.accept(channels);
+    if (hello.kind === 'node') registry.accept(channels);
+    else registry.peer(channels);
+  });
+
+  function join(channels: Channels): void {
+    fleet.report(channels);
+    registry.peer(channels);
+  }
+
+  const links = new Set<Channels>();
+  const listener = await network.listen(address, link => {
+    const channels = createChannels(link);
+    links.add(channels);
+    channels.onClose(() => links.delete(channels));
+    fleet.accept(channels);
+  });
+  const mesh = createMesh({
+    network,
+    self,
+    address,
+    peers: options.fellows,
+    timers,
+    random,
+    log,
+  });
+  mesh.onChannels(join);
+  mesh.onReport(fleet.receive);
+
+  return {
+    distributor,
+    fleet,
+    registry,
+    join,
+    async stop() {
+      mesh.stop();
+      distributor.stop();
+      fleet.stop();
+      registry.close();
+      for (const channels of links) channels.link.close();
+      await listener.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/relay/run.ts
@@ -0,0 +1,53 @@
+/** The relay role: a subscriber to control and a home to nodes. */
+import {createHome} from '../distribution/home.js';
+import {createSubscriber} from '../distribution/subscriber.js';
+import type {RunningRole} from '../cli/loaders.js';
+import type {Hello} from '../fleet/messages.js';
+import type {RelaySettings} from '../settings/schema.js';
+import {createProcess} from '../process/process.js';
+import {createDistributionHost} from './distribution-host.js';
+
+/** Starts a relay; resolves once nodes can reach it. */
+export async function runRelay(settings: RelaySettings): Promise<RunningRole> {
+  const {network, timers, random, log} = createProcess(settings);
+  const self: Hello = {
+    kind: 'relay',
+    name: settings.name,
+    failureDomain: settings.failureDomain,
+    region: settings.region,
+  };
+  const home = createHome({
+    network,
+    homes: settings.sources,
+    self,
+    timers,
+    random,
+    log,
+  });
+  const subscriber = createSubscriber({home, timers, random, log});
+  const host = await createDistributionHost({
+    self,
+    address: settings.distributionAddress,
+    fellows: settings.relays,
+    source: subscriber.sections,
+    barrier: subscriber.barrier,
+    asOf: home.asOf,
+    batchWindow: settings.batchWindow,
+    lease: settings.lease,
+    network,
+    timers,
+    random,
+    log,
+  });
+  home.onChannels(host.join);
+  home.onReport(host.fleet.receive);
+  log.info('relay takes nodes', {address: settings.distributionAddress});
+
+  return {
+    async stop() {
+      home.stop();
+      subscriber.stop();
+      await host.stop();
+    },
+  };
+}
