--- /dev/null
+++ b/src/configuration/create-configuration-machine.ts
@@ -0,0 +1,266 @@
+import {StateMachine} from '../consensus/consensus.js';
+import {commonCodes} from '../result/codes.js';
+import {failure, success} from '../result/failure.js';
+import type {Result} from '../result/failure.js';
+import {createAnswerTable} from './answer-table.js';
+import type {AnswerTableSafeguards} from './answer-table.js';
+import {configurationCodes as codes} from './codes.js';
+import type {
+  Configuration,
+  Drain,
+  Item,
+  Kind,
+  Policy,
+  Route,
+  Service,
+} from './configuration.js';
+import {decodeEntry, encodeAnswer, encodeEntry} from './entry.js';
+import type {Entry} from './entry.js';
+import {describeChange} from './history.js';
+import type {Change} from './history.js';
+import {createItemStore} from './item-store.js';
+import type {ItemStore, Replacement, Value} from './item-store.js';
+import {selectBounds} from './limits.js';
+import type {Limits} from './limits.js';
+import type {Answer, Command, Edit} from './messages.js';
+import {decodeState, digestState, encodeState} from './snapshot.js';
+import type {WholeState} from './snapshot.js';
+import {validate} from './validation.js';
+
+/** Safeguards that a test may take out to show what they are for. */
+export interface MachineSafeguards extends AnswerTableSafeguards {
+  /** Answer a resend from the table. */
+  readonly answers: boolean;
+  /** Check references against the whole resulting state. */
+  readonly validation: boolean;
+}
+
+/** What a configuration machine is made of. */
+export interface MachineOptions {
+  /** The deployment's limits; entries prepared here carry their bounds. */
+  readonly limits: Limits;
+  /** For tests only; all on by default. */
+  readonly safeguards?: Partial<MachineSafeguards>;
+}
+
+/** The replicated configuration: the consensus applies, others look. */
+export abstract class ConfigurationMachine extends StateMachine {
+  /** The log entry that proposes a command; `time` is since the epoch. */
+  abstract prepare(command: Command, time: number): Uint8Array;
+  /** The configuration in force on this process. */
+  abstract current(): Configuration;
+  /** Calls `observe` after each change or restored snapshot. */
+  abstract onChange(observe: (version: number) => void): void;
+  /** Changes still kept, the newest first. */
+  abstract history(): readonly Change[];
+  /** Digest of the whole replicated state, answers and history included. */
+  abstract digest(): string;
+  /** The log index of the last entry applied or snapshot restored. */
+  abstract appliedIndex(): number;
+}
+
+const allSafeguards: MachineSafeguards = {
+  answers: true,
+  floor: true,
+  fingerprint: true,
+  validation: true,
+};
+
+/** Creates the machine with an empty configuration. */
+export function createConfigurationMachine(
+  options: MachineOptions,
+): ConfigurationMachine {
+  const bounds = selectBounds(options.limits);
+  const safeguards = {...allSafeguards, ...options.safeguards};
+  const observers = new Set<(version: number) => void>();
+  let store = createItemStore();
+  let answers = createAnswerTable(undefined, safeguards);
+  let changes: Change[] = [];
+  let version = 0;
+  let applied = 0;
+  let frozen: Configuration | undefined;
+
+  function apply(index: number, bytes: Uint8Array): Uint8Array {
+    applied = index;
+    const entry = decodeEntry(bytes);
+    const answer = entry === undefined ? answerInvalid() : run(index, entry);
+    return encodeAnswer(answer);
+  }
+
+  function answerInvalid(): Answer {
+    const message = 'the entry is not a command; nothing was changed';
+    return {code: codes.invalidEntry.number, message, version};
+  }
+
+  function run(index: number, entry: Entry): Answer {
+    const {command} = entry;
+    const first = safeguards.answers
+      ? answers.find(command, version)
+      : undefined;
+    if (first !== undefined) return first;
+    const before = version;
+    const answer = change(index, entry);
+    answers.record(command, answer, entry.bounds);
+    if (version !== before) notify();
+    return answer;
+  }
+
+  function change(index: number, {command, time, bounds}: Entry): Answer {
+    const expected = command.expectedVersion;
+    if (expected !== undefined && expected !== version) {
+      return answerConflict(expected);
+    }
+    const edited = editStore(store, command.edits, bounds);
+    if (!edited.ok) {
+      return {code: edited.code.number, message: edited.message, version};
+    }
+    if (edited.value.length === 0) return accept('nothing to change');
+    version = index;
+    frozen = undefined;
+    changes.push(describeChange(command, version, time));
+    changes = changes.slice(-bounds.history);
+    return accept('accepted');
+  }
+
+  function accept(message: string): Answer {
+    return {code: commonCodes.ok.number, message, version};
+  }
+
+  function answerConflict(expected: number): Answer {
+    const winner = changes.at(-1);
+    const by = winner && ` by ${winner.operator}/${winner.sequence}`;
+    const message = `version ${version}${by ?? ''} is in force, not ${expected}`;
+    return {code: codes.conflict.number, message, version};
+  }
+
+  function editStore(
+    store: ItemStore,
+    edits: readonly Edit[],
+    bounds: Entry['bounds'],
+  ): Result<readonly Replacement[]> {
+    const done: Replacement[] = [];
+    const edited = replaceAll(store, edits, done);
+    const checked =
+      edited.ok && safeguards.validation
+        ? validate(store, done, bounds)
+        : edited;
+    if (checked.ok) return success(done);
+    undo(store, done);
+    return checked;
+  }
+
+  function notify(): void {
+    for (const observe of observers) observe(version);
+  }
+
+  function whole(): WholeState {
+    return {
+      format: 1,
+      version,
+      services: store.sorted('service') as Service[],
+      policies: store.sorted('policy') as Policy[],
+      routes: store.sorted('route') as Route[],
+      drains: store.sorted('drain') as Drain[],
+      answers: answers.state(),
+      history: changes,
+    };
+  }
+
+  function restore(index: number, bytes: Uint8Array): void {
+    const state = decodeState(bytes);
+    store = fillStore(state);
+    answers = createAnswerTable(state.answers, safeguards);
+    changes = [...state.history];
+    version = state.version;
+    applied = index;
+    frozen = undefined;
+    notify();
+  }
+
+  return new (class extends ConfigurationMachine {
+    apply = apply;
+    restore = restore;
+
+    snapshot(): Uint8Array {
+      return encodeState(whole());
+    }
+
+    prepare(command: Command, time: number): Uint8Array {
+      return encodeEntry({command, time, bounds});
+    }
+
+    current(): Configuration {
+      frozen ??= store.freeze(version);
+      return frozen;
+    }
+
+    onChange(observe: (version: number) => void): void {
+      observers.add(observe);
+    }
+
+    history(): readonly Change[] {
+      return [...changes].reverse();
+    }
+
+    digest(): string {
+      return digestState(encodeState(whole()));
+    }
+
+    appliedIndex(): number {
+      return applied;
+    }
+  })();
+}
+
+/** Makes all edits, keeping in `done` what changed; stops at a missing item. */
+function replaceAll(
+  store: ItemStore,
+  edits: readonly Edit[],
+  done: Replacement[],
+): Result<void> {
+  for (const edit of edits) {
+    if (edit.action === 'put') {
+      put(store, edit.item, done);
+      continue;
+    }
+    const {kind, name} = edit;
+    if (store.get(kind, name) === undefined) return missing(kind, name);
+    done.push(store.replace({kind, name}, undefined));
+  }
+  return success(undefined);
+}
+
+function put(store: ItemStore, item: Item, done: Replacement[]): void {
+  const {kind, value} = item;
+  if (isSame(store.get(kind, value.name), value)) return;
+  done.push(store.replace({kind, name: value.name}, value));
+}
+
+function missing(kind: Kind, name: string): Result<never> {
+  return failure(codes.notFound, `there is no ${kind} ${name}`);
+}
+
+function undo(store: ItemStore, done: readonly Replacement[]): void {
+  for (const {kind, name, before} of [...done].reverse()) {
+    store.replace({kind, name}, before);
+  }
+}
+
+/** Items have their keys in one order, so equal items are equal text. */
+function isSame(left: Value | undefined, right: Value): boolean {
+  return JSON.stringify(left) === JSON.stringify(right);
+}
+
+function fillStore(state: WholeState): ItemStore {
+  const store = createItemStore();
+  const lists: Record<Kind, readonly Value[]> = {
+    service: state.services,
+    policy: state.policies,
+    route: state.routes,
+    drain: state.drains,
+  };
+  for (const [kind, values] of Object.entries(lists) as [Kind, Value[]][]) {
+    for (const value of values) store.replace({kind, name: value.name}, value);
+  }
+  return store;
+}
--- /dev/null
+++ b/src/consensus/fakes/fake-consensus.ts
@@ -0,0 +1,115 @@
+import {defineCode} from '../../result/code.js';
+import {failure, success} from '../../result/failure.js';
+import type {Result} from '../../result/failure.js';
+import type {Consensus, Member, StateMachine, Status} from '../consensus.js';
+
+const notLeader = defineCode(3001, 'not-leader', 'not-run', 421, 'Fake.');
+const outcomeUnknown = defineCode(3002, 'outcome-unknown', 'unknown', 503, '');
+
+/** What becomes of the next proposal. */
+export type Fate = 'answer' | 'commit-and-lose' | 'lose';
+
+/** A control group in memory that commits at once and fails as told. */
+export interface FakeGroup<M extends StateMachine> {
+  member(name: string): Consensus;
+  machine(name: string): M;
+  /** Makes `name` the leader, or nobody. */
+  lead(name: string | undefined): void;
+  /** Decides the next proposals, one each; then all are answered. */
+  decide(...fates: Fate[]): void;
+  /** Gives the member a fresh machine: a snapshot at `index`, then the tail. */
+  restart(name: string, index?: number): void;
+  /** The entries committed so far. */
+  entries(): readonly Uint8Array[];
+}
+
+/** Creates a group whose members apply each entry with machines of their own. */
+export function createFakeGroup<M extends StateMachine>(
+  names: readonly string[],
+  createMachine: () => M,
+): FakeGroup<M> {
+  const machines = new Map(names.map(name => [name, createMachine()]));
+  const log: Uint8Array[] = [];
+  const fates: Fate[] = [];
+  const observers = new Set<(index: number) => void>();
+  let voters = names.map(toMember);
+  let leader: string | undefined = names[0];
+
+  function commit(entry: Uint8Array, proposer: string): Uint8Array {
+    log.push(entry);
+    let answer = new Uint8Array();
+    for (const [name, machine] of machines) {
+      const given = machine.apply(log.length, entry);
+      if (name === proposer) answer = new Uint8Array(given);
+    }
+    for (const observe of observers) observe(log.length);
+    return answer;
+  }
+
+  async function propose(
+    name: string,
+    entry: Uint8Array,
+  ): Promise<Result<Uint8Array>> {
+    if (name !== leader) return failure(notLeader, `${leader} leads`);
+    const fate = fates.shift() ?? 'answer';
+    if (fate === 'lose') return failure(outcomeUnknown, 'leadership ended');
+    const answer = commit(entry, name);
+    if (fate === 'answer') return success(answer);
+    return failure(outcomeUnknown, 'leadership ended');
+  }
+
+  function status(name: string): Status {
+    return {
+      role: name === leader ? 'leader' : 'follower',
+      term: 1,
+      leader,
+      commitIndex: log.length,
+      lastIndex: log.length,
+      snapshotIndex: 0,
+      voters,
+    };
+  }
+
+  function restart(name: string, index = 0): void {
+    const machine = createMachine();
+    const before = createMachine();
+    log.slice(0, index).forEach((entry, at) => before.apply(at + 1, entry));
+    if (index > 0) machine.restore(index, before.snapshot());
+    log.slice(index).forEach((entry, at) => {
+      machine.apply(index + at + 1, entry);
+    });
+    machines.set(name, machine);
+  }
+
+  function member(name: string): Consensus {
+    return {
+      propose: entry => propose(name, entry),
+      readBarrier: async () =>
+        leader === undefined
+          ? failure(notLeader, 'nobody leads')
+          : success(log.length),
+      status: () => status(name),
+      replace: async (leaving, joining) => {
+        if (name !== leader) return failure(notLeader, `${leader} leads`);
+        voters = voters.map(each => (each.name === leaving ? joining : each));
+        return success(undefined);
+      },
+      onApplied: observe => void observers.add(observe),
+      onRole: () => {},
+      stop: async () => {},
+    };
+  }
+
+  return {
+    member,
+    machine: name => machines.get(name)!,
+    lead: name => void (leader = name),
+    decide: (...next) => void fates.push(...next),
+    restart,
+    entries: () => log,
+  };
+}
+
+function toMember(name: string): Member {
+  return {name, address: '127.0.0.1:1', failureDomain: 'hall-a'};
+}
--- /dev/null
+++ b/src/language/statement.ts
@@ -0,0 +1,31 @@
+import type {Kind} from '../configuration/configuration.js';
+import type {Edit} from '../configuration/messages.js';
+import type {Member} from '../consensus/consensus.js';
+
+/** The id of a command: resending it gets the first answer. */
+export interface CommandId {
+  readonly operator: string;
+  readonly sequence: number;
+}
+
+/** What `as` and `expect` in front of a change say. */
+export interface Prefix {
+  readonly id?: CommandId;
+  readonly expectedVersion?: number;
+}
+
+/** One command of the operators' language. */
+export type Statement =
+  | ({readonly kind: 'change'; readonly edits: readonly Edit[]} & Prefix)
+  | ({readonly kind: 'apply'; readonly file: string} & Prefix)
+  | {readonly kind: 'show'; readonly items: Kind; readonly name?: string}
+  | {readonly kind: 'show-in-force'}
+  | {readonly kind: 'show-control'}
+  | {readonly kind: 'history'; readonly count: number}
+  | {readonly kind: 'wait'; readonly version: number; readonly within: number}
+  | {
+      readonly kind: 'replace';
+      readonly leaving: string;
+      readonly joining: Member;
+    }
+  | {readonly kind: 'help'};
--- /dev/null
+++ b/src/language/tokens.ts
@@ -0,0 +1,118 @@
+import {createToken, Lexer} from 'chevrotain';
+import type {TokenType} from 'chevrotain';
+
+/** Words, keywords and separators of the operators' language. */
+
+/** Anything but a space, separator, quote or comment; keywords are words too. */
+export const Word = createToken({
+  name: 'Word',
+  label: 'a word',
+  pattern: /[^\s;"#]+/,
+});
+
+/** Quoted text, for file names. */
+export const Text = createToken({
+  name: 'Text',
+  label: 'quoted text',
+  pattern: /"[^"\n]*"/,
+});
+
+/** Ends an edit. */
+export const Separator = createToken({
+  name: 'Separator',
+  label: '";"',
+  pattern: /;|\r?\n/,
+  line_breaks: true,
+});
+
+const Space = createToken({
+  name: 'Space',
+  pattern: /[ \t]+/,
+  group: Lexer.SKIPPED,
+});
+
+const Comment = createToken({
+  name: 'Comment',
+  pattern: /#[^\n]*/,
+  group: Lexer.SKIPPED,
+});
+
+const keywordTexts = [
+  'as',
+  'expect',
+  'begin',
+  'end',
+  'put',
+  'remove',
+  'drain',
+  'undrain',
+  'show',
+  'history',
+  'wait',
+  'replace',
+  'apply',
+  'help',
+  'service',
+  'route',
+  'policy',
+  'services',
+  'routes',
+  'policies',
+  'drains',
+  'in',
+  'force',
+  'control',
+  'slow-start',
+  'prefix',
+  'methods',
+  'to',
+  'under',
+  'priority',
+  'deadline',
+  'attempts',
+  'repeat',
+  'body',
+  'objective',
+  'within',
+  'of',
+  'with',
+  'at',
+] as const;
+
+/** A word with a meaning of its own where the grammar asks for it. */
+export type Keyword = (typeof keywordTexts)[number];
+
+/** Longest first, or `services` would be taken for `service` and a rest. */
+const keywordTokens = new Map<Keyword, TokenType>(
+  [...keywordTexts]
+    .sort((left, right) => right.length - left.length)
+    .map(text => [text, createKeyword(text)]),
+);
+
+/** The token of a keyword. */
+export function keyword(text: Keyword): TokenType {
+  return keywordTokens.get(text)!;
+}
+
+/** All tokens, in the order in which the lexer tries them. */
+export const vocabulary: TokenType[] = [
+  Space,
+  Comment,
+  Separator,
+  Text,
+  ...keywordTokens.values(),
+  Word,
+];
+
+/** Splits text into tokens. */
+export const lexer = new Lexer(vocabulary, {ensureOptimizations: false});
+
+function createKeyword(text: Keyword): TokenType {
+  return createToken({
+    name: `Keyword-${text}`,
+    label: text,
+    pattern: text,
+    longer_alt: Word,
+    categories: [Word],
+  });
+}
--- /dev/null
+++ b/src/language/values.ts
@@ -0,0 +1,120 @@
+import {isIP} from 'node:net';
+import type {IToken} from 'chevrotain';
+import {parseAddress} from '../link/address.js';
+import {ProblemError} from './problem.js';
+import type {CommandId} from './statement.js';
+
+/** Values of the language, read from single words. */
+
+const milliseconds = {ms: 1, s: 1000, m: 60_000} as const;
+
+const bytes = {
+  B: 1,
+  KiB: 1024,
+  MiB: 1024 * 1024,
+  GiB: 1024 * 1024 * 1024,
+} as const;
+
+/** Fails at a word with what was expected there. */
+export function reject(token: IToken, expected: string): never {
+  throw new ProblemError({
+    message: `expected ${expected}`,
+    offset: token.startOffset,
+    length: token.image.length,
+  });
+}
+
+/** A name of an item, an instance, an operator or a process. */
+export function toName(token: IToken): string {
+  if (/^[a-z0-9][a-z0-9.-]{0,62}$/.test(token.image)) return token.image;
+  return reject(
+    token,
+    'a name of 1 to 63 letters a-z, digits, dots or hyphens',
+  );
+}
+
+/** A whole number of at least `least`. */
+export function toCount(token: IToken, least = 0): number {
+  const value = Number(token.image);
+  const isCount = /^\d+$/.test(token.image) && Number.isSafeInteger(value);
+  if (isCount && value >= least) return value;
+  return reject(token, `a whole number of at least ${least}`);
+}
+
+/** Milliseconds, such as from `250ms`, `5s` or `2m`. */
+export function toDuration(token: IToken): number {
+  const value = scale(token.image, milliseconds);
+  return value ?? reject(token, 'a duration such as 250ms, 5s or 2m');
+}
+
+/** Bytes, such as from `64MiB`. */
+export function toSize(token: IToken): number {
+  const value = scale(token.image, bytes);
+  return value ?? reject(token, 'a size such as 512B, 64KiB, 64MiB or 1GiB');
+}
+
+/** A share of 0 to 1, from a percentage such as `99.9%`. */
+export function toShare(token: IToken): number {
+  const match = /^(\d{1,3}(?:\.\d{1,6})?)%$/.exec(token.image);
+  const percent = Number(match?.[1] ?? NaN);
+  if (percent <= 100) return Number((percent / 100).toFixed(8));
+  return reject(token, 'a percentage of 0% to 100%, such as 99.9%');
+}
+
+/** A path prefix. */
+export function toPath(token: IToken): string {
+  if (/^\/[!-~]*$/.test(token.image)) return token.image;
+  return reject(token, 'a path that starts with /');
+}
+
+/** Methods, such as from `GET,POST`; sorted, each once. */
+export function toMethods(token: IToken): string[] {
+  const methods = token.image.split(',');
+  if (methods.every(method => /^[A-Z]{1,16}$/.test(method))) {
+    return [...new Set(methods)].sort();
+  }
+  return reject(token, 'methods in capitals, such as GET,POST');
+}
+
+/** One of `choices`. */
+export function toChoice<T extends string>(
+  token: IToken,
+  choices: readonly T[],
+): T {
+  const choice = choices.find(each => each === token.image);
+  return choice ?? reject(token, listChoices(choices));
+}
+
+/** An IP number and port. */
+export function toAddress(token: IToken): string {
+  const {host, port} = parseAddress(token.image);
+  const isPort = Number.isInteger(port) && port > 0 && port < 65536;
+  if (isIP(host) !== 0 && isPort) return token.image;
+  return reject(token, 'an IP number and port, such as 127.0.0.1:7000');
+}
+
+/** A command's id, such as `amina/7`. */
+export function toId(token: IToken): CommandId {
+  const match = /^([a-z0-9][a-z0-9.-]{0,62})\/(\d+)$/.exec(token.image);
+  const sequence = Number(match?.[2] ?? NaN);
+  if (match === null || !Number.isSafeInteger(sequence) || sequence < 1) {
+    return reject(token, 'OPERATOR/SEQUENCE, such as amina/7');
+  }
+  return {operator: match[1]!, sequence};
+}
+
+/** Lists choices as English does. */
+export function listChoices(choices: readonly string[]): string {
+  if (choices.length < 2) return choices.join('');
+  return `${choices.slice(0, -1).join(', ')} or ${choices.at(-1)}`;
+}
+
+function scale(
+  image: string,
+  units: Readonly<Record<string, number>>,
+): number | undefined {
+  const match = /^(\d{1,12})([a-zA-Z]+)$/.exec(image);
+  const unit = units[match?.[2] ?? ''];
+  if (match === null || unit === undefined) return undefined;
+  return Number(match[1]) * unit;
+}
--- /dev/null
+++ b/src/operator/create-operator-client.ts
@@ -0,0 +1,228 @@
+import {createTRPCClient, httpLink, TRPCClientError} from '@trpc/client';
+import type {TRPCClient} from '@trpc/client';
+import type {Kind} from '../configuration/configuration.js';
+import type {Answer, Command} from '../configuration/messages.js';
+import type {Member} from '../consensus/consensus.js';
+import type {Address} from '../link/link.js';
+import type {Effect} from '../result/code.js';
+import {commonCodes} from '../result/codes.js';
+import type {Timers} from '../time/timers.js';
+import type {FleetSummary} from './fleet-view.js';
+import type {
+  ControlView,
+  History,
+  Items,
+  Refusal,
+  Reply,
+  Waited,
+} from './messages.js';
+import {refuse} from './refusal.js';
+import {longestWait} from './router.js';
+import type {OperatorRouter} from './router.js';
+
+/** What a client of the operators' API is made of. */
+export interface OperatorClientOptions {
+  /** Operators' addresses of control processes, the first tried first. */
+  readonly addresses: readonly Address[];
+  readonly token?: string;
+  readonly timers: Timers;
+  /** Milliseconds after which a request without an answer is tried elsewhere. */
+  readonly attemptTimeout?: number;
+  /** Milliseconds after which the client gives up. */
+  readonly timeout?: number;
+}
+
+/** Asks the control group; each call goes on until answered or timed out. */
+export interface OperatorClient {
+  /** Resent under its id until it has an answer. */
+  change(command: Command): Promise<Reply<Answer>>;
+  items(kind: Kind, name?: string): Promise<Reply<Items>>;
+  history(count: number): Promise<Reply<History>>;
+  inForce(): Promise<Reply<FleetSummary>>;
+  wait(version: number, within: number): Promise<Reply<Waited>>;
+  /** The group as each address sees it, in the order of the addresses. */
+  control(): Promise<readonly Reply<ControlView>[]>;
+  replace(leaving: string, joining: Member): Promise<Reply<null>>;
+}
+
+type Api = TRPCClient<OperatorRouter>;
+
+/** How one call may be tried again. */
+interface Call<T> {
+  readonly run: (api: Api, signal: AbortSignal) => Promise<Reply<T>>;
+  /**
+   * `always`: a query, or a command whose id makes a resend safe. `not-run`:
+   * only when it certainly did not run.
+   */
+  readonly resend: 'always' | 'not-run';
+  /** What is left behind when no answer ever came. */
+  readonly effect: Effect;
+}
+
+/** Milliseconds between two rounds over all addresses. */
+const roundPause = 100;
+
+/** Refusals after which another process, or a later moment, may do. */
+const passing: readonly string[] = [
+  'not-leader',
+  'no-quorum',
+  'outcome-unknown',
+  'behind',
+  'internal',
+];
+
+/** Errors of a connection that was never made, so that nothing was sent. */
+const neverSent: readonly string[] = [
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+];
+
+/** Creates a client that knows several control processes. */
+export function createOperatorClient(
+  options: OperatorClientOptions,
+): OperatorClient {
+  const {timers, attemptTimeout = 3000, timeout = 10_000} = options;
+  const apis = new Map<Address, Api>();
+  let preferred = options.addresses[0]!;
+
+  function apiAt(address: Address): Api {
+    const api = apis.get(address) ?? createApi(address, options.token);
+    apis.set(address, api);
+    return api;
+  }
+
+  async function attempt<T>(
+    address: Address,
+    call: Call<T>,
+    limit: number,
+  ): Promise<Reply<T>> {
+    const controller = new AbortController();
+    const timer = timers.after(limit, () => controller.abort());
+    try {
+      return await call.run(apiAt(address), controller.signal);
+    } catch (error) {
+      return {ok: false, refusal: describeError(address, error as Error)};
+    } finally {
+      timer.cancel();
+    }
+  }
+
+  async function ask<T>(call: Call<T>, extra = 0): Promise<Reply<T>> {
+    const deadline = timers.now() + timeout + extra;
+    let effect: Effect = 'not-run';
+    for (let tries = 1; ; tries++) {
+      const reply = await attempt(preferred, call, attemptTimeout + extra);
+      if (reply.ok || !isPassing(reply.refusal)) return reply;
+      if (reply.refusal.effect === 'unknown') effect = call.effect;
+      if (effect === 'unknown' && call.resend === 'not-run') return reply;
+      if (timers.now() >= deadline) return giveUp(reply.refusal, effect);
+      preferred = reply.refusal.leader ?? after(preferred);
+      if (tries % options.addresses.length === 0) await pause();
+    }
+  }
+
+  function after(address: Address): Address {
+    const next = options.addresses.indexOf(address) + 1;
+    return options.addresses[next % options.addresses.length]!;
+  }
+
+  function pause(): Promise<void> {
+    return new Promise(resolve => void timers.after(roundPause, resolve));
+  }
+
+  function query<T>(run: Call<T>['run'], extra?: number): Promise<Reply<T>> {
+    return ask({run, resend: 'always', effect: 'not-run'}, extra);
+  }
+
+  async function wait(version: number, within: number): Promise<Reply<Waited>> {
+    const deadline = timers.now() + within;
+    for (;;) {
+      const left = Math.max(0, deadline - timers.now());
+      const input = {version, within: Math.min(left, longestWait)};
+      const reply = await query(
+        async (api, signal) => wrap(await api.wait.query(input, {signal})),
+        input.within,
+      );
+      if (!reply.ok || reply.value.inForce) return reply;
+      if (timers.now() >= deadline) return reply;
+    }
+  }
+
+  function control(): Promise<Reply<ControlView>[]> {
+    const call: Call<ControlView> = {
+      run: async (api, signal) =>
+        wrap(await api.control.query(undefined, {signal})),
+      resend: 'not-run',
+      effect: 'not-run',
+    };
+    return Promise.all(
+      options.addresses.map(address => attempt(address, call, attemptTimeout)),
+    );
+  }
+
+  return {
+    change: command =>
+      ask({
+        run: (api, signal) => api.change.mutate(command, {signal}),
+        resend: 'always',
+        effect: 'unknown',
+      }),
+    items: (kind, name) =>
+      query((api, signal) => api.items.query({kind, name}, {signal})),
+    history: count =>
+      query((api, signal) => api.history.query({count}, {signal})),
+    inForce: () =>
+      query(async (api, signal) =>
+        wrap(await api.inForce.query(undefined, {signal})),
+      ),
+    wait,
+    control,
+    replace: (leaving, joining) =>
+      ask({
+        run: (api, signal) => api.replace.mutate({leaving, joining}, {signal}),
+        resend: 'not-run',
+        effect: 'unknown',
+      }),
+  };
+}
+
+function createApi(address: Address, token: string | undefined): Api {
+  const headers = token === undefined ? {} : {authorization: `Bearer ${token}`};
+  return createTRPCClient<OperatorRouter>({
+    links: [httpLink({url: `http://${address}`, headers})],
+  });
+}
+
+function wrap<T>(value: T): Reply<T> {
+  return {ok: true, value};
+}
+
+function isPassing({code, name}: Refusal): boolean {
+  return code === commonCodes.unreachable.number || passing.includes(name);
+}
+
+function giveUp(last: Refusal, effect: Effect): Reply<never> {
+  const {unreachable} = commonCodes;
+  if (effect !== 'unknown') return {ok: false, refusal: {...last, effect}};
+  const message = `no answer came in time: ${last.message}`;
+  return {ok: false, refusal: {...refuse(unreachable, message), effect}};
+}
+
+function describeError(address: Address, error: Error): Refusal {
+  if (error instanceof TRPCClientError) {
+    const refusal = (error.data as {refusal?: Refusal} | undefined)?.refusal;
+    if (refusal !== undefined) return refusal;
+  }
+  const code = findSystemCode(error);
+  const message = `${address} did not answer${code ? `: ${code}` : ''}`;
+  const effect = neverSent.includes(code ?? '') ? 'not-run' : 'unknown';
+  return {...refuse(commonCodes.unreachable, message), effect};
+}
+
+function findSystemCode(error: Error): string | undefined {
+  const {code} = error as {code?: unknown};
+  if (typeof code === 'string') return code;
+  return error.cause instanceof Error ? findSystemCode(error.cause) : undefined;
+}
--- /dev/null
+++ b/src/operator/options.ts
@@ -0,0 +1,97 @@
+import {readFileSync} from 'node:fs';
+import {isIP} from 'node:net';
+import {parseArgs} from 'node:util';
+import {parseAddress} from '../link/address.js';
+import type {Address} from '../link/link.js';
+import {commonCodes} from '../result/codes.js';
+import {failure, success} from '../result/failure.js';
+import type {Result} from '../result/failure.js';
+
+/** The options of an operator command. */
+export interface OperatorOptions {
+  readonly addresses: readonly Address[];
+  readonly operator: string;
+  readonly token?: string;
+  /** Milliseconds. */
+  readonly timeout: number;
+  readonly json: boolean;
+  readonly help: boolean;
+  /** The command itself. */
+  readonly words: readonly string[];
+}
+
+/** Seconds for which a command is tried when no option says so. */
+const timeoutDefault = 10;
+
+/** Environment variables, as the process has them. */
+export interface Environment {
+  readonly [name: string]: string | undefined;
+}
+
+/** Reads the options of an operator command from words and environment. */
+export function resolveOptions(
+  args: readonly string[],
+  environment: Environment,
+): Result<OperatorOptions> {
+  try {
+    return success(readOptions(args, environment));
+  } catch (error) {
+    return failure(commonCodes.usage, (error as Error).message);
+  }
+}
+
+function readOptions(
+  args: readonly string[],
+  environment: Environment,
+): OperatorOptions {
+  const {values, positionals} = parseArgs({
+    args: [...args],
+    allowPositionals: true,
+    options: {
+      control: {type: 'string', multiple: true},
+      operator: {type: 'string'},
+      'token-file': {type: 'string'},
+      timeout: {type: 'string'},
+      json: {type: 'boolean', default: false},
+      help: {type: 'boolean', default: false},
+    },
+  });
+  const listed = values.control ?? [environment['FOXBARROW_CONTROL'] ?? ''];
+  const addresses = listed
+    .flatMap(list => list.split(','))
+    .filter(address => address !== '');
+  addresses.forEach(checkAddress);
+  return {
+    addresses,
+    operator: values.operator ?? environment['FOXBARROW_OPERATOR'] ?? '',
+    token: readToken(values['token-file'], environment),
+    timeout: toMilliseconds(values.timeout),
+    json: values.json,
+    help: values.help,
+    words: positionals,
+  };
+}
+
+function checkAddress(address: Address): void {
+  const {host, port} = parseAddress(address);
+  if (isIP(host) !== 0 && port > 0 && port < 65536) return;
+  throw new Error(`--control ${address}: give an IP number and a port`);
+}
+
+function readToken(
+  file: string | undefined,
+  environment: Environment,
+): string | undefined {
+  if (file === undefined) return environment['FOXBARROW_TOKEN'];
+  try {
+    return readFileSync(file, 'utf8').trim();
+  } catch {
+    throw new Error(`--token-file ${file}: cannot be read`);
+  }
+}
+
+function toMilliseconds(seconds: string | undefined): number {
+  const value = Number(seconds ?? timeoutDefault);
+  if (value > 0) return value * 1000;
+  throw new Error(`--timeout ${seconds}: give a number of seconds`);
+}
--- /dev/null
+++ b/src/operator/render.ts
@@ -0,0 +1,189 @@
+import type {
+  Drain,
+  Item,
+  Policy,
+  Route,
+  Service,
+} from '../configuration/configuration.js';
+import type {FleetSummary} from './fleet-view.js';
+import type {ControlView, History, Items, Reply} from './messages.js';
+import {renderTable} from './table.js';
+
+/** What a person sees; programs take `--json` instead. */
+
+/** Items of one kind at one version. */
+export function renderItems({version, items}: Items): string {
+  const table = items.length === 0 ? 'none\n' : renderItemTable(items);
+  return `${table}version ${version}\n`;
+}
+
+function renderItemTable(items: readonly Item[]): string {
+  const values = items.map(({value}) => value);
+  switch (items[0]!.kind) {
+    case 'service':
+      return renderServices(values as Service[]);
+    case 'route':
+      return renderRoutes(values as Route[]);
+    case 'policy':
+      return renderPolicies(values as Policy[]);
+    case 'drain':
+      return renderDrains(values as Drain[]);
+  }
+}
+
+function renderServices(services: readonly Service[]): string {
+  return renderTable(
+    ['service', 'slow-start'],
+    services.map(({name, slowStart}) => [name, showDuration(slowStart)]),
+  );
+}
+
+function renderRoutes(routes: readonly Route[]): string {
+  return renderTable(
+    ['route', 'prefix', 'methods', 'to', 'under'],
+    routes.map(route => [
+      route.name,
+      route.prefix,
+      route.methods.join(',') || 'all',
+      route.service,
+      route.policy,
+    ]),
+  );
+}
+
+function renderPolicies(policies: readonly Policy[]): string {
+  return renderTable(
+    [
+      'policy',
+      'priority',
+      'deadline',
+      'attempts',
+      'repeat',
+      'body',
+      'objective',
+    ],
+    policies.map(policy => [
+      policy.name,
+      policy.priority,
+      showDuration(policy.deadline),
+      `${policy.attempts}`,
+      policy.repeatability,
+      showSize(policy.bodyLimit),
+      `${showShare(policy.objective.target)} within ` +
+        showDuration(policy.objective.latency),
+    ]),
+  );
+}
+
+function renderDrains(drains: readonly Drain[]): string {
+  return renderTable(
+    ['instance', 'of'],
+    drains.map(({name, service}) => [name, service]),
+  );
+}
+
+/** The last changes. */
+export function renderHistory({version, changes}: History): string {
+  const table = renderTable(
+    ['version', 'time', 'command', 'edits'],
+    changes.map(change => [
+      `${change.version}`,
+      new Date(change.time).toISOString(),
+      `${change.operator}/${change.sequence}`,
+      change.edits.join('; '),
+    ]),
+  );
+  return `${table}version ${version}\n`;
+}
+
+/** What is in force where. */
+export function renderFleet(fleet: FleetSummary): string {
+  const domains = renderTable(
+    ['failure domain', 'nodes', 'least version'],
+    fleet.domains.map(domain => [
+      domain.failureDomain,
+      `${domain.nodes}`,
+      showVersion(domain.leastVersion),
+    ]),
+  );
+  const least = showVersion(fleet.leastVersion);
+  const total = `${fleet.nodes} nodes, least version ${least}\n`;
+  if (fleet.laggards.length === 0) return `${domains}${total}`;
+  const laggards = renderTable(
+    ['laggard', 'failure domain', 'version'],
+    fleet.laggards.map(laggard => [
+      laggard.name,
+      laggard.failureDomain,
+      showVersion(laggard.version),
+    ]),
+  );
+  return `${domains}${total}\n${laggards}`;
+}
+
+/** The control group, one line for each process that answered. */
+export function renderControl(views: readonly Reply<ControlView>[]): string {
+  const answered = views.flatMap(view => (view.ok ? [view.value] : []));
+  const silent = views.flatMap(view => (view.ok ? [] : [view.refusal]));
+  const processes = renderTable(
+    [
+      'control',
+      'role',
+      'term',
+      'leader',
+      'commit',
+      'last',
+      'snapshot',
+      'version',
+      'digest',
+    ],
+    answered.map(view => [
+      view.name,
+      view.role,
+      `${view.term}`,
+      view.leader ?? '-',
+      `${view.commitIndex}`,
+      `${view.lastIndex}`,
+      `${view.snapshotIndex}`,
+      `${view.version}`,
+      view.digest.slice(0, 12),
+    ]),
+  );
+  const members = renderTable(
+    ['member', 'address', 'failure domain'],
+    newest(answered).map(member => [
+      member.name,
+      member.address,
+      member.failureDomain,
+    ]),
+  );
+  const notes = silent.map(({message}) => `${message}\n`).join('');
+  return `${processes}\n${members}${notes}`;
+}
+
+/** The members as the process with the highest commit index knows them. */
+function newest(views: readonly ControlView[]): ControlView['members'] {
+  const [first] = [...views].sort(
+    (left, right) => right.commitIndex - left.commitIndex,
+  );
+  return first?.members ?? [];
+}
+
+function showVersion(version: number | undefined): string {
+  return version === undefined ? '-' : `${version}`;
+}
+
+function showDuration(milliseconds: number): string {
+  const isSeconds = milliseconds >= 1000 && milliseconds % 1000 === 0;
+  return isSeconds ? `${milliseconds / 1000}s` : `${milliseconds}ms`;
+}
+
+function showSize(bytes: number): string {
+  const units = ['GiB', 'MiB', 'KiB'];
+  const sizes = [1024 ** 3, 1024 ** 2, 1024];
+  const at = sizes.findIndex(size => bytes >= size && bytes % size === 0);
+  return at === -1 ? `${bytes}B` : `${bytes / sizes[at]!}${units[at]}`;
+}
+
+function showShare(share: number): string {
+  return `${Number((share * 100).toFixed(6))}%`;
+}
--- /dev/null
+++ b/src/operator/router.ts
@@ -0,0 +1,103 @@
+import {initTRPC, TRPCError} from '@trpc/server';
+import {z, ZodError} from 'zod';
+import {configurationCodes as codes} from '../configuration/codes.js';
+import {commandShape, kindShape, nameShape} from '../configuration/shape.js';
+import type {Log} from '../log/log.js';
+import type {Refusal} from './messages.js';
+import {refuse} from './refusal.js';
+import type {OperatorService} from './service.js';
+
+/** What one request to the operators' API brings. */
+export interface RequestContext {
+  /** Whether the request showed the deployment's operator token. */
+  readonly authorized: boolean;
+}
+
+/** Longest single wait; clients ask again until their own time is over. */
+export const longestWait = 10_000;
+
+const memberShape = z
+  .object({
+    name: nameShape,
+    address: z.string().min(3).max(64),
+    failureDomain: nameShape,
+  })
+  .strict();
+
+const trpc = initTRPC.context<RequestContext>().create({
+  errorFormatter: ({error, shape}) => ({
+    code: shape.code,
+    message: shape.message,
+    data: {refusal: describeError(error)},
+  }),
+});
+
+/** Every procedure of the operators' API. */
+export function createRouter(service: OperatorService, log: Log) {
+  const procedure = trpc.procedure.use(async ({next}) => {
+    const result = await next();
+    if (!result.ok) logUnexpected(log, result.error);
+    return result;
+  });
+  const mutation = procedure.use(({ctx, next}) => {
+    if (ctx.authorized) return next();
+    throw new TRPCError({code: 'UNAUTHORIZED'});
+  });
+  return trpc.router({
+    change: mutation
+      .input(commandShape)
+      .mutation(({input}) => service.change(input)),
+    items: procedure
+      .input(z.object({kind: kindShape, name: nameShape.optional()}).strict())
+      .query(({input}) => service.items(input.kind, input.name)),
+    history: procedure
+      .input(z.object({count: z.number().int().positive()}).strict())
+      .query(({input}) => service.history(input.count)),
+    inForce: procedure.query(() => service.inForce()),
+    wait: procedure
+      .input(
+        z
+          .object({
+            version: z.number().int().nonnegative(),
+            within: z.number().nonnegative().max(longestWait),
+          })
+          .strict(),
+      )
+      .query(({input}) => service.wait(input.version, input.within)),
+    control: procedure.query(() => service.control()),
+    replace: mutation
+      .input(z.object({leaving: nameShape, joining: memberShape}).strict())
+      .mutation(({input}) => service.replace(input.leaving, input.joining)),
+  });
+}
+
+/** The API's type, for the client. */
+export type OperatorRouter = ReturnType<typeof createRouter>;
+
+function describeError(error: TRPCError): Refusal {
+  switch (error.code) {
+    case 'UNAUTHORIZED':
+      return refuse(codes.unauthorized, 'the operator token is wrong');
+    case 'PAYLOAD_TOO_LARGE':
+      return refuse(codes.tooLarge, 'the request is too large');
+    case 'INTERNAL_SERVER_ERROR':
+      return refuse(codes.internal, 'see the log of the control process');
+    default:
+      return refuse(codes.invalidInput, describeInput(error));
+  }
+}
+
+function describeInput(error: TRPCError): string {
+  if (!(error.cause instanceof ZodError)) return error.message;
+  const issue = error.cause.issues[0]!;
+  const path = issue.path.join('.') || 'the request';
+  if (issue.code === 'unrecognized_keys') {
+    return `${path}: unknown key ${issue.keys[0]}`;
+  }
+  return `${path}: ${issue.message}`;
+}
+
+function logUnexpected(log: Log, error: TRPCError): void {
+  if (error.code !== 'INTERNAL_SERVER_ERROR') return;
+  log.error('a request of an operator failed', {error: error.message});
+}
--- /dev/null
+++ b/src/operator/run-operator-command.ts
@@ -0,0 +1,150 @@
+import {createInterface} from 'node:readline';
+import type {Readable} from 'node:stream';
+import {configurationCodes} from '../configuration/codes.js';
+import {parseCommand, isOpen} from '../language/parse.js';
+import {renderProblem} from '../language/problem.js';
+import type {Problem} from '../language/problem.js';
+import {createTimers} from '../time/timers.js';
+import type {Timers} from '../time/timers.js';
+import {createOperatorClient} from './create-operator-client.js';
+import type {OperatorClient} from './create-operator-client.js';
+import {operatorExitCodes} from './exit-codes.js';
+import {languageHelp, optionsHelp} from './help.js';
+import {resolveOptions} from './options.js';
+import type {Environment, OperatorOptions} from './options.js';
+import {createSequence} from './sequence.js';
+import {runStatement} from './run-statement.js';
+import type {Outcome, Session} from './run-statement.js';
+
+/** Where an operator command reads and writes. */
+export interface Streams {
+  readonly input: Readable;
+  readonly out: (text: string) => void;
+  readonly error: (text: string) => void;
+  readonly environment: Environment;
+  /** The client to use in place of one over the network, in tests. */
+  readonly client?: OperatorClient;
+  readonly timers?: Timers;
+}
+
+/** The word that takes commands from standard input. */
+const shellWord = 'shell';
+
+/** Runs the operator commands of one invocation; resolves with its exit code. */
+export async function runOperatorCommand(
+  args: readonly string[],
+  streams: Streams,
+): Promise<number> {
+  const resolved = resolveOptions(args, streams.environment);
+  if (!resolved.ok) return misuse(streams, resolved.message);
+  const options = resolved.value;
+  if (options.help || options.words[0] === 'help') {
+    streams.out(optionsHelp + languageHelp);
+    return operatorExitCodes.accepted;
+  }
+  const missing = findMissing(options, streams);
+  if (missing !== undefined) return misuse(streams, missing);
+  const session = createSession(options, streams);
+  const run = (text: string) => runText(session, text, options, streams);
+  const text = options.words.join(' ');
+  return text === shellWord ? runShell(streams, run) : run(text);
+}
+
+function misuse(streams: Streams, problem: string): number {
+  streams.error(`foxbarrow: ${problem}; see foxbarrow help\n`);
+  return operatorExitCodes.usage;
+}
+
+function findMissing(
+  options: OperatorOptions,
+  streams: Streams,
+): string | undefined {
+  if (options.words.length === 0) return 'a command is missing';
+  if (streams.client === undefined && options.addresses.length === 0) {
+    return 'name a control process with --control or FOXBARROW_CONTROL';
+  }
+  return undefined;
+}
+
+function createSession(options: OperatorOptions, streams: Streams): Session {
+  const timers = streams.timers ?? createTimers();
+  const {addresses, token, timeout, operator} = options;
+  const client =
+    streams.client ?? createOperatorClient({addresses, token, timeout, timers});
+  const nextSequence = createSequence(timers);
+  return {
+    client,
+    nextId: () => ({operator, sequence: nextSequence()}),
+    announce: id => streams.error(`command ${id.operator}/${id.sequence}\n`),
+  };
+}
+
+async function runText(
+  session: Session,
+  text: string,
+  options: OperatorOptions,
+  streams: Streams,
+): Promise<number> {
+  const parsed = parseCommand(text);
+  if (!parsed.ok) {
+    const outcome = describeProblem(text, parsed.problem);
+    write(outcome, options, streams);
+    return outcome.exitCode;
+  }
+  const statement = parsed.value;
+  const isChange = statement.kind === 'change' || statement.kind === 'apply';
+  if (isChange && statement.id === undefined && options.operator === '') {
+    return misuse(
+      streams,
+      'name the operator with --operator or FOXBARROW_OPERATOR',
+    );
+  }
+  const outcome = await runStatement(session, statement);
+  write(outcome, options, streams);
+  return outcome.exitCode;
+}
+
+function describeProblem(text: string, problem: Problem): Outcome {
+  const {number, name} = configurationCodes.syntax;
+  return {
+    exitCode: operatorExitCodes.usage,
+    text: `${renderProblem(text, problem)}\n`,
+    json: {code: number, name, ...problem},
+  };
+}
+
+function write(
+  outcome: Outcome,
+  options: OperatorOptions,
+  streams: Streams,
+): void {
+  if (options.json) {
+    const {exitCode, json} = outcome;
+    streams.out(`${JSON.stringify({exitCode, result: json})}\n`);
+    return;
+  }
+  const isGood = outcome.exitCode === operatorExitCodes.accepted;
+  if (isGood) streams.out(outcome.text);
+  else streams.error(outcome.text);
+}
+
+/** Runs each line, or each begin ... end; goes on after one that failed. */
+async function runShell(
+  streams: Streams,
+  run: (text: string) => Promise<number>,
+): Promise<number> {
+  let highest: number = operatorExitCodes.accepted;
+  let text = '';
+  for await (const line of createInterface({input: streams.input})) {
+    text += `${line}\n`;
+    if (isOpen(text)) continue;
+    if (!isBlank(text)) highest = Math.max(highest, await run(text));
+    text = '';
+  }
+  if (!isBlank(text)) highest = Math.max(highest, await run(text));
+  return highest;
+}
+
+function isBlank(text: string): boolean {
+  return /^\s*(#[^\n]*\s*)*$/.test(text);
+}
--- /dev/null
+++ b/src/operator/run-statement.ts
@@ -0,0 +1,170 @@
+import {readFile} from 'node:fs/promises';
+import type {Answer, Command, Edit} from '../configuration/messages.js';
+import {parseEdits} from '../language/parse.js';
+import {renderProblem} from '../language/problem.js';
+import type {CommandId, Prefix, Statement} from '../language/statement.js';
+import type {OperatorClient} from './create-operator-client.js';
+import {
+  codeExitCode,
+  operatorExitCodes,
+  refusalExitCode,
+} from './exit-codes.js';
+import {languageHelp} from './help.js';
+import type {Reply, Waited} from './messages.js';
+import {
+  renderControl,
+  renderFleet,
+  renderHistory,
+  renderItems,
+} from './render.js';
+
+/** What a command came to. */
+export interface Outcome {
+  readonly exitCode: number;
+  /** For a person; ends with a line break. */
+  readonly text: string;
+  /** For a program. */
+  readonly json: unknown;
+}
+
+/** What running a command needs. */
+export interface Session {
+  readonly client: OperatorClient;
+  /** Gives a fresh id to a change that names none. */
+  nextId(): CommandId;
+  /** Tells the id before the change is sent, should no answer ever come. */
+  announce(id: CommandId): void;
+}
+
+/** Runs one command. */
+export async function runStatement(
+  session: Session,
+  statement: Statement,
+): Promise<Outcome> {
+  const {client} = session;
+  switch (statement.kind) {
+    case 'change':
+      return runChange(session, statement, statement.edits);
+    case 'apply':
+      return runApply(session, statement, statement.file);
+    case 'show': {
+      const {items, name} = statement;
+      return present(await client.items(items, name), renderItems);
+    }
+    case 'show-in-force':
+      return present(await client.inForce(), renderFleet);
+    case 'show-control':
+      return runShowControl(client);
+    case 'history':
+      return present(await client.history(statement.count), renderHistory);
+    case 'wait': {
+      const {version, within} = statement;
+      return runWait(await client.wait(version, within));
+    }
+    case 'replace': {
+      const {leaving, joining} = statement;
+      const replaced = await client.replace(leaving, joining);
+      const text = `${joining.name} has taken the place of ${leaving}\n`;
+      return present(replaced, () => text);
+    }
+    case 'help':
+      return present({ok: true, value: null}, () => languageHelp);
+  }
+}
+
+async function runApply(
+  session: Session,
+  prefix: Prefix,
+  file: string,
+): Promise<Outcome> {
+  let text: string;
+  try {
+    text = await readFile(file, 'utf8');
+  } catch {
+    return misuse(`${file} cannot be read; give the path of a file of edits`);
+  }
+  const parsed = parseEdits(text);
+  if (parsed.ok) return runChange(session, prefix, parsed.value);
+  return misuse(`${file}:\n${renderProblem(text, parsed.problem)}`);
+}
+
+async function runChange(
+  session: Session,
+  prefix: Prefix,
+  edits: readonly Edit[],
+): Promise<Outcome> {
+  const id = prefix.id ?? session.nextId();
+  const {expectedVersion} = prefix;
+  const command: Command =
+    expectedVersion === undefined
+      ? {...id, edits}
+      : {...id, expectedVersion, edits};
+  session.announce(id);
+  const reply = await session.client.change(command);
+  const name = `${id.operator}/${id.sequence}`;
+  return reply.ok ? presentAnswer(name, reply.value) : unanswered(name, reply);
+}
+
+function presentAnswer(id: string, answer: Answer): Outcome {
+  const {code, message, version} = answer;
+  const exitCode = codeExitCode(code);
+  const text =
+    exitCode === operatorExitCodes.accepted
+      ? `version ${version}: ${message} (${id})\n`
+      : `refused, ${code}: ${message} (${id})\n`;
+  return {exitCode, text, json: {id, code, message, version}};
+}
+
+function unanswered(id: string, reply: Reply<unknown> & {ok: false}): Outcome {
+  const outcome = present(reply, () => '');
+  const json = {id, ...(outcome.json as object)};
+  if (outcome.exitCode !== operatorExitCodes.unknown) return {...outcome, json};
+  const text = `${outcome.text}resend it with "as ${id}" in front\n`;
+  return {...outcome, text, json};
+}
+
+async function runShowControl(client: OperatorClient): Promise<Outcome> {
+  const views = await client.control();
+  const answers = views.some(view => view.ok);
+  return {
+    exitCode: answers
+      ? operatorExitCodes.accepted
+      : operatorExitCodes.unreachable,
+    text: renderControl(views),
+    json: views,
+  };
+}
+
+function runWait(reply: Reply<Waited>): Outcome {
+  if (!reply.ok || reply.value.inForce) {
+    return present(
+      reply,
+      ({version, nodes}) =>
+        `version ${version} is in force on ${nodes} nodes\n`,
+    );
+  }
+  const {version, leastVersion, nodes} = reply.value;
+  const text =
+    `version ${version} is not in force everywhere: least version ` +
+    `${leastVersion ?? '-'} on ${nodes} nodes; see show in force\n`;
+  return {exitCode: operatorExitCodes.refused, text, json: reply.value};
+}
+
+function present<T>(reply: Reply<T>, render: (value: T) => string): Outcome {
+  if (reply.ok) {
+    const {value} = reply;
+    const exitCode = operatorExitCodes.accepted;
+    return {exitCode, text: render(value), json: value};
+  }
+  const {refusal} = reply;
+  const exitCode = refusalExitCode(refusal);
+  const state =
+    exitCode === operatorExitCodes.unknown ? 'outcome unknown' : 'refused';
+  const text = `${state}, ${refusal.code}: ${refusal.message}\n`;
+  return {exitCode, text, json: refusal};
+}
+
+function misuse(message: string): Outcome {
+  const exitCode = operatorExitCodes.usage;
+  return {exitCode, text: `${message}\n`, json: {message}};
+}
--- a/src/result/table.ts
+++ b/src/result/table.ts
@@ -2,6 +2,7 @@
 import {endpointCodes} from '../endpoints/codes.js';
 import {adminCodes} from '../admin/codes.js';
 import {consensusCodes} from '../consensus/codes.js';
+import {configurationCodes} from '../configuration/codes.js';
 import {commonCodes} from './codes.js';
 import {distributionCodes} from '../distribution/codes.js';
 import type {Code} from './code.js';
@@ -18,4 +19,5 @@
   ...Object.values(adminCodes),
   ...Object.values(distributionCodes),
   ...Object.values(consensusCodes),
+  ...Object.values(configurationCodes),
 ].sort((left, right) => left.number - right.number);
