--- a/src/operator/create-operator-client.ts
+++ b/src/operator/create-operator-client.ts
@@ -1,5 +1,7 @@
 import {createTRPCClient, httpLink, TRPCClientError} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
+import {Agent} from 'undici';
+import type {Dispatcher} from 'undici';
 import type {Kind} from '../configuration/configuration.js';
 import type {Answer, Command} from '../configuration/messages.js';
 import type {Member} from '../consensus/consensus.js';
@@ -7,6 +9,7 @@
 import type {Effect} from '../result/code.js';
 import {commonCodes} from '../result/codes.js';
 import type {Timers} from '../time/timers.js';
+import {createFetch} from './fetch.js';
 import type {FleetSummary} from './fleet-view.js';
 import type {
   ControlView,
@@ -43,6 +46,8 @@
   /** The group as each address sees it, in the order of the addresses. */
   control(): Promise<readonly Reply<ControlView>[]>;
   replace(leaving: string, joining: Member): Promise<Reply<null>>;
+  /** Closes the connections; calls under way end first. */
+  close(): Promise<void>;
 }
 
 type Api = TRPCClient<OperatorRouter>;
@@ -84,11 +89,12 @@
   options: OperatorClientOptions,
 ): OperatorClient {
   const {timers, attemptTimeout = 3000, timeout = 10_000} = options;
+  const agent = new Agent();
   const apis = new Map<Address, Api>();
   let preferred = options.addresses[0]!;
 
   function apiAt(address: Address): Api {
-    const api = apis.get(address) ?? createApi(address, options.token);
+    const api = apis.get(address) ?? createApi(address, agent, options.token);
     apis.set(address, api);
     return api;
   }
@@ -185,13 +191,24 @@
         resend: 'not-run',
         effect: 'unknown',
       }),
+    close: () => agent.close(),
   };
 }
 
-function createApi(address: Address, token: string | undefined): Api {
+function createApi(
+  address: Address,
+  agent: Dispatcher,
+  token: string | undefined,
+): Api {
   const headers = token === undefined ? {} : {authorization: `Bearer ${token}`};
   return createTRPCClient<OperatorRouter>({
-    links: [httpLink({url: `http://${address}`, headers})],
+    links: [
+      httpLink({
+        url: `http://${address}`,
+        headers,
+        fetch: createFetch(agent),
+      }),
+    ],
   });
 }
 
--- /dev/null
+++ b/src/operator/operator-server.test.ts
@@ -0,0 +1,154 @@
+import {request} from 'undici';
+import test from 'ava';
+import {
+  createSampleMachine,
+  putService,
+} from '../configuration/fakes/sample.js';
+import type {ConfigurationMachine} from '../configuration/create-configuration-machine.js';
+import {createFakeGroup} from '../consensus/fakes/fake-consensus.js';
+import type {FakeGroup} from '../consensus/fakes/fake-consensus.js';
+import {createSilentLog} from '../log/log.js';
+import type {Listener} from '../link/link.js';
+import {defaults} from '../settings/defaults.js';
+import {createTimers} from '../time/timers.js';
+import {createOperatorClient} from './create-operator-client.js';
+import {createOperatorServer} from './create-operator-server.js';
+import type {FleetView} from './fleet-view.js';
+
+const names = ['control-1', 'control-2', 'control-3'];
+
+const fleet: FleetView = {
+  summary: () => ({nodes: 2, leastVersion: 1, domains: [], laggards: []}),
+};
+
+interface Deployment {
+  readonly group: FakeGroup<ConfigurationMachine>;
+  readonly servers: ReadonlyMap<string, Listener>;
+  readonly addresses: readonly string[];
+  close(): Promise<void>;
+}
+
+async function deploy(token?: string): Promise<Deployment> {
+  const group = createFakeGroup(names, createSampleMachine);
+  const servers = new Map<string, Listener>();
+  for (const name of names) {
+    const server = await createOperatorServer({
+      name,
+      address: '127.0.0.1:0',
+      consensus: group.member(name),
+      machine: group.machine(name),
+      fleet,
+      timers: createTimers(),
+      limits: {...defaults.limits, edits: 3},
+      leaderAddress: leader => servers.get(leader)?.address,
+      token,
+      bodyLimit: 10_000,
+      log: createSilentLog(),
+    });
+    servers.set(name, server);
+  }
+  const addresses = [...servers.values()].map(({address}) => address);
+  const close = async () => {
+    for (const server of servers.values()) await server.close();
+  };
+  return {group, servers, addresses, close};
+}
+
+function clientOf(addresses: readonly string[], token?: string) {
+  return createOperatorClient({
+    addresses,
+    token,
+    timers: createTimers(),
+    timeout: 400,
+  });
+}
+
+const command = {
+  operator: 'amina',
+  sequence: 1,
+  edits: [putService('stock-desk')],
+};
+
+test('a change sent to a follower reaches the leader', async t => {
+  const {group, addresses, close} = await deploy();
+  group.lead('control-3');
+  const reply = await clientOf(addresses).change(command);
+  t.deepEqual(reply, {
+    ok: true,
+    value: {code: 1000, message: 'accepted', version: 1},
+  });
+  await close();
+});
+
+// The operator sees one acceptance. The leader commits the change and loses
+// its answer, the client sends the same command to the next leader, and the
+// answer table, which is part of the replicated state, gives the first answer.
+// Without the table the change would run again and the second run would answer.
+test('a change whose answer was lost runs once', async t => {
+  const {group, addresses, close} = await deploy();
+  group.decide('commit-and-lose');
+  const reply = await clientOf(addresses).change(command);
+  t.true(reply.ok && reply.value.version === 1);
+  t.is(group.entries().length, 2);
+  t.is(group.machine('control-2').history().length, 1);
+  await close();
+});
+
+test('a change without any answer ends as unknown, without a process as not sent', async t => {
+  const {group, addresses, close} = await deploy();
+  group.decide(...Array.from({length: 500}, () => 'lose' as const));
+  const unknown = await clientOf(addresses).change(command);
+  t.false(unknown.ok);
+  t.is(unknown.ok ? '' : unknown.refusal.effect, 'unknown');
+  await close();
+  const unreachable = await clientOf(addresses).change(command);
+  t.is(unreachable.ok ? '' : unreachable.refusal.effect, 'not-run');
+});
+
+test('changes need the token, queries do not', async t => {
+  const token = 'a-token-of-the-deployment';
+  const {addresses, close} = await deploy(token);
+  const stranger = await clientOf(addresses, 'another').change(command);
+  t.is(stranger.ok ? 0 : stranger.refusal.code, 2009);
+  t.true((await clientOf(addresses).items('service')).ok);
+  t.true((await clientOf(addresses, token).change(command)).ok);
+  await close();
+});
+
+test('limits are checked before the log', async t => {
+  const {group, addresses, close} = await deploy();
+  const edits = ['a', 'b', 'c', 'd'].map(name => putService(name));
+  const reply = await clientOf(addresses).change({...command, edits});
+  t.is(reply.ok ? 0 : reply.refusal.code, 2005);
+  t.regex(reply.ok ? '' : reply.refusal.message, /limits\.edits of 3/);
+  const sequence = Number.MAX_SAFE_INTEGER;
+  const ahead = await clientOf(addresses).change({...command, sequence});
+  t.is(ahead.ok ? 0 : ahead.refusal.code, 2012);
+  t.is(group.entries().length, 0);
+  await close();
+});
+
+test('bad requests get a numbered code and the server goes on', async t => {
+  const {group, addresses, close} = await deploy();
+  const post = async (body: string) => {
+    const answer = await request(`http://${addresses[0]}/change`, {
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body,
+    });
+    const {error} = (await answer.body.json()) as {
+      error: {data: {refusal: {code: number; message: string}}};
+    };
+    return error.data.refusal;
+  };
+  t.is((await post('{')).code, 2008);
+  t.is((await post('null')).code, 2008);
+  const unknown = await post(JSON.stringify({...command, colour: 'red'}));
+  t.regex(unknown.message, /colour/);
+  const badName = {...command, operator: 'Amina Bek'};
+  t.regex((await post(JSON.stringify(badName))).message, /^operator: must be/);
+  t.is((await post('x'.repeat(20_000))).code, 2010);
+  t.is(group.entries().length, 0);
+  t.true((await clientOf(addresses).change(command)).ok);
+  await close();
+});
--- a/src/operator/run-operator-command.ts
+++ b/src/operator/run-operator-command.ts
@@ -47,7 +47,11 @@
   const session = createSession(options, streams);
   const run = (text: string) => runText(session, text, options, streams);
   const text = options.words.join(' ');
-  return text === shellWord ? runShell(streams, run) : run(text);
+  try {
+    return await (text === shellWord ? runShell(streams, run) : run(text));
+  } finally {
+    await session.client.close();
+  }
 }
 
 function misuse(streams: Streams, problem: string): number {
--- /dev/null
+++ b/src/settings/limits.ts
@@ -0,0 +1,28 @@
+import {z} from 'zod';
+import type {Limits} from '../configuration/limits.js';
+import {defaults} from './defaults.js';
+
+const {limits} = defaults;
+
+const count = z.number().int().positive();
+
+/** Limits on configuration and commands; see docs/operators/language.md. */
+export const limitsSchema: z.ZodType<Limits, z.ZodTypeDef, unknown> = z
+  .object({
+    services: count.default(limits.services),
+    routes: count.default(limits.routes),
+    policies: count.default(limits.policies),
+    drains: count.default(limits.drains),
+    operators: count.default(limits.operators),
+    answers: count.default(limits.answers),
+    history: count.default(limits.history),
+    nameLength: count.max(63).default(limits.nameLength),
+    prefixLength: count.default(limits.prefixLength),
+    edits: count.default(limits.edits),
+    deadline: count.default(limits.deadline),
+    slowStart: count.default(limits.slowStart),
+    attempts: count.default(limits.attempts),
+    bodyLimit: count.default(limits.bodyLimit),
+    sequenceAhead: count.default(limits.sequenceAhead),
+  })
+  .strict();
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {parseAddress} from '../link/address.js';
 import {defaults} from './defaults.js';
+import {limitsSchema} from './limits.js';
 
 /** The settings files, one per process; unknown keys are errors. */
 
@@ -79,6 +80,16 @@
     peerAddress: address,
     operatorAddress: address,
     distributionAddress: address,
+    /** Secret that operators' changes must show; absent for none. */
+    operatorToken: z.string().min(16).optional(),
+    /** Largest request to the operators' API, in bytes. */
+    operatorBodyLimit: z
+      .number()
+      .int()
+      .positive()
+      .default(defaults.operatorBodyLimit),
+    /** Limits on configuration; the leader's count for each change. */
+    limits: limitsSchema.default({}),
     /** The first members of the group, this process among them. */
     members: z.array(member).min(1).max(7),
     heartbeat: milliseconds.default(defaults.heartbeat),
