--- a/src/configuration/codes.ts
+++ b/src/configuration/codes.ts
@@ -107,15 +107,8 @@
     500,
     'The control process failed to answer this request. See its log.',
   ),
-  behind: defineCode(
-    2015,
-    'behind',
-    'not-run',
-    503,
-    'The control process has not yet applied all that was accepted. Ask another, or ask again.',
-  ),
   syntax: defineCode(
-    2016,
+    2015,
     'syntax',
     'not-run',
     400,
--- a/src/consensus/fakes/fake-consensus.ts
+++ b/src/consensus/fakes/fake-consensus.ts
@@ -1,11 +1,8 @@
-import {defineCode} from '../../result/code.js';
 import {failure, success} from '../../result/failure.js';
 import type {Result} from '../../result/failure.js';
+import {consensusCodes} from '../codes.js';
 import type {Consensus, Member, StateMachine, Status} from '../consensus.js';
 
-const notLeader = defineCode(3001, 'not-leader', 'not-run', 421, 'Fake.');
-const outcomeUnknown = defineCode(3002, 'outcome-unknown', 'unknown', 503, '');
-
 /** What becomes of the next proposal. */
 export type Fate = 'answer' | 'commit-and-lose' | 'lose';
 
@@ -50,12 +47,14 @@
     name: string,
     entry: Uint8Array,
   ): Promise<Result<Uint8Array>> {
-    if (name !== leader) return failure(notLeader, `${leader} leads`);
+    if (name !== leader)
+      return failure(consensusCodes.notLeader, `${leader} leads`);
     const fate = fates.shift() ?? 'answer';
-    if (fate === 'lose') return failure(outcomeUnknown, 'leadership ended');
+    if (fate === 'lose')
+      return failure(consensusCodes.outcomeUnknown, 'leadership ended');
     const answer = commit(entry, name);
     if (fate === 'answer') return success(answer);
-    return failure(outcomeUnknown, 'leadership ended');
+    return failure(consensusCodes.outcomeUnknown, 'leadership ended');
   }
 
   function status(name: string): Status {
@@ -67,6 +66,9 @@
       lastIndex: log.length,
       snapshotIndex: 0,
       voters,
+      learners: [],
+      bytesOut: 0,
+      logBytes: 0,
     };
   }
 
@@ -86,11 +88,12 @@
       propose: entry => propose(name, entry),
       readBarrier: async () =>
         leader === undefined
-          ? failure(notLeader, 'nobody leads')
+          ? failure(consensusCodes.notLeader, 'nobody leads')
           : success(log.length),
       status: () => status(name),
       replace: async (leaving, joining) => {
-        if (name !== leader) return failure(notLeader, `${leader} leads`);
+        if (name !== leader)
+          return failure(consensusCodes.notLeader, `${leader} leads`);
         voters = voters.map(each => (each.name === leaving ? joining : each));
         return success(undefined);
       },
--- a/src/operator/create-operator-client.ts
+++ b/src/operator/create-operator-client.ts
@@ -10,10 +10,10 @@
 import {commonCodes} from '../result/codes.js';
 import type {Timers} from '../time/timers.js';
 import {createFetch} from './fetch.js';
-import type {FleetSummary} from './fleet-view.js';
 import type {
   ControlView,
   History,
+  InForce,
   Items,
   Refusal,
   Reply,
@@ -41,7 +41,7 @@
   change(command: Command): Promise<Reply<Answer>>;
   items(kind: Kind, name?: string): Promise<Reply<Items>>;
   history(count: number): Promise<Reply<History>>;
-  inForce(): Promise<Reply<FleetSummary>>;
+  inForce(): Promise<Reply<InForce>>;
   wait(version: number, within: number): Promise<Reply<Waited>>;
   /** The group as each address sees it, in the order of the addresses. */
   control(): Promise<readonly Reply<ControlView>[]>;
@@ -62,6 +62,8 @@
   readonly resend: 'always' | 'not-run';
   /** What is left behind when no answer ever came. */
   readonly effect: Effect;
+  /** Milliseconds for one attempt, if not the client's own. */
+  readonly limit?: number;
 }
 
 /** Milliseconds between two rounds over all addresses. */
@@ -72,7 +74,8 @@
   'not-leader',
   'no-quorum',
   'outcome-unknown',
-  'behind',
+  'consensus-overloaded',
+  'consensus-stopped',
   'internal',
 ];
 
@@ -117,9 +120,10 @@
 
   async function ask<T>(call: Call<T>, extra = 0): Promise<Reply<T>> {
     const deadline = timers.now() + timeout + extra;
+    const {limit = attemptTimeout} = call;
     let effect: Effect = 'not-run';
     for (let tries = 1; ; tries++) {
-      const reply = await attempt(preferred, call, attemptTimeout + extra);
+      const reply = await attempt(preferred, call, limit + extra);
       if (reply.ok || !isPassing(reply.refusal)) return reply;
       if (reply.refusal.effect === 'unknown') effect = call.effect;
       if (effect === 'unknown' && call.resend === 'not-run') return reply;
--- a/src/operator/messages.ts
+++ b/src/operator/messages.ts
@@ -2,6 +2,7 @@
 import type {Change} from '../configuration/history.js';
 import type {Item} from '../configuration/configuration.js';
 import type {Member, Role} from '../consensus/consensus.js';
+import type {FleetSummary} from '../fleet/summary.js';
 
 /** A refusal or failure as it travels to the client. */
 export interface Refusal {
@@ -44,12 +45,21 @@
   /** Digest of the whole replicated state at `appliedIndex`. */
   readonly digest: string;
   readonly members: readonly Member[];
+  /** Members that receive the log and do not count yet. */
+  readonly learners: readonly Member[];
+}
+
+/** What is in force where. */
+export interface InForce {
+  /** Whether a majority confirmed that `summary.version` is the newest. */
+  readonly confirmed: boolean;
+  readonly summary: FleetSummary;
 }
 
 /** The answer to a wait. */
 export interface Waited {
   readonly version: number;
+  /** Whether every known node has it; never true without a node. */
   readonly inForce: boolean;
-  readonly leastVersion?: number;
-  readonly nodes: number;
+  readonly summary: FleetSummary;
 }
--- a/src/operator/operator-server.test.ts
+++ b/src/operator/operator-server.test.ts
@@ -13,12 +13,22 @@
 import {createTimers} from '../time/timers.js';
 import {createOperatorClient} from './create-operator-client.js';
 import {createOperatorServer} from './create-operator-server.js';
-import type {FleetView} from './fleet-view.js';
+import type {FleetSummary} from '../fleet/summary.js';
 
 const names = ['control-1', 'control-2', 'control-3'];
 
-const fleet: FleetView = {
-  summary: () => ({nodes: 2, leastVersion: 1, domains: [], laggards: []}),
+const fleet = {
+  summary: (version = 0): FleetSummary => ({
+    version,
+    nodes: 2,
+    inForce: version < 2 ? 2 : 1,
+    behind: version < 2 ? 0 : 1,
+    unknown: 0,
+    least: 1,
+    domains: [],
+    laggards: version < 2 ? [] : ['crewbook-1'],
+    homes: [],
+  }),
 };
 
 interface Deployment {
--- a/src/operator/render.ts
+++ b/src/operator/render.ts
@@ -5,8 +5,9 @@
   Route,
   Service,
 } from '../configuration/configuration.js';
-import type {FleetSummary} from './fleet-view.js';
-import type {ControlView, History, Items, Reply} from './messages.js';
+import type {Member} from '../consensus/consensus.js';
+import type {FleetSummary} from '../fleet/summary.js';
+import type {ControlView, History, InForce, Items, Reply} from './messages.js';
 import {renderTable} from './table.js';
 
 /** What a person sees; programs take `--json` instead. */
@@ -97,27 +98,38 @@
 }
 
 /** What is in force where. */
+export function renderInForce({confirmed, summary}: InForce): string {
+  const note = confirmed
+    ? ''
+    : 'no majority answered: a newer version may have been accepted\n';
+  return `${renderFleet(summary)}${note}`;
+}
+
+/** How far one version has come. */
 export function renderFleet(fleet: FleetSummary): string {
   const domains = renderTable(
-    ['failure domain', 'nodes', 'least version'],
+    ['failure domain', 'nodes', 'in force', 'behind', 'unknown'],
     fleet.domains.map(domain => [
       domain.failureDomain,
       `${domain.nodes}`,
-      showVersion(domain.leastVersion),
+      `${domain.inForce}`,
+      `${domain.behind}`,
+      `${domain.unknown}`,
     ]),
   );
-  const least = showVersion(fleet.leastVersion);
-  const total = `${fleet.nodes} nodes, least version ${least}\n`;
-  if (fleet.laggards.length === 0) return `${domains}${total}`;
-  const laggards = renderTable(
-    ['laggard', 'failure domain', 'version'],
-    fleet.laggards.map(laggard => [
-      laggard.name,
-      laggard.failureDomain,
-      showVersion(laggard.version),
-    ]),
-  );
-  return `${domains}${total}\n${laggards}`;
+  const {version, inForce, nodes, laggards} = fleet;
+  const least = fleet.least ?? '-';
+  const total =
+    `version ${version} is in force on ${inForce} of ${nodes} nodes; ` +
+    `least version ${least}\n`;
+  const names = laggards.length > 0 ? `behind: ${laggards.join(' ')}\n` : '';
+  return `${domains}${total}${names}${renderStaleHomes(fleet)}`;
+}
+
+function renderStaleHomes({homes}: FleetSummary): string {
+  const stale = homes.filter(({isStale}) => isStale);
+  if (stale.length === 0) return '';
+  return `no current word from: ${stale.map(({home}) => home).join(' ')}\n`;
 }
 
 /** The control group, one line for each process that answered. */
@@ -149,27 +161,29 @@
     ]),
   );
   const members = renderTable(
-    ['member', 'address', 'failure domain'],
-    newest(answered).map(member => [
-      member.name,
-      member.address,
-      member.failureDomain,
-    ]),
+    ['member', 'address', 'failure domain', 'state'],
+    newest(answered),
   );
   const notes = silent.map(({message}) => `${message}\n`).join('');
   return `${processes}\n${members}${notes}`;
 }
 
 /** The members as the process with the highest commit index knows them. */
-function newest(views: readonly ControlView[]): ControlView['members'] {
+function newest(views: readonly ControlView[]): string[][] {
   const [first] = [...views].sort(
     (left, right) => right.commitIndex - left.commitIndex,
   );
-  return first?.members ?? [];
-}
-
-function showVersion(version: number | undefined): string {
-  return version === undefined ? '-' : `${version}`;
+  if (first === undefined) return [];
+  const row = (state: string) => (member: Member) => [
+    member.name,
+    member.address,
+    member.failureDomain,
+    state,
+  ];
+  return [
+    ...first.members.map(row('voter')),
+    ...first.learners.map(row('learner')),
+  ];
 }
 
 function showDuration(milliseconds: number): string {
--- a/src/operator/run-statement.ts
+++ b/src/operator/run-statement.ts
@@ -1,4 +1,5 @@
 import {readFile} from 'node:fs/promises';
+import {configurationCodes} from '../configuration/codes.js';
 import type {Answer, Command, Edit} from '../configuration/messages.js';
 import {parseEdits} from '../language/parse.js';
 import {renderProblem} from '../language/problem.js';
@@ -15,6 +16,7 @@
   renderControl,
   renderFleet,
   renderHistory,
+  renderInForce,
   renderItems,
 } from './render.js';
 
@@ -52,7 +54,7 @@
       return present(await client.items(items, name), renderItems);
     }
     case 'show-in-force':
-      return present(await client.inForce(), renderFleet);
+      return present(await client.inForce(), renderInForce);
     case 'show-control':
       return runShowControl(client);
     case 'history':
@@ -111,7 +113,7 @@
   const text =
     exitCode === operatorExitCodes.accepted
       ? `version ${version}: ${message} (${id})\n`
-      : `refused, ${code}: ${message} (${id})\n`;
+      : `${stateNames[exitCode]}, ${code}: ${message} (${id})\n`;
   return {exitCode, text, json: {id, code, message, version}};
 }
 
@@ -136,18 +138,18 @@
 }
 
 function runWait(reply: Reply<Waited>): Outcome {
-  if (!reply.ok || reply.value.inForce) {
-    return present(
-      reply,
-      ({version, nodes}) =>
-        `version ${version} is in force on ${nodes} nodes\n`,
-    );
-  }
-  const {version, leastVersion, nodes} = reply.value;
-  const text =
-    `version ${version} is not in force everywhere: least version ` +
-    `${leastVersion ?? '-'} on ${nodes} nodes; see show in force\n`;
-  return {exitCode: operatorExitCodes.refused, text, json: reply.value};
+  if (!reply.ok) return present(reply, () => '');
+  const {inForce, summary} = reply.value;
+  return {
+    exitCode: inForce ? operatorExitCodes.accepted : operatorExitCodes.refused,
+    text: renderFleet(summary),
+    json: inForce ? reply.value : {...describeLate(), ...reply.value},
+  };
+}
+
+function describeLate() {
+  const {number, name} = configurationCodes.notYetInForce;
+  return {code: number, name};
 }
 
 function present<T>(reply: Reply<T>, render: (value: T) => string): Outcome {
@@ -158,12 +160,17 @@
   }
   const {refusal} = reply;
   const exitCode = refusalExitCode(refusal);
-  const state =
-    exitCode === operatorExitCodes.unknown ? 'outcome unknown' : 'refused';
-  const text = `${state}, ${refusal.code}: ${refusal.message}\n`;
+  const text = `${stateNames[exitCode]}, ${refusal.code}: ${refusal.message}\n`;
   return {exitCode, text, json: refusal};
 }
 
+const stateNames: Readonly<Record<number, string>> = {
+  [operatorExitCodes.refused]: 'refused',
+  [operatorExitCodes.conflict]: 'conflict',
+  [operatorExitCodes.unknown]: 'outcome unknown',
+  [operatorExitCodes.unreachable]: 'unreachable',
+};
+
 function misuse(message: string): Outcome {
   const exitCode = operatorExitCodes.usage;
   return {exitCode, text: `${message}\n`, json: {message}};
--- a/src/operator/service.ts
+++ b/src/operator/service.ts
@@ -1,16 +1,22 @@
-import {configurationCodes as codes} from '../configuration/codes.js';
 import type {Item, Kind} from '../configuration/configuration.js';
 import type {ConfigurationMachine} from '../configuration/create-configuration-machine.js';
 import {decodeAnswer} from '../configuration/entry.js';
 import type {Limits} from '../configuration/limits.js';
 import type {Answer, Command} from '../configuration/messages.js';
 import type {Consensus, Member} from '../consensus/consensus.js';
+import type {Fleet} from '../fleet/fleet.js';
 import type {Code} from '../result/code.js';
 import type {Result} from '../result/failure.js';
 import type {Subscription, Timers} from '../time/timers.js';
-import type {FleetSummary, FleetView} from './fleet-view.js';
 import {checkLimits} from './limits.js';
-import type {ControlView, History, Items, Reply, Waited} from './messages.js';
+import type {
+  ControlView,
+  History,
+  InForce,
+  Items,
+  Reply,
+  Waited,
+} from './messages.js';
 import {refuse} from './refusal.js';
 
 /** What the operators' service of a control process works on. */
@@ -19,7 +25,7 @@
   readonly name: string;
   readonly consensus: Consensus;
   readonly machine: ConfigurationMachine;
-  readonly fleet: FleetView;
+  readonly fleet: Pick<Fleet, 'summary'>;
   readonly timers: Timers;
   readonly limits: Limits;
   /** The operators' address of a control process; undefined if not known. */
@@ -31,7 +37,7 @@
   change(command: Command): Promise<Reply<Answer>>;
   items(kind: Kind, name?: string): Promise<Reply<Items>>;
   history(count: number): Promise<Reply<History>>;
-  inForce(): FleetSummary;
+  inForce(): Promise<InForce>;
   /** Waits at most `within` milliseconds. */
   wait(version: number, within: number): Promise<Waited>;
   control(): ControlView;
@@ -41,8 +47,11 @@
 /** Milliseconds between two looks at the fleet while someone waits. */
 const waitPeriod = 20;
 
-/** Milliseconds that a query waits for this process to catch up. */
-const catchUpLimit = 2000;
+/**
+ * Milliseconds after which a look at the fleet does without the majority: what
+ * is in force where is asked most when something has failed.
+ */
+const confirmLimit = 1000;
 
 const kindMaps = {
   service: 'services',
@@ -82,13 +91,19 @@
   async function query<T>(read: () => T): Promise<Reply<T>> {
     const barrier = await consensus.readBarrier();
     if (!barrier.ok) return refused(barrier);
-    const caughtUp = await until(
-      () => consensus.status().commitIndex >= barrier.value,
-      catchUpLimit,
-    );
-    if (caughtUp) return {ok: true, value: read()};
-    const message = 'this process is behind its group; ask another';
-    return {ok: false, refusal: refuse(codes.behind, message)};
+    return {ok: true, value: read()};
+  }
+
+  async function inForce(): Promise<InForce> {
+    const confirmed = await new Promise<boolean>(resolve => {
+      const late = timers.after(confirmLimit, () => resolve(false));
+      void consensus.readBarrier().then(barrier => {
+        late.cancel();
+        resolve(barrier.ok);
+      });
+    });
+    const {version} = machine.current();
+    return {confirmed, summary: fleet.summary(version)};
   }
 
   function items(kind: Kind, name?: string): Promise<Reply<Items>> {
@@ -117,21 +132,30 @@
   }
 
   async function wait(version: number, within: number): Promise<Waited> {
-    const isInForce = () => (fleet.summary().leastVersion ?? 0) >= version;
+    const isInForce = () => {
+      const {nodes, inForce} = fleet.summary(version);
+      return nodes > 0 && inForce === nodes;
+    };
     const inForce = await until(isInForce, within);
-    const {leastVersion, nodes} = fleet.summary();
-    return {version, inForce, leastVersion, nodes};
+    return {version, inForce, summary: fleet.summary(version)};
   }
 
   function control(): ControlView {
-    const {voters, ...status} = consensus.status();
+    const status = consensus.status();
+    const {role, term, leader, commitIndex, lastIndex, snapshotIndex} = status;
     return {
       name: options.name,
-      ...status,
+      role,
+      term,
+      leader,
+      commitIndex,
+      lastIndex,
+      snapshotIndex,
       appliedIndex: machine.appliedIndex(),
       version: machine.current().version,
       digest: machine.digest(),
-      members: voters,
+      members: status.voters,
+      learners: status.learners,
     };
   }
 
@@ -151,7 +175,7 @@
         version: machine.current().version,
         changes: machine.history().slice(0, count),
       })),
-    inForce: () => fleet.summary(),
+    inForce,
     wait,
     control,
     replace,
