foxbarrow report burn: budgets, burn rates, alerts, table, JSON and page

Samples are one bounded file (under 220 intervals for 30 days at a scrape a minute, shown by a test); restarts are told by the node's start time, since a plain difference loses or invents answers. Found by the tests: merging with a step of 0 joined even the newest intervals; an interval longer than a window was taken for that window's rate. Ruled out: parsing the Prometheus text (the admin listener gives one metric as JSON, so that a report at fleet size reads only what it needs).

--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -1,3 +1,5 @@
+import type {Plot} from '../src/plot/plot.js';
+
 /** What an experiment is, for `npm run bench`. */
 
 /** How one run is bounded. */
@@ -20,22 +22,6 @@
   readonly ratio?: number;
 }
 
-/** One curve of a plot. */
-export interface Series {
-  readonly name: string;
-  readonly points: ReadonlyArray<{readonly x: number; readonly y: number}>;
-}
-
-/** A plot of the outcome. */
-export interface Plot {
-  readonly title: string;
-  readonly xLabel: string;
-  readonly yLabel: string;
-  readonly xScale?: 'linear' | 'log';
-  readonly yScale?: 'linear' | 'log';
-  readonly series: readonly Series[];
-}
-
 /** What a run gave. */
 export interface Outcome {
   readonly rows: readonly Row[];
@@ -68,3 +54,5 @@
 ): Row {
   return {figure, unit, value, baseline, ratio: value / baseline};
 }
+
+export type {Plot, Series} from '../src/plot/plot.js';
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,7 +4,7 @@
 import {parseArgs} from 'node:util';
 import type {Experiment, Outcome, RunOptions} from './experiment.js';
 import {formatFigure, measurementRows} from './measurements.js';
-import {drawPlot} from './plot.js';
+import {drawPlot} from '../src/plot/plot.js';
 
 /** The bench's command line: `list`, or the name of one experiment. */
 
--- a/src/admin/admin-server.test.ts
+++ b/src/admin/admin-server.test.ts
@@ -17,6 +17,7 @@
     token: given,
     registry,
     health: {notReady: () => reasons},
+    wall: () => 1234,
     actions: {
       drain: async argument => {
         calls.push(argument);
@@ -52,6 +53,15 @@
   await server.close();
 });
 
+test('one metric is read as JSON with the time its counts began', async t => {
+  const {server, call} = await start();
+  const answer = JSON.parse((await call('GET', '/metrics/turns')).body);
+  t.deepEqual(answer, {started: 1234, values: [{value: 3, labels: {}}]});
+  const none = JSON.parse((await call('GET', '/metrics/none')).body);
+  t.deepEqual(none.values, []);
+  await server.close();
+});
+
 test('an action runs with the token and says how it ended', async t => {
   const {server, call, calls} = await start();
   const answer = await call(
@@ -112,6 +122,7 @@
       address: server.address,
       registry: new Registry(),
       health: {notReady: () => []},
+      wall: () => 0,
     }),
   );
   t.regex(error.message, /EADDRINUSE/);
--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -29,10 +29,22 @@
   readonly token?: string | undefined;
   readonly registry: Registry;
   readonly health: Health;
+  /** Milliseconds since the epoch. */
+  readonly wall: () => number;
   /** By name: `POST /actions/NAME` or `POST /actions/NAME/ARGUMENT`. */
   readonly actions?: Readonly<Record<string, Action>>;
 }
 
+/** One metric as `GET /metrics/NAME` gives it; no values before its first report. */
+export interface MetricReply {
+  /** Milliseconds since the epoch at start: tells a reader that counts began anew. */
+  readonly started: number;
+  readonly values: ReadonlyArray<{
+    readonly labels: Readonly<Partial<Record<string, string | number>>>;
+    readonly value: number;
+  }>;
+}
+
 /** The running admin listener. */
 export interface AdminServer {
   /** The address it listens on, with the port that was given to it. */
@@ -41,9 +53,9 @@
 }
 
 /**
- * Creates the admin listener: `GET /metrics` for Prometheus, `GET /health`
- * (200 while the loop runs), `GET /ready` (200 or 503 with the reasons) and
- * the actions.
+ * Creates the admin listener: `GET /metrics` for Prometheus, `GET
+ * /metrics/NAME` for one metric as JSON, `GET /health` (200 while the loop
+ * runs), `GET /ready` (200 or 503 with the reasons) and the actions.
  */
 export async function createAdminServer(
   options: AdminOptions,
@@ -77,12 +89,20 @@
 }
 
 function addReads(app: polka.Polka, options: AdminOptions): void {
+  const started = options.wall();
   const {registry, health} = options;
   app.get('/metrics', async (_request, response) => {
     const text = await registry.metrics();
     response.setHeader('content-type', registry.contentType);
     response.end(text);
   });
+  app.get('/metrics/:name', async (request, response) => {
+    const {name} = request.params as {name: string};
+    const metric = registry.getSingleMetric(name);
+    const values = metric === undefined ? [] : (await metric.get()).values;
+    const reply: MetricReply = {started, values};
+    json(response as unknown as ServerResponse, 200, reply);
+  });
   app.get('/health', (_request, response) => {
     json(response as unknown as ServerResponse, 200, {healthy: true});
   });
--- /dev/null
+++ b/src/burn/command.ts
@@ -0,0 +1,148 @@
+import {writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {adminCodes} from '../admin/codes.js';
+import {exitCodes} from '../cli/exit-codes.js';
+import {failure, success} from '../result/failure.js';
+import type {Result} from '../result/failure.js';
+import {createTimers} from '../time/timers.js';
+import type {Timers} from '../time/timers.js';
+import {computeBurn} from './burn.js';
+import type {BurnReport, Target} from './burn.js';
+import {burnHelp} from './help.js';
+import {readTargets} from './objectives.js';
+import {resolveBurnOptions} from './options.js';
+import type {BurnOptions} from './options.js';
+import {renderPage} from './page.js';
+import {addScrapes, compact, noSamples} from './samples.js';
+import type {Samples} from './samples.js';
+import {readSamples, writeSamples} from './samples-file.js';
+import {scrapeNodes} from './scrape.js';
+import type {Round} from './scrape.js';
+import {renderTable} from './table.js';
+
+/** Where the command reads and writes; stand-ins in tests. */
+export interface Surroundings {
+  readonly out: (text: string) => void;
+  readonly error: (text: string) => void;
+  readonly environment: Readonly<Record<string, string | undefined>>;
+  readonly timers: Timers;
+  readonly scrape: (nodes: readonly string[]) => Promise<Round>;
+  readonly targets: (options: BurnOptions) => Promise<Result<Target[]>>;
+}
+
+/** Runs `foxbarrow report`; resolves with the exit code. */
+export function runReportCommand(args: readonly string[]): Promise<number> {
+  return runReport(args, {
+    out: text => void process.stdout.write(text),
+    error: text => void process.stderr.write(text),
+    environment: process.env,
+    timers: createTimers(),
+    scrape: scrapeNodes,
+    targets: fetchTargets,
+  });
+}
+
+/** The command with its surroundings given. */
+export async function runReport(
+  args: readonly string[],
+  surroundings: Surroundings,
+): Promise<number> {
+  const {out, error, environment} = surroundings;
+  const options = resolveBurnOptions(args, environment);
+  if (!options.ok) {
+    error(`foxbarrow: ${options.message}; see foxbarrow report burn --help\n`);
+    return exitCodes.usage;
+  }
+  if (options.value.help) {
+    out(burnHelp);
+    return exitCodes.ok;
+  }
+  const report = await makeReport(options.value, surroundings);
+  if (!report.ok) {
+    error(`foxbarrow: ${report.code.number} ${report.message}\n`);
+    return exitCodes.failed;
+  }
+  await publish(report.value, options.value, out);
+  return exitCodes.ok;
+}
+
+async function makeReport(
+  options: BurnOptions,
+  surroundings: Surroundings,
+): Promise<Result<BurnReport>> {
+  const targets = await surroundings.targets(options);
+  if (!targets.ok) return targets;
+  const sampled = await sample(options, surroundings);
+  if (!sampled.ok) return sampled;
+  const {samples, unreached} = sampled.value;
+  return success(
+    computeBurn(samples, targets.value, options.period, unreached),
+  );
+}
+
+interface Sampled {
+  readonly samples: Samples;
+  readonly unreached: readonly string[];
+}
+
+/** Scrapes until the time is over, saving after each round. */
+async function sample(
+  options: BurnOptions,
+  {scrape, timers}: Surroundings,
+): Promise<Result<Sampled>> {
+  const {samplesFile, nodes, length, every, period} = options;
+  const kept =
+    samplesFile === undefined
+      ? success(noSamples)
+      : await readSamples(samplesFile);
+  if (!kept.ok) return kept;
+  let samples = kept.value;
+  let unreached: readonly string[] = [];
+  let reached = nodes.length === 0;
+  const end = timers.now() + length;
+  for (let due = timers.now(); nodes.length > 0; due += every) {
+    const round = await scrape(nodes);
+    unreached = round.unreached;
+    reached ||= round.scrapes.length > 0;
+    samples = compact(
+      addScrapes(samples, timers.wall(), round.scrapes),
+      period,
+    );
+    if (samplesFile !== undefined) await writeSamples(samplesFile, samples);
+    if (due + every > end) break;
+    await pause(timers, due + every - timers.now());
+  }
+  if (reached) return success({samples, unreached});
+  return failure(
+    adminCodes.scrapeFailed,
+    `none of ${nodes.length} nodes gave its metrics; check the addresses`,
+  );
+}
+
+function pause(timers: Timers, delay: number): Promise<void> {
+  return new Promise(resolve => {
+    timers.after(Math.max(0, delay), resolve);
+  });
+}
+
+async function publish(
+  report: BurnReport,
+  options: BurnOptions,
+  out: (text: string) => void,
+): Promise<void> {
+  if (options.pageFile !== undefined) {
+    await writeFile(options.pageFile, renderPage(report));
+  }
+  if (options.json) out(`${JSON.stringify(report, null, 2)}\n`);
+  else out(renderTable(report));
+}
+
+async function fetchTargets(options: BurnOptions): Promise<Result<Target[]>> {
+  if (options.objectivesFile !== undefined) {
+    return readTargets(options.objectivesFile);
+  }
+  return failure(
+    adminCodes.objectivesMissing,
+    'name the policies: --control ADDRESS or --objectives FILE',
+  );
+}
--- /dev/null
+++ b/src/burn/format.ts
@@ -0,0 +1,31 @@
+import {resultTable} from '../result/table.js';
+import type {ServiceBurn, Spending, WindowBurn} from './burn.js';
+
+/** Wording that the table and the page share. */
+
+/** A share as a percentage. */
+export function formatShare(share: number): string {
+  if (!Number.isFinite(share)) return 'overspent';
+  return `${Number((share * 100).toFixed(2))}%`;
+}
+
+/** A burn rate; a window without samples has none. */
+export function formatRate(window: WindowBurn): string {
+  if (window.covered === 0) return 'no samples';
+  if (window.answers === 0) return 'no answers';
+  if (!Number.isFinite(window.rate)) return 'infinite';
+  return Number(window.rate.toFixed(2)).toString();
+}
+
+/** What answers ended with, for a line of what spent the budget. */
+export function describeSpending(spending: Spending): string {
+  const code = resultTable.find(code => code.number === spending.code);
+  const name = code === undefined ? '' : ` ${code.name}`;
+  const late = spending.verdict === 'slow' ? ', later than the objective' : '';
+  return `${spending.code}${name}${late}`;
+}
+
+/** The most urgent alert, or that there is none. */
+export function describeAlert(burn: ServiceBurn): string {
+  return burn.alerts[0] ?? 'none';
+}
--- /dev/null
+++ b/src/burn/objectives.ts
@@ -0,0 +1,40 @@
+import {readFile} from 'node:fs/promises';
+import {z} from 'zod';
+import {adminCodes} from '../admin/codes.js';
+import type {Policy} from '../configuration/configuration.js';
+import {failure, success} from '../result/failure.js';
+import type {Result} from '../result/failure.js';
+import type {Target} from './burn.js';
+
+/** Where objectives come from: the policies in force, or a file. */
+
+const file = z.array(
+  z
+    .object({
+      policy: z.string(),
+      target: z.number().min(0).max(1),
+      latency: z.number().positive(),
+    })
+    .strict(),
+);
+
+/** Reads a file of objectives: a list of {policy, target, latency}. */
+export async function readTargets(path: string): Promise<Result<Target[]>> {
+  try {
+    const parsed = file.safeParse(JSON.parse(await readFile(path, 'utf8')));
+    if (parsed.success) return success(parsed.data);
+    const issue = parsed.error.issues[0]!;
+    return missing(`${path}: ${issue.path.join('.')}: ${issue.message}`);
+  } catch (error) {
+    return missing(`${path}: ${(error as Error).message}`);
+  }
+}
+
+/** The objectives of the policies in force. */
+export function targetsOf(policies: readonly Policy[]): Target[] {
+  return policies.map(({name, objective}) => ({policy: name, ...objective}));
+}
+
+function missing(message: string): Result<never> {
+  return failure(adminCodes.objectivesMissing, message);
+}
--- /dev/null
+++ b/src/burn/options.ts
@@ -0,0 +1,110 @@
+import {readFileSync} from 'node:fs';
+import {isIP} from 'node:net';
+import {parseArgs} from 'node:util';
+import {parseAddress} from '../link/address.js';
+import type {Address} from '../link/link.js';
+import {commonCodes} from '../result/codes.js';
+import {failure, success} from '../result/failure.js';
+import type {Result} from '../result/failure.js';
+import {parseDuration} from './duration.js';
+
+/** What the burn report is asked to do; times in milliseconds. */
+export interface BurnOptions {
+  /** Admin addresses of the nodes. */
+  readonly nodes: readonly Address[];
+  /** Operators' addresses of control; objectives come from there. */
+  readonly control: readonly Address[];
+  /** A file of objectives in place of control. */
+  readonly objectivesFile: string | undefined;
+  /** Where samples are kept between runs; absent to keep none. */
+  readonly samplesFile: string | undefined;
+  /** How long to sample; 0 for one scrape. */
+  readonly length: number;
+  readonly every: number;
+  readonly period: number;
+  readonly json: boolean;
+  /** Where to write the page. */
+  readonly pageFile: string | undefined;
+  readonly help: boolean;
+}
+
+/** Reads the words after `report`. */
+export function resolveBurnOptions(
+  args: readonly string[],
+  environment: Readonly<Record<string, string | undefined>>,
+): Result<BurnOptions> {
+  try {
+    return success(readOptions(args, environment));
+  } catch (error) {
+    return failure(commonCodes.usage, (error as Error).message);
+  }
+}
+
+function readOptions(
+  args: readonly string[],
+  environment: Readonly<Record<string, string | undefined>>,
+): BurnOptions {
+  const {values, positionals} = parseArgs({
+    args: [...args],
+    allowPositionals: true,
+    options: {
+      node: {type: 'string', multiple: true, default: []},
+      nodes: {type: 'string'},
+      control: {type: 'string', multiple: true},
+      objectives: {type: 'string'},
+      samples: {type: 'string'},
+      for: {type: 'string'},
+      every: {type: 'string', default: '10s'},
+      period: {type: 'string', default: '30d'},
+      json: {type: 'boolean', default: false},
+      html: {type: 'string'},
+      help: {type: 'boolean', default: false},
+    },
+  });
+  if (positionals.length !== 1 || positionals[0] !== 'burn') {
+    throw new Error('the only report is "burn"');
+  }
+  const listed = values.control ?? [environment['FOXBARROW_CONTROL'] ?? ''];
+  return {
+    nodes: splitAddresses([...values.node, ...readNodes(values.nodes)]),
+    control: splitAddresses(listed),
+    objectivesFile: values.objectives,
+    samplesFile: values.samples,
+    length: values.for === undefined ? 0 : duration('--for', values.for),
+    every: duration('--every', values.every),
+    period: duration('--period', values.period),
+    json: values.json,
+    pageFile: values.html,
+    help: values.help,
+  };
+}
+
+/** A nodes file has one admin address a line; `#` begins a comment. */
+function readNodes(file: string | undefined): string[] {
+  if (file === undefined) return [];
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch {
+    throw new Error(`--nodes ${file}: cannot be read; one address a line`);
+  }
+  return text.split('\n').map(line => line.replace(/#.*$/, '').trim());
+}
+
+function splitAddresses(lists: readonly string[]): Address[] {
+  const addresses = lists
+    .flatMap(list => list.split(','))
+    .filter(address => address !== '');
+  for (const address of addresses) {
+    const {host, port} = parseAddress(address);
+    if (isIP(host) !== 0 && port > 0 && port < 65536) continue;
+    throw new Error(`${address}: give an IP number and a port`);
+  }
+  return [...new Set(addresses)];
+}
+
+function duration(option: string, text: string): number {
+  const length = parseDuration(text);
+  if (length !== undefined) return length;
+  throw new Error(`${option} ${text}: give a duration, such as 90s, 5m or 30d`);
+}
--- a/bench/plot.ts
+++ b/src/plot/plot.ts
@@ -1,10 +1,26 @@
 import {extent} from 'd3-array';
 import {scaleLinear, scaleLog, scaleOrdinal} from 'd3-scale';
 import {line} from 'd3-shape';
-import type {Plot, Series} from './experiment.js';
-
 /** Draws plots as self-contained SVG. */
 
+/** One curve of a plot. */
+export interface Series {
+  readonly name: string;
+  readonly points: ReadonlyArray<{readonly x: number; readonly y: number}>;
+}
+
+/** A plot of the outcome. */
+export interface Plot {
+  readonly title: string;
+  readonly xLabel: string;
+  readonly yLabel: string;
+  readonly xScale?: 'linear' | 'log';
+  readonly yScale?: 'linear' | 'log';
+  readonly series: readonly Series[];
+  /** Levels worth a dashed line, such as an alert's threshold. */
+  readonly guides?: ReadonlyArray<{readonly label: string; readonly y: number}>;
+}
+
 const width = 720;
 const height = 420;
 const margin = {top: 40, right: 170, bottom: 50, left: 70};
@@ -25,6 +41,7 @@
 /** The plot as one SVG element. */
 export function drawPlot(plot: Plot): string {
   const points = plot.series.flatMap(series => series.points);
+  const guides = plot.guides ?? [];
   const x = createScale(
     plot.xScale ?? 'linear',
     points.map(point => point.x),
@@ -32,7 +49,7 @@
   );
   const y = createScale(
     plot.yScale ?? 'linear',
-    points.map(point => point.y),
+    [...points.map(point => point.y), ...guides.map(guide => guide.y)],
     [height - margin.bottom, margin.top],
   );
   const names = plot.series.map(series => series.name);
@@ -43,6 +60,7 @@
     `<text x="${margin.left}" y="22" font-size="15">${escapeText(plot.title)}</text>`,
     drawXAxis(x, plot.xLabel),
     drawYAxis(y, plot.yLabel),
+    ...guides.map(guide => drawGuide(guide, y(guide.y))),
     ...plot.series.map(series => drawSeries(series, x, y, colour(series.name))),
     ...names.map((name, index) => drawLegend(name, index, colour(name))),
     '</svg>',
@@ -103,6 +121,11 @@
   return `<path d="${path([...series.points]) ?? ''}" fill="none" stroke="${colour}" stroke-width="2"/><g fill="${colour}">${dots.join('')}</g>`;
 }
 
+function drawGuide(guide: {label: string}, at: number): string {
+  const end = width - margin.right;
+  return `<line x1="${margin.left}" x2="${end}" y1="${at}" y2="${at}" stroke="#999" stroke-dasharray="5 4"/><text x="${end - 4}" y="${at - 4}" text-anchor="end" fill="#666">${escapeText(guide.label)}</text>`;
+}
+
 function drawLegend(name: string, index: number, colour: string): string {
   const left = width - margin.right + 12;
   const top = margin.top + index * 18;
