--- /dev/null
+++ b/src/control/run.ts
@@ -0,0 +1,114 @@
+/** The control role: one member of the group that keeps the configuration. */
+import process from 'node:process';
+import {createConfigurationMachine} from '../configuration/create-configuration-machine.js';
+import {createConsensus} from '../consensus/create-consensus.js';
+import type {Consensus, Member} from '../consensus/consensus.js';
+import {createFreshness} from '../distribution/freshness.js';
+import {createSectionSource} from '../distribution/section-source.js';
+import {createFolderDisk} from '../disk/folder-disk.js';
+import type {RunningRole} from '../cli/loaders.js';
+import type {Hello} from '../fleet/messages.js';
+import {createOperatorServer} from '../operator/create-operator-server.js';
+import {createProcess} from '../process/process.js';
+import {createDistributionHost} from '../relay/distribution-host.js';
+import type {ControlSettings} from '../settings/schema.js';
+
+/** Starts a control process; resolves once operators and nodes reach it. */
+export async function runControl(
+  settings: ControlSettings,
+): Promise<RunningRole> {
+  const base = createProcess(settings);
+  const {network, timers, random, log} = base;
+  const machine = createConfigurationMachine({limits: settings.limits});
+  const members = settings.members.map(toMember);
+  const consensus: Consensus = await createConsensus({
+    self: members.find(member => member.name === settings.name)!,
+    members,
+    disk: await createFolderDisk(settings.dataFolder),
+    machine,
+    heartbeat: settings.heartbeat,
+    electionTimeout: settings.electionTimeout,
+    snapshotEntries: settings.snapshotEntries,
+    onFailure: endProcess,
+    ...base,
+  });
+
+  const barrier = () => consensus.readBarrier();
+  const freshness = createFreshness(barrier, timers);
+  const self: Hello = {
+    kind: 'control',
+    name: settings.name,
+    failureDomain: settings.failureDomain,
+    region: settings.region,
+  };
+  const host = await createDistributionHost({
+    self,
+    address: settings.distributionAddress,
+    fellows: settings.members.map(member => member.distributionAddress),
+    source: createSectionSource(machine),
+    barrier,
+    asOf: freshness.asOf,
+    batchWindow: settings.batchWindow,
+    lease: settings.lease,
+    network,
+    timers,
+    random,
+    log,
+  });
+  const operators = await createOperatorServer({
+    address: settings.operatorAddress,
+    name: settings.name,
+    consensus,
+    machine,
+    fleet: host.fleet,
+    timers,
+    limits: settings.limits,
+    leaderAddress: name => operatorAddress(settings, name),
+    ...(settings.operatorToken !== undefined && {
+      token: settings.operatorToken,
+    }),
+    bodyLimit: settings.operatorBodyLimit,
+    log,
+  });
+  log.info('control takes operators and nodes', {
+    operators: settings.operatorAddress,
+    nodes: settings.distributionAddress,
+  });
+
+  return {
+    async stop() {
+      await operators.close();
+      freshness.stop();
+      await host.stop();
+      await consensus.stop();
+    },
+  };
+}
+
+function toMember(member: ControlSettings['members'][number]): Member {
+  return {
+    name: member.name,
+    address: member.peerAddress,
+    failureDomain: member.failureDomain,
+  };
+}
+
+function operatorAddress(
+  settings: ControlSettings,
+  name: string,
+): string | undefined {
+  const member = settings.members.find(one => one.name === name);
+  return member?.operatorAddress;
+}
+
+/** Exit code of a control process whose disk failed. */
+const diskFailureExit = 3;
+
+/**
+ * A disk that failed a sync may hold anything. Going on would answer with what
+ * is not durable, so the process ends at once; operators whose answers are
+ * lost by it resend, and the next start reads what is on disk.
+ */
+function endProcess(): void {
+  process.exit(diskFailureExit);
+}
