--- /dev/null
+++ b/src/distribution/home.test.ts
@@ -0,0 +1,117 @@
+import test from 'ava';
+import {createOperator, createStage} from './fakes/stage.js';
+import type {HomeOptions} from './home.js';
+
+type Safeguards = HomeOptions['safeguards'];
+
+// A node keeps an old version for as long as a partition lasts. Its home is a
+// control VM that is cut off from the quorum, while the link to the node is up
+// and answers each ping. Only the age of the home's mark tells.
+async function isolateHome(safeguards: Safeguards) {
+  const stage = createStage();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const other = await stage.control('control-2', operator);
+  let shown = operator.current();
+  let isCut = false;
+  const nearest = await stage.control('control-1', {
+    ...operator,
+    current: () => (isCut ? shown : operator.current()),
+  });
+  const homes = [{address: nearest.address, failureDomain: 'a'}, other.address];
+  const node = stage.node('node-1', homes, {}, {safeguards});
+  await stage.timers.advanceAsync(3000);
+  expectNearest(node.home.address(), nearest.address);
+  shown = operator.current();
+  isCut = true;
+  nearest.quorum = false;
+  operator.accept({put: ['crewbook']});
+  await stage.timers.advanceAsync(6000);
+  return {node, other, nearest, stage};
+}
+
+function expectNearest(address: string, expected: string): void {
+  if (address !== expected) throw new Error(`${address} is not the nearest`);
+}
+
+test('without the mark a node stays with an isolated home', async t => {
+  const {node, nearest} = await isolateHome({freshness: false});
+  t.is(node.home.address(), nearest.address);
+  t.is(node.subscriber.current()!.version, 1);
+});
+
+test('a home whose mark is old loses its nodes to another', async t => {
+  const {node, other} = await isolateHome({});
+  t.is(node.home.address(), other.address);
+  t.deepEqual(node.versions, [1, 2]);
+});
+
+// A node keeps an old version since its link is dead without a sign: the
+// home's VM lost its power, so no FIN and no reset ever came.
+async function silenceHome(safeguards: Safeguards) {
+  const stage = createStage();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const nearest = await stage.control('control-1', operator);
+  const other = await stage.control('control-2', operator);
+  const homes = [{address: nearest.address, failureDomain: 'a'}, other.address];
+  const node = stage.node('node-1', homes, {}, {safeguards});
+  await stage.timers.advanceAsync(3000);
+  stage.network.cut('node-1', 'control-1');
+  stage.network.cut('control-1', 'node-1');
+  operator.accept({put: ['crewbook']});
+  await stage.timers.advanceAsync(6000);
+  return {node, other, nearest, stage};
+}
+
+test('without heartbeats a dead link is kept', async t => {
+  const {node} = await silenceHome({silence: false, freshness: false});
+  t.is(node.subscriber.current()!.version, 1);
+});
+
+test('a link that is dead without a sign is noticed at both ends', async t => {
+  const {node, other, nearest} = await silenceHome({});
+  t.is(node.home.address(), other.address);
+  t.is(node.subscriber.current()!.version, 2);
+  t.is(nearest.distributor.counts().subscribers, 0);
+});
+
+// A partition holds back the answer to a ping for a minute. Taken for the time
+// at which it arrives, its small age would make an old state look fresh.
+test('a delayed answer does not make an old state look fresh', async t => {
+  const stage = createStage();
+  const operator = createOperator();
+  const control = await stage.control('control-1', operator);
+  const silence = {silence: false, freshness: false};
+  const node = stage.node(
+    'node-1',
+    [control.address],
+    {},
+    {safeguards: silence},
+  );
+  await stage.timers.advanceAsync(2000);
+  stage.network.decide(source => (source === 'control-1' ? 'hold' : 'deliver'));
+  await stage.timers.advanceAsync(1500);
+  const cutAt = stage.timers.now();
+  stage.network.cut('node-1', 'control-1');
+  await stage.timers.advanceAsync(60_000);
+  stage.network.release();
+  t.true(node.home.asOf()! <= cutAt);
+});
+
+test('when all homes have old marks a node stays where it is', async t => {
+  const {node, other, stage} = await isolateHome({});
+  other.quorum = false;
+  await stage.timers.advanceAsync(4000);
+  const links = other.distributor.counts().subscribers;
+  await stage.timers.advanceAsync(3000);
+  t.is(node.home.state(), 'attached');
+  t.is(other.distributor.counts().subscribers, links);
+});
+
+test('a node goes back to its nearest home once that works again', async t => {
+  const {node, nearest, stage} = await isolateHome({});
+  nearest.quorum = true;
+  await stage.timers.advanceAsync(120_000);
+  t.is(node.home.address(), nearest.address);
+});
--- /dev/null
+++ b/src/fleet/fleet.test.ts
@@ -0,0 +1,136 @@
+import test from 'ava';
+import {createOperator, createStage} from '../distribution/fakes/stage.js';
+import {createRoster} from './roster.js';
+import {joinSummaries} from './summary.js';
+import type {HomeSummary} from './messages.js';
+import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import type {Channels} from '../link/channel.js';
+
+// Operators would be told that a version is in force while callers still meet
+// the old one. The home has sent version 2, but its push is still under way.
+// What was sent says nothing; the node's own word after its switch does.
+test('a version counts as in force only after the node switched', async t => {
+  const stage = createStage();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const control = await stage.control('control-1', operator);
+  const node = stage.node('node-1', [control.address]);
+  await stage.timers.advanceAsync(2000);
+  stage.network.decide((source, _target, message) => {
+    const isPush = JSON.stringify(message).includes('"push"');
+    return source === 'control-1' && isPush ? 'hold' : 'deliver';
+  });
+  operator.accept({put: ['crewbook']});
+  await stage.timers.advanceAsync(100);
+  t.is(control.distributor.position().version, 2);
+  t.like(control.fleet.summary(), {version: 2, inForce: 0, behind: 1});
+  t.deepEqual(control.fleet.summary().laggards, ['node-1']);
+  stage.network.decide(() => 'deliver');
+  stage.network.release();
+  t.is(node.subscriber.current()!.version, 2);
+  await stage.timers.advanceAsync(10);
+  t.like(control.fleet.summary(), {version: 2, inForce: 1, behind: 0});
+});
+
+test('nodes behind relays are summed, whatever their number', async t => {
+  const stage = createStage();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const control = await stage.control('control-1', operator);
+  const relays = [
+    await stage.relay('relay-1', [control.address]),
+    await stage.relay('relay-2', [control.address]),
+  ];
+  for (let index = 0; index < 60; index++) {
+    stage.node(`node-${index}`, [relays[index % 2]!.address]);
+  }
+  await stage.timers.advanceAsync(5000);
+  t.like(control.fleet.summary(), {nodes: 60, inForce: 60, unknown: 0});
+});
+
+// Operators would take a failure domain for current that nobody has heard of
+// for a minute: its relay is cut off, and its last word was good.
+test('what a lost relay spoke for becomes unknown, not in force', async t => {
+  const stage = createStage();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const control = await stage.control('control-1', operator);
+  const relay = await stage.relay('relay-1', [control.address]);
+  stage.node('node-1', [relay.address]);
+  await stage.timers.advanceAsync(5000);
+  t.like(control.fleet.summary(), {inForce: 1, unknown: 0});
+  stage.network.cut('relay-1', 'control-1');
+  stage.network.cut('control-1', 'relay-1');
+  await stage.timers.advanceAsync(6000);
+  const summary = control.fleet.summary();
+  t.like(summary, {nodes: 1, inForce: 0, unknown: 1});
+  t.true(summary.homes.some(home => home.isStale));
+});
+
+test('without ages a lost relay would still count as in force', t => {
+  const old = homeSummary({age: 60_000});
+  t.is(joinSummaries(1, [{...old, age: 0}]).inForce, 5);
+  t.is(joinSummaries(1, [old]).inForce, 0);
+});
+
+test('a node lost without a goodbye is unknown, later forgotten', async t => {
+  const stage = createStage();
+  const operator = createOperator();
+  const control = await stage.control('control-1', operator);
+  stage.node('node-1', [control.address]);
+  const leaving = stage.node('node-2', [control.address]);
+  await stage.timers.advanceAsync(2000);
+  stage.network.kill('node-1');
+  leaving.home.stop();
+  await stage.timers.advanceAsync(100);
+  t.like(control.fleet.summary(), {nodes: 1, unknown: 1, inForce: 0});
+  await stage.timers.advanceAsync(40_000);
+  t.is(control.fleet.summary().unknown, 0);
+});
+
+test('a home that knows an older version speaks for no newer one', t => {
+  const summary = joinSummaries(2, [homeSummary({})]);
+  t.like(summary, {inForce: 0, behind: 5, least: 1});
+});
+
+test('a summary is of bounded size', t => {
+  const timers = createFakeTimers();
+  const roster = createRoster(timers);
+  for (let index = 0; index < 500; index++) {
+    const hello = {
+      kind: 'node' as const,
+      name: `node-${index}`,
+      failureDomain: 'a',
+      region: 'r',
+    };
+    roster.add(hello, {} as Channels).version = index;
+  }
+  const summary = roster.summarize('home', 499);
+  t.is(summary.laggards.length, 20);
+  t.is(summary.laggards[0], 'node-0');
+  const [domain] = summary.domains;
+  t.is(domain!.versions.length, 8);
+  t.is(domain!.least, 0);
+  const counted = domain!.versions.reduce((sum, one) => sum + one.nodes, 0);
+  t.is(counted, 500);
+});
+
+function homeSummary(change: Partial<HomeSummary>): HomeSummary {
+  return {
+    home: 'relay-1',
+    age: 0,
+    version: 1,
+    laggards: [],
+    domains: [
+      {
+        failureDomain: 'a',
+        nodes: 5,
+        unknown: 0,
+        starting: 0,
+        least: 1,
+        versions: [{version: 1, nodes: 5}],
+      },
+    ],
+    ...change,
+  };
+}
--- a/src/link/fakes/fake-network.ts
+++ b/src/link/fakes/fake-network.ts
@@ -60,6 +60,10 @@
   function send(end: End, message: unknown): void {
     const other = end.other!;
     if (!end.open || isCut(end.owner, other.owner)) return;
+    if (!other.open) {
+      timers.after(delay, () => reset(end));
+      return;
+    }
     const bytes = packr.pack(message);
     const fate = rule(end.owner, other.owner, message);
     const arrive = () => {
@@ -77,6 +81,11 @@
     end.closed?.();
   }
 
+  /** Answers a send to an end that is gone. */
+  function reset(near: End): void {
+    if (!isCut(near.other!.owner, near.owner)) end(near);
+  }
+
   function createEnd(owner: string, peer: Address): End {
     const made: End = {owner, backlog: [], open: true, link: undefined!};
     made.link = new (class extends Link {
@@ -103,7 +112,10 @@
       close(): void {
         const other = made.other!;
         end(made);
-        timers.after(delay, () => end(other));
+        // A cut swallows the FIN too: the other end stays open until it sends.
+        timers.after(delay, () => {
+          if (!isCut(made.owner, other.owner)) end(other);
+        });
       }
     })();
     ends.add(made);
