--- a/bench/upstreams/service.ts
+++ b/bench/upstreams/service.ts
@@ -30,6 +30,7 @@
     work: 10,
     routes: [
       {method: 'GET', pattern: '/stock/:part', duty: 'lookup'},
+      {method: 'GET', pattern: '/catalogue/:part', duty: 'lookup'},
       {method: 'POST', pattern: '/bookings', duty: 'once'},
     ],
   },
