--- a/src/endpoints/announce-server.ts
+++ b/src/endpoints/announce-server.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import polka from 'polka';
 import {z} from 'zod';
 import {parseAddress} from '../link/address.js';
@@ -42,7 +43,7 @@
     slots: z.number().int().positive(),
     connections: z.number().int().positive(),
     healthPath: z.string().startsWith('/').optional(),
-    state: z.enum(['serving', 'draining']),
+    state: z.enum(['warming', 'serving', 'draining']),
     started: z.number().optional(),
   })
   .strict();
@@ -76,7 +77,17 @@
     return result;
   }
 
-  function withdraw(): Result<Announcement> {
+  /** A body, where there is one, must name the instance announced here. */
+  function withdraw(text: Result<string>): Result<Announcement> {
+    if (!text.ok) return text;
+    const named = readInstance(text.value);
+    const current = announcer.current()?.instance;
+    if (named !== undefined && current !== undefined && named !== current) {
+      return failure(
+        endpointCodes.announcementForeign,
+        `this node announces ${current}, not ${named}; ask the node beside ${named}`,
+      );
+    }
     lapse?.cancel();
     return announcer.withdraw();
   }
@@ -97,8 +108,8 @@
     .post('/upstream', async (request, response) => {
       answer(response, announce(await readUpstream(request)), lease);
     })
-    .delete('/upstream', (_request, response) => {
-      answer(response, withdraw(), lease);
+    .delete('/upstream', async (request, response) => {
+      answer(response, withdraw(await readText(request)), lease);
     })
     .get('/upstream', (_request, response) => {
       answer(response, tell(), lease);
@@ -108,7 +119,7 @@
   await listening(server);
 
   return {
-    address: options.address,
+    address: `${host(options.address)}:${(server.address() as AddressInfo).port}`,
     close() {
       lapse?.cancel();
       return new Promise(resolve => {
@@ -133,6 +144,11 @@
 async function readUpstream(
   request: IncomingMessage,
 ): Promise<Result<Upstream>> {
+  const text = await readText(request);
+  return text.ok ? parseUpstream(text.value) : text;
+}
+
+async function readText(request: IncomingMessage): Promise<Result<string>> {
   const chunks: Buffer[] = [];
   let length = 0;
   for await (const chunk of request as AsyncIterable<Buffer>) {
@@ -145,7 +161,16 @@
     }
     chunks.push(chunk);
   }
-  return parseUpstream(Buffer.concat(chunks).toString('utf8'));
+  return success(Buffer.concat(chunks).toString('utf8'));
+}
+
+function readInstance(text: string): string | undefined {
+  try {
+    const raw = JSON.parse(text) as {instance?: unknown} | null;
+    return typeof raw?.instance === 'string' ? raw.instance : undefined;
+  } catch {
+    return undefined;
+  }
 }
 
 /** Checks an announcement given as JSON text. */
--- /dev/null
+++ b/src/endpoints/announcer.test.ts
@@ -0,0 +1,80 @@
+import test from 'ava';
+import {createSilentLog} from '../log/log.js';
+import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import {createAnnouncer} from './announcer.js';
+import {endpointCodes} from './codes.js';
+import {upstream} from './fakes/mesh.js';
+
+function start() {
+  const timers = createFakeTimers(1_000_000);
+  const announcer = createAnnouncer({
+    name: 'crewbook-1',
+    gate: '10.0.0.1:7000',
+    failureDomain: 'hall-a',
+    region: 'astana',
+    timers,
+    log: createSilentLog(),
+    warmUp: 5000,
+  });
+  const states: string[] = [];
+  announcer.onChange(({incarnation, sequence, state}) =>
+    states.push(`${incarnation}.${sequence} ${state}`),
+  );
+  return {timers, announcer, states};
+}
+
+test('an instance warms, serves, drains, resumes and leaves', t => {
+  const {timers, announcer, states} = start();
+  announcer.announce(upstream());
+  timers.advance(5000);
+  announcer.announce(upstream({state: 'draining'}));
+  announcer.announce(upstream());
+  announcer.announce(upstream());
+  announcer.withdraw();
+  t.deepEqual(states, [
+    '1000000.1 warming',
+    '1000000.2 serving',
+    '1000000.3 draining',
+    '1000000.4 serving',
+    '1000000.5 gone',
+  ]);
+});
+
+test('an upstream that says it is warming ends that itself', t => {
+  const {timers, announcer, states} = start();
+  announcer.announce(upstream({state: 'warming'}));
+  timers.advance(60_000);
+  announcer.announce(upstream());
+  t.deepEqual(states, ['1000000.1 warming', '1000000.2 serving']);
+});
+
+test('a return after leaving, or with another start, is a new incarnation', t => {
+  const {announcer, states} = start();
+  announcer.announce(upstream({state: 'warming', started: 1}));
+  announcer.announce(upstream({state: 'warming', started: 2}));
+  announcer.withdraw();
+  announcer.announce(upstream({state: 'warming', started: 2}));
+  t.deepEqual(states, [
+    '1000000.1 warming',
+    '1000001.1 warming',
+    '1000001.2 gone',
+    '1000002.1 warming',
+  ]);
+});
+
+test("an operator's drain holds whatever the upstream says", t => {
+  const {announcer} = start();
+  announcer.announce(upstream());
+  announcer.setDrained(true);
+  announcer.announce(upstream());
+  t.is(announcer.current()!.state, 'draining');
+  announcer.setDrained(false);
+  t.is(announcer.current()!.state, 'serving');
+});
+
+test('what is announced cannot change its instance id', t => {
+  const {announcer} = start();
+  announcer.announce(upstream());
+  const result = announcer.announce(upstream({instance: 'crewbook-2'}));
+  t.is(!result.ok && result.code, endpointCodes.announcementForeign);
+});
--- a/src/endpoints/announcer.ts
+++ b/src/endpoints/announcer.ts
@@ -22,7 +22,7 @@
   readonly connections: number;
   /** Path that answers 200 when it is ready; a hint only. */
   readonly healthPath?: string;
-  readonly state: 'serving' | 'draining';
+  readonly state: 'warming' | 'serving' | 'draining';
   /** Any number that differs after each start of the upstream. */
   readonly started?: number;
 }
@@ -37,7 +37,10 @@
   readonly region: string;
   readonly timers: Timers;
   readonly log: Log;
-  /** Milliseconds from announcement until an instance counts as serving. */
+  /**
+   * Milliseconds for which an upstream that says `serving` at once counts as
+   * warming; one that says `warming` first ends that itself. Default 10,000.
+   */
   readonly warmUp?: number;
 }
 
@@ -47,6 +50,10 @@
   announce(upstream: Upstream): Result<Announcement>;
   /** Takes the upstream back; what it says next begins a new incarnation. */
   withdraw(): Result<Announcement>;
+  /** An operator's drain, which holds whatever the upstream says. */
+  setDrained(drained: boolean): void;
+  /** Whether connections to the upstream work; gone while they do not. */
+  setReachable(reachable: boolean): void;
   /** Announces the same again under a higher sequence, for a new home. */
   refresh(): void;
   /** Rises above a newer announcement that a home knows of this instance. */
@@ -66,7 +73,9 @@
   const log = options.log.scope('endpoints');
   const warmUp = options.warmUp ?? defaultWarmUp;
   const observers: Array<(announcement: Announcement) => void> = [];
-  let upstream: Upstream | undefined;
+  let said: Upstream | undefined;
+  let drained = false;
+  let reachable = true;
   let life: Lifecycle | undefined;
   let current: Announcement | undefined;
   let warming: Subscription | undefined;
@@ -86,29 +95,30 @@
     return lastIncarnation;
   }
 
-  function describe(said: Upstream) {
+  function describe(upstream: Upstream) {
     return {
-      instance: said.instance ?? options.name,
-      service: said.service,
+      instance: upstream.instance ?? options.name,
+      service: upstream.service,
       gate,
       failureDomain: options.failureDomain,
       region: options.region,
-      slots: said.slots,
-      connections: said.connections,
+      slots: upstream.slots,
+      connections: upstream.connections,
     };
   }
 
-  function begin(said: Upstream): Announcement {
+  function begin(upstream: Upstream): Announcement {
     warming?.cancel();
-    life = createLifecycle();
-    if (said.state === 'draining') life.take('drain');
-    const own = life;
-    warming = timers.after(warmUp, () => {
-      if (own.take('warmed')) step();
-    });
-    upstream = said;
+    const own = createLifecycle();
+    life = own;
+    if (isDraining(upstream)) own.take('drain');
+    if (upstream.state === 'serving') {
+      warming = timers.after(warmUp, () => {
+        if (own.take('warmed')) step();
+      });
+    }
     return publish({
-      ...describe(said),
+      ...describe(upstream),
       incarnation: nextIncarnation(),
       sequence: 1,
       state: own.state(),
@@ -116,47 +126,69 @@
     });
   }
 
-  /** Publishes what is said now under the next sequence. */
+  const isDraining = (upstream: Upstream) =>
+    drained || upstream.state === 'draining';
+
+  /** Publishes what is so now under the next sequence. */
   function step(): Announcement {
     return publish({
       ...current!,
-      ...describe(upstream!),
+      ...(said === undefined ? {} : describe(said)),
       sequence: current!.sequence + 1,
       state: life!.state(),
     });
   }
 
-  function change(said: Upstream): Announcement {
-    const moved = life!.take(said.state === 'draining' ? 'drain' : 'resume');
-    const same = sameFacts(describe(said), describe(upstream!));
-    upstream = said;
+  function leave(): Announcement {
+    warming?.cancel();
+    return life!.take('leave') ? step() : current!;
+  }
+
+  /** Moves the state to where what was said last puts it. */
+  function move(before: Upstream, next: Upstream): boolean {
+    if (isDraining(next)) return life!.take('drain');
+    if (life!.state() === 'draining') return life!.take('resume');
+    const warmed = before.state === 'warming' && next.state === 'serving';
+    return warmed && life!.take('warmed');
+  }
+
+  /** Announces what has changed, if anything has. */
+  function update(before: Upstream, next: Upstream): Announcement {
+    said = next;
+    if (!reachable) return current!;
+    if (life!.state() === 'gone') return begin(next);
+    if (next.started !== before.started) return begin(next);
+    const moved = move(before, next);
+    const same = isSame(describe(before), describe(next));
     return moved || !same ? step() : current!;
   }
 
-  function announce(said: Upstream): Result<Announcement> {
-    if (upstream === undefined) return success(begin(said));
-    const instance = current!.instance;
-    if ((said.instance ?? options.name) !== instance) {
+  function announce(next: Upstream): Result<Announcement> {
+    const before = said;
+    if (before === undefined) {
+      said = next;
+      return success(begin(next));
+    }
+    const {instance} = describe(before);
+    if (describe(next).instance !== instance) {
       return failure(
         endpointCodes.announcementForeign,
         `this node announces ${instance}; take it back with DELETE /upstream first`,
       );
     }
-    if (said.started !== upstream.started) return success(begin(said));
-    return success(change(said));
+    return success(update(before, next));
   }
 
   function withdraw(): Result<Announcement> {
-    if (upstream === undefined) {
+    if (said === undefined) {
       return failure(
         endpointCodes.nothingAnnounced,
         'no upstream is announced here; announce one with POST /upstream',
       );
     }
-    warming?.cancel();
-    life!.take('leave');
-    const last = step();
-    upstream = undefined;
+    const last = leave();
+    said = undefined;
+    reachable = true;
     return success(last);
   }
 
@@ -164,13 +196,7 @@
     if (current === undefined || known.instance !== current.instance) return;
     if (!isNewer(known, current)) return;
     if (isOtherLive(known)) {
-      if (rival === known.incarnation) return;
-      rival = known.incarnation;
-      log.error('another process announces this instance', {
-        code: endpointCodes.instanceDuplicate.number,
-        instance: known.instance,
-        gate: known.gate,
-      });
+      complain(known);
       return;
     }
     lastIncarnation = Math.max(lastIncarnation, known.incarnation);
@@ -187,19 +213,39 @@
     return known.gate !== gate && known.state !== 'gone';
   }
 
+  function complain(known: Announcement): void {
+    if (rival === known.incarnation) return;
+    rival = known.incarnation;
+    log.error('another process announces this instance', {
+      code: endpointCodes.instanceDuplicate.number,
+      instance: known.instance,
+      gate: known.gate,
+    });
+  }
+
   return {
     announce,
     withdraw,
     rise,
+    setDrained(next) {
+      drained = next;
+      if (said !== undefined) update(said, said);
+    },
+    setReachable(next) {
+      if (next === reachable || said === undefined) return;
+      reachable = next;
+      if (reachable) update(said, said);
+      else leave();
+    },
     refresh() {
-      if (current !== undefined && upstream !== undefined) step();
+      if (current !== undefined && said !== undefined) step();
     },
     current: () => current,
-    upstream: () => upstream,
+    upstream: () => said,
     onChange: observe => void observers.push(observe),
   };
 }
 
-function sameFacts(left: object, right: object): boolean {
+function isSame(left: object, right: object): boolean {
   return JSON.stringify(left) === JSON.stringify(right);
 }
--- /dev/null
+++ b/src/endpoints/health.test.ts
@@ -0,0 +1,99 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import test from 'ava';
+import {createSilentLog} from '../log/log.js';
+import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import {createAnnouncer} from './announcer.js';
+import {upstream} from './fakes/mesh.js';
+import {createHealth, createProbe} from './health.js';
+import type {Observation} from './health.js';
+
+function start() {
+  const timers = createFakeTimers(1_000_000);
+  const announcer = createAnnouncer({
+    name: 'crewbook-1',
+    gate: '10.0.0.1:7000',
+    failureDomain: 'hall-a',
+    region: 'astana',
+    timers,
+    log: createSilentLog(),
+    warmUp: 0,
+  });
+  let seen: Observation = 'well';
+  const health = createHealth({timers, announcer, probe: async () => seen});
+  announcer.announce(upstream());
+  timers.advance(1);
+  return {
+    announcer,
+    health,
+    state: () => announcer.current()!.state,
+    async see(observation: Observation, seconds: number) {
+      seen = observation;
+      await timers.advanceAsync(seconds * 1000);
+    },
+  };
+}
+
+test('an unwell answer alone takes nothing out of service', async t => {
+  const {health, state, see} = start();
+  await see('unwell', 60);
+  t.is(health.verdict(), 'doubtful');
+  t.is(state(), 'serving');
+  health.observe('answered');
+  t.is(health.verdict(), 'ready');
+});
+
+test('refused connections take a dead upstream out though health says well', async t => {
+  // The upstream's port is closed while something else still answers its
+  // health path. The gate's own connections are refused, three in a row
+  // between two looks, and the instance is gone.
+  const {health, state, see} = start();
+  await see('well', 5);
+  for (let turn = 0; turn < 3; turn++) health.observe('refused');
+  t.is(health.verdict(), 'dead');
+  t.is(state(), 'gone');
+});
+
+test('single refusals between answers are no death', async t => {
+  const {health, state} = start();
+  for (let turn = 0; turn < 10; turn++) {
+    health.observe('refused');
+    health.observe('refused');
+    health.observe('answered');
+  }
+  t.is(state(), 'serving');
+});
+
+test('a dead upstream that takes connections again is a new incarnation', async t => {
+  const {announcer, state, see} = start();
+  const first = announcer.current()!.incarnation;
+  await see('refused', 4);
+  t.is(state(), 'gone');
+  announcer.announce(upstream());
+  t.is(state(), 'gone');
+  await see('well', 1);
+  t.is(state(), 'serving');
+  t.true(announcer.current()!.incarnation > first);
+});
+
+test('the probe tells a refusal from a bad answer', async t => {
+  const server = createServer((incoming, response) => {
+    response.statusCode = incoming.url === '/health' ? 200 : 503;
+    response.end();
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  const address = `127.0.0.1:${port}`;
+  const probe = createProbe(5000);
+  t.is(await probe(upstream({address})), 'well');
+  t.is(await probe(upstream({address, healthPath: '/health'})), 'well');
+  t.is(await probe(upstream({address, healthPath: '/bad'})), 'unwell');
+  await new Promise(resolve => {
+    server.close(resolve);
+    server.closeAllConnections();
+  });
+  t.is(await probe(upstream({address})), 'refused');
+  t.is(await probe(upstream({address, healthPath: '/health'})), 'refused');
+});
--- a/src/endpoints/membership.ts
+++ b/src/endpoints/membership.ts
@@ -3,7 +3,13 @@
 import type {Announcer} from './announcer.js';
 import {equalDigests} from './digest.js';
 import type {EndpointTable} from './endpoint-table.js';
-import type {HomeMessage, NodeMessage} from './messages.js';
+import type {
+  Announcement,
+  HomeMessage,
+  KnownInstance,
+  NodeMessage,
+} from './messages.js';
+import {turnSince} from './transit.js';
 
 /** Settings of a node's part in membership. */
 export interface MembershipOptions {
@@ -67,17 +73,17 @@
   function receive(message: HomeMessage): void {
     switch (message.kind) {
       case 'refuted':
-        return announcer.rise(message.known);
+        return announcer.rise(received(message.known));
       case 'announce-again':
         return announceAgain();
       case 'section':
         return table.mergeSection(
           message.service,
           message.complete,
-          message.instances,
+          message.instances.map(received),
         );
       case 'delta':
-        return table.mergeDelta(message.instances);
+        return table.mergeDelta(message.instances.map(received));
       case 'renewed':
         // A delta that was lost shows here, one renewal later at most.
         if (message.complete && !equalDigests(message.digest, table.digest())) {
@@ -88,9 +94,18 @@
 
   function announceAgain(): void {
     const current = announcer.current();
-    if (current !== undefined) send({kind: 'announce', announcement: current});
+    if (current !== undefined) sendAnnouncement(current);
   }
 
+  function sendAnnouncement(announcement: Announcement): void {
+    send({
+      kind: 'announce',
+      announcement: turnSince(announcement, timers.wall()),
+    });
+  }
+
+  const received = (known: KnownInstance) => turnSince(known, timers.wall());
+
   function tick(): void {
     renew();
     table.sweep();
@@ -99,7 +114,7 @@
     }
   }
 
-  announcer.onChange(announcement => send({kind: 'announce', announcement}));
+  announcer.onChange(sendAnnouncement);
   const ticking = timers.every(renewal, tick);
   table.subscribe(services);
 
--- a/src/endpoints/messages.ts
+++ b/src/endpoints/messages.ts
@@ -27,7 +27,10 @@
   readonly slots: number;
   /** Connections that may be open at once. */
   readonly connections: number;
-  /** Milliseconds since the epoch when it began to warm. */
+  /**
+   * When it began to warm, in milliseconds since the epoch by the clock of
+   * the process that holds this. On the wire it is an age; see `transit.ts`.
+   */
   readonly since: number;
 }
 
@@ -101,7 +104,10 @@
       readonly complete: boolean;
       readonly digest: Digest;
     }
-  /** All live instances of one service. */
+  /**
+   * All instances of one service, those remembered as gone included: what is
+   * absent is unknown to the home, which proves less than a tombstone.
+   */
   | {
       readonly kind: 'section';
       readonly service: string;
--- a/src/endpoints/node-sessions.ts
+++ b/src/endpoints/node-sessions.ts
@@ -15,6 +15,7 @@
 import type {Peers} from './peers.js';
 import {toKnown} from './record-store.js';
 import type {Entry, RecordStore} from './record-store.js';
+import {turnSince} from './transit.js';
 
 /** Settings of a home's links to its nodes; times in milliseconds. */
 export interface NodeSessionsOptions {
@@ -62,6 +63,12 @@
   const send = (session: Session, message: HomeMessage) =>
     session.channel.send(message);
 
+  const onWire = (entry: Entry) => turnSince(toKnown(entry), timers.wall());
+
+  function refute(session: Session, known: Announcement): void {
+    send(session, {kind: 'refuted', known: turnSince(known, timers.wall())});
+  }
+
   const isComplete = () => timers.now() >= options.completeAt;
 
   function announce(session: Session, announcement: Announcement): void {
@@ -75,7 +82,7 @@
         : compareAnnouncements(announcement, known.announcement);
     if (order < 0) {
       if (isRival(announcement, known!)) leases.contest(instance);
-      send(session, {kind: 'refuted', known: known!.announcement});
+      refute(session, known!.announcement);
       return;
     }
     if (order > 0) keep(session, announcement);
@@ -150,9 +157,9 @@
         : message.incarnation! - known.incarnation ||
           message.sequence! - known.sequence;
     if (order > 0) send(session, {kind: 'announce-again'});
-    else if (order < 0) send(session, {kind: 'refuted', known: known!});
+    else if (order < 0) refute(session, known!);
     else if (known!.state !== 'gone') leases.renew(instance);
-    else if (entry!.expired) send(session, {kind: 'refuted', known: known!});
+    else if (entry!.expired) refute(session, known!);
   }
 
   function digestFor(session: Session): Digest {
@@ -186,9 +193,7 @@
   }
 
   function sendSection(session: Session, service: string): void {
-    const instances = [...store.ofService(service)]
-      .filter(entry => entry.goneAt === undefined)
-      .map(toKnown);
+    const instances = [...store.ofService(service)].map(onWire);
     const complete = isComplete();
     send(session, {kind: 'section', service, complete, instances});
   }
@@ -216,7 +221,7 @@
     const instances = [...session.pending]
       .map(instance => store.get(instance))
       .filter(entry => entry !== undefined)
-      .map(toKnown);
+      .map(onWire);
     session.pending.clear();
     send(session, {kind: 'delta', instances});
   }
@@ -244,7 +249,7 @@
     if (entry.home === name && !entry.expired) return;
     for (const session of sessions) {
       if (session.instance !== instance) continue;
-      send(session, {kind: 'refuted', known: entry.announcement});
+      refute(session, entry.announcement);
     }
   }
 
@@ -252,7 +257,10 @@
     session.lastHeard = timers.now();
     switch (message.kind) {
       case 'announce':
-        return announce(session, message.announcement);
+        return announce(
+          session,
+          turnSince(message.announcement, timers.wall()),
+        );
       case 'renew':
         return renew(session, message);
       case 'subscribe':
--- a/src/endpoints/peers.ts
+++ b/src/endpoints/peers.ts
@@ -5,6 +5,7 @@
 import type {EndpointRecord, PeerMessage, RecordSummary} from './messages.js';
 import type {RecordStore} from './record-store.js';
 import type {Safeguards} from './safeguards.js';
+import {turnSince} from './transit.js';
 
 /** A node's report that it cannot reach an instance. */
 export interface Report {
@@ -71,12 +72,17 @@
   const send = (session: Session, message: PeerMessage) =>
     session.channel.send(message);
 
+  const turn = (record: EndpointRecord): EndpointRecord => ({
+    ...record,
+    announcement: turnSince(record.announcement, timers.wall()),
+  });
+
   function sendRecords(
     session: Session,
     records: readonly EndpointRecord[],
   ): void {
     for (let at = 0; at < records.length; at += recordsPerMessage) {
-      const part = records.slice(at, at + recordsPerMessage);
+      const part = records.slice(at, at + recordsPerMessage).map(turn);
       send(session, {kind: 'records', records: part});
     }
   }
@@ -177,7 +183,7 @@
     session.lastHeard = timers.now();
     switch (message.kind) {
       case 'records':
-        for (const record of message.records) store.merge(record);
+        for (const record of message.records) store.merge(turn(record));
         return;
       case 'root':
         identify(session, message.name);
