--- a/src/configuration/create-configuration-machine.ts
+++ b/src/configuration/create-configuration-machine.ts
@@ -79,6 +79,7 @@
   let version = 0;
   let applied = 0;
   let frozen: Configuration | undefined;
+  let digested: {index: number; digest: string} | undefined;
 
   function apply(index: number, bytes: Uint8Array): Uint8Array {
     applied = index;
@@ -174,6 +175,7 @@
     version = state.version;
     applied = index;
     frozen = undefined;
+    digested = undefined;
     notify();
   }
 
@@ -203,7 +205,10 @@
     }
 
     digest(): string {
-      return digestState(encodeState(whole()));
+      if (digested?.index !== applied) {
+        digested = {index: applied, digest: digestState(encodeState(whole()))};
+      }
+      return digested.digest;
     }
 
     appliedIndex(): number {
--- a/src/language/edit-parser.ts
+++ b/src/language/edit-parser.ts
@@ -30,8 +30,14 @@
     super(vocabulary, {maxLookahead: 2});
   }
 
-  /** Edits between separators; also the content of a file to apply. */
-  readonly edits = this.RULE('edits', (): Edit[] => {
+  /** The content of a file to apply. */
+  readonly content = this.RULE('content', (): Edit[] => {
+    this.MANY(() => this.CONSUME(Separator));
+    return this.SUBRULE(this.edits);
+  });
+
+  /** Edits with separators between. */
+  protected readonly edits = this.RULE('edits', (): Edit[] => {
     const edits: Edit[] = [];
     edits.push(this.SUBRULE1(this.edit));
     this.MANY(() => {
@@ -41,7 +47,7 @@
     return edits;
   });
 
-  private readonly edit = this.RULE('edit', (): Edit =>
+  protected readonly edit = this.RULE('edit', (): Edit =>
     this.OR<Edit>([
       {ALT: () => this.SUBRULE(this.put)},
       {ALT: () => this.SUBRULE(this.remove)},
--- /dev/null
+++ b/src/language/parse.test.ts
@@ -0,0 +1,233 @@
+import test from 'ava';
+import {isOpen, parseCommand, parseEdits} from './parse.js';
+import {renderProblem} from './problem.js';
+
+function read(text: string): unknown {
+  const parsed = parseCommand(text);
+  return parsed.ok ? parsed.value : renderProblem(text, parsed.problem);
+}
+
+const a = {kind: 'service', value: {name: 'a', slowStart: 0}};
+
+test('items are put with units in place of bare numbers', t => {
+  t.deepEqual(read('put service stock-desk slow-start 5s'), {
+    kind: 'change',
+    edits: [
+      {
+        action: 'put',
+        item: {kind: 'service', value: {name: 'stock-desk', slowStart: 5000}},
+      },
+    ],
+  });
+  t.deepEqual(
+    read(
+      'put policy gate-checks deadline 250ms priority critical attempts 3 ' +
+        'repeat idempotent body 64MiB objective 99.9% within 200ms',
+    ),
+    {
+      kind: 'change',
+      edits: [
+        {
+          action: 'put',
+          item: {
+            kind: 'policy',
+            value: {
+              name: 'gate-checks',
+              priority: 'critical',
+              deadline: 250,
+              attempts: 3,
+              repeatability: 'idempotent',
+              bodyLimit: 64 * 1024 * 1024,
+              objective: {target: 0.999, latency: 200},
+            },
+          },
+        },
+      ],
+    },
+  );
+  t.like(
+    read('put route gates methods POST,GET under p to drillvault prefix /gate'),
+    {
+      edits: [
+        {
+          item: {
+            value: {
+              name: 'gates',
+              prefix: '/gate',
+              methods: ['GET', 'POST'],
+              service: 'drillvault',
+              policy: 'p',
+            },
+          },
+        },
+      ],
+    },
+  );
+});
+
+test('a prefix names the command and the version it expects', t => {
+  t.deepEqual(read('as amina/7 expect 12 put service a'), {
+    kind: 'change',
+    id: {operator: 'amina', sequence: 7},
+    expectedVersion: 12,
+    edits: [{action: 'put', item: a}],
+  });
+});
+
+test('several edits are one change, in a line or between begin and end', t => {
+  const edits = [
+    {action: 'put', item: a},
+    {action: 'remove', kind: 'route', name: 'r'},
+    {
+      action: 'put',
+      item: {kind: 'drain', value: {name: 'a-1', service: 'a'}},
+    },
+    {action: 'remove', kind: 'drain', name: 'a-2'},
+  ];
+  const texts = ['put service a', 'remove route r', 'drain a-1 of a'];
+  const all = [...texts, 'undrain a-2'];
+  t.deepEqual(read(all.join('; ')), {kind: 'change', edits});
+  t.deepEqual(read(`begin\n  ${all.join('\n\n  ')}\nend # all\n`), {
+    kind: 'change',
+    edits,
+  });
+  const file = parseEdits(`# parts stores\n\n${all.join('\n')}\n`);
+  t.deepEqual(file, {ok: true, value: edits} as never);
+});
+
+test('queries', t => {
+  t.deepEqual(read('show services'), {kind: 'show', items: 'service'});
+  t.like(read('show routes r'), {items: 'route', name: 'r'});
+  t.deepEqual(read('show in force'), {kind: 'show-in-force'});
+  t.deepEqual(read('show control'), {kind: 'show-control'});
+  t.deepEqual(read('history 5'), {kind: 'history', count: 5});
+  t.deepEqual(read('wait 12 within 5s'), {
+    kind: 'wait',
+    version: 12,
+    within: 5000,
+  });
+  t.deepEqual(
+    read('replace control c-1 with c-4 at 127.0.0.1:7104 in hall-a'),
+    {
+      kind: 'replace',
+      leaving: 'c-1',
+      joining: {
+        name: 'c-4',
+        address: '127.0.0.1:7104',
+        failureDomain: 'hall-a',
+      },
+    },
+  );
+});
+
+test('a keyword is a name where a name is asked for', t => {
+  t.like(read('put service service'), {
+    edits: [{item: {value: {name: 'service'}}}],
+  });
+  t.like(read('show services force'), {name: 'force'});
+});
+
+const faults: ReadonlyArray<readonly [string, string]> = [
+  [
+    'put rotue stock',
+    `
+put rotue stock
+    ^^^^^ expected service, policy or route`,
+  ],
+  [
+    'put service a slowstart 5s',
+    `
+put service a slowstart 5s
+              ^^^^^^^^^ expected slow-start, ";" or the end of the command`,
+  ],
+  [
+    'put policy p deadline 5',
+    `
+put policy p deadline 5
+                      ^ expected a duration such as 250ms, 5s or 2m`,
+  ],
+  [
+    'put policy p deadline 5s deadline 6s',
+    `
+put policy p deadline 5s deadline 6s
+                         ^^^^^^^^ expected deadline only once`,
+  ],
+  [
+    'put route r prefix /a to b',
+    `
+put route r prefix /a to b
+          ^ expected "prefix PATH", "to SERVICE" and "under POLICY" after the name of a route`,
+  ],
+  [
+    'put service Stock',
+    `
+put service Stock
+            ^^^^^ expected a name of 1 to 63 letters a-z, digits, dots or hyphens`,
+  ],
+  [
+    'wait',
+    `
+wait
+    ^ expected a version`,
+  ],
+  [
+    'put service a put service b',
+    `
+put service a put service b
+              ^^^ expected slow-start, ";" or the end of the command`,
+  ],
+  [
+    'begin\n  put service a\n  put srevice b\nend',
+    `
+  put srevice b
+      ^^^^^^^ line 3: expected service, policy or route`,
+  ],
+  [
+    'remove route',
+    `
+remove route
+            ^ expected a name`,
+  ],
+  [
+    'apply "parts',
+    `
+apply "parts
+      ^ expected a closing "`,
+  ],
+  [
+    'show in force now',
+    `
+show in force now
+              ^^^ expected ";" or the end of the command`,
+  ],
+];
+
+for (const [text, shown] of faults) {
+  test(`the caret points at the word: ${JSON.stringify(text)}`, t => {
+    t.is(`\n${String(read(text))}`, shown);
+  });
+}
+
+test('values out of their range are refused at the word', t => {
+  for (const text of [
+    'put policy p deadline 1s attempts 0',
+    'put policy p deadline 1s objective 101% within 1s',
+    'put policy p deadline 1s body 5MB',
+    'put route r prefix a to b under c',
+    'put route r prefix /a methods get to b under c',
+    'as amina put service a',
+    'as amina/0 put service a',
+    'expect -1 put service a',
+    'wait 99999999999999999999',
+    'replace control a with b at host:7000 in c',
+  ]) {
+    t.regex(String(read(text)), /\^+ expected /, text);
+  }
+});
+
+test('a begin without its end waits for more lines', t => {
+  t.true(isOpen('as amina/1 expect 4 begin put service a\n'));
+  t.false(isOpen('begin put service a; end'));
+  t.false(isOpen('put service begin'));
+  t.true(isOpen('begin put service end\n'), 'end as a name ends nothing');
+});
--- a/src/language/parse.ts
+++ b/src/language/parse.ts
@@ -4,7 +4,7 @@
 import {ProblemError} from './problem.js';
 import type {Problem} from './problem.js';
 import type {Statement} from './statement.js';
-import {lexer} from './tokens.js';
+import {lexer, Separator, Word} from './tokens.js';
 import {listChoices} from './values.js';
 
 /** A text as the language reads it. */
@@ -15,6 +15,28 @@
 /** Expected words named in a message. */
 const wordsNamed = 12;
 
+/** What the word after a keyword is, where it is not a name. */
+const wordHints: Readonly<Record<string, string>> = {
+  as: 'OPERATOR/SEQUENCE, such as amina/7',
+  expect: 'a version',
+  wait: 'a version',
+  history: 'a number of changes',
+  apply: 'a file name',
+  within: 'a duration such as 5s',
+  deadline: 'a duration such as 250ms',
+  'slow-start': 'a duration such as 5s',
+  attempts: 'a whole number',
+  priority: 'critical, normal or background',
+  repeat: 'once or idempotent',
+  body: 'a size such as 64MiB',
+  objective: 'a percentage such as 99.9%',
+  prefix: 'a path that starts with /',
+  methods: 'methods such as GET,POST',
+  at: 'an IP number and port',
+};
+
+type RuleName = 'command' | 'content';
+
 /** Reads one command. */
 export function parseCommand(text: string): Parsed<Statement> {
   return parse(text, 'command', () => parser.command());
@@ -22,23 +44,32 @@
 
 /** Reads the edits of a file; they make one change. */
 export function parseEdits(text: string): Parsed<readonly Edit[]> {
-  const trimmed = text.replace(/^\s+/, blank => blank.replace(/\S|\n/g, ' '));
-  return parse(trimmed, 'edits', () => parser.edits());
+  return parse(text, 'content', () => parser.content());
 }
 
 /** Whether a `begin` waits for its `end`, so that more lines belong to it. */
 export function isOpen(text: string): boolean {
-  const words = lexer.tokenize(text).tokens.map(({image}) => image);
-  while (words[0] === 'as' || words[0] === 'expect') words.splice(0, 2);
-  return words[0] === 'begin' && !words.includes('end');
+  const {tokens} = lexer.tokenize(text);
+  const first = tokens.findIndex(({image}) => image === 'begin');
+  const isBlock = tokens.slice(0, Math.max(0, first)).every(isPrefix);
+  if (first === -1 || !isBlock) return false;
+  const isEnd = (token: IToken, at: number) =>
+    token.image === 'end' && tokens[at - 1]?.tokenType === Separator;
+  return !tokens.some(isEnd);
 }
 
-function parse<T>(text: string, rule: string, run: () => T): Parsed<T> {
+/** Only `as ID` and `expect VERSION` may come before a `begin`. */
+function isPrefix(token: IToken, at: number): boolean {
+  return at % 2 === 1 || token.image === 'as' || token.image === 'expect';
+}
+
+function parse<T>(text: string, rule: RuleName, run: () => T): Parsed<T> {
   const {tokens, errors} = lexer.tokenize(text);
   const [unread] = errors;
   if (unread !== undefined) {
     const {offset, length} = unread;
-    return {ok: false, problem: {message: 'a stray "', offset, length}};
+    const message = 'expected a closing "';
+    return {ok: false, problem: {message, offset, length}};
   }
   try {
     parser.input = tokens;
@@ -55,7 +86,7 @@
 function describe(
   text: string,
   tokens: IToken[],
-  rule: string,
+  rule: RuleName,
   error: IRecognitionException,
 ): Problem {
   const at = tokens.indexOf(error.token);
@@ -66,10 +97,25 @@
   return {message, offset: startOffset, length: image.trimEnd().length || 1};
 }
 
-function listExpected(rule: string, before: IToken[]): string {
+function listExpected(rule: RuleName, before: IToken[]): string {
   const paths = parser.computeContentAssist(rule, before);
-  const labels = paths.map(({nextTokenType}) => nextTokenType.LABEL ?? '');
-  const unique = [...new Set(labels)];
-  if (unique.length === 0) return 'the end of the command';
-  return listChoices(unique.slice(0, wordsNamed));
+  const word = wordHints[before.at(-1)?.image ?? ''] ?? 'a name';
+  const labels = paths.map(({nextTokenType}) =>
+    nextTokenType === Word ? word : (nextTokenType.LABEL ?? ''),
+  );
+  const unique = [...new Set(labels)].slice(0, wordsNamed);
+  if (isWhole(rule, before)) unique.push('the end of the command');
+  return listChoices(unique);
+}
+
+/** Whether the words so far would be a command by themselves. */
+function isWhole(rule: RuleName, before: IToken[]): boolean {
+  try {
+    parser.input = before;
+    parser[rule]();
+    return parser.errors.length === 0;
+  } catch (error) {
+    if (error instanceof ProblemError) return false;
+    throw error;
+  }
 }
--- a/src/language/parser.ts
+++ b/src/language/parser.ts
@@ -63,10 +63,15 @@
     ]);
   });
 
+  /** The last edit too ends in a separator, so that `end` may be a name. */
   private readonly block = this.RULE('block', (): Edit[] => {
+    const edits: Edit[] = [];
     this.key('begin');
-    this.MANY(() => this.CONSUME(Separator));
-    const edits = this.SUBRULE(this.edits);
+    this.MANY(() => this.CONSUME1(Separator));
+    this.AT_LEAST_ONE1(() => {
+      edits.push(this.SUBRULE(this.edit));
+      this.AT_LEAST_ONE2(() => this.CONSUME2(Separator));
+    });
     this.key('end');
     return edits;
   });
--- a/src/operator/create-operator-server.ts
+++ b/src/operator/create-operator-server.ts
@@ -29,6 +29,7 @@
   const handler = createHTTPHandler({
     router: createRouter(createOperatorService(options), log),
     maxBodySize: options.bodyLimit,
+    allowBatching: false,
     createContext: ({req}) => ({authorized: isAuthorized(req, options.token)}),
   });
   const server = createServer(handler);
--- a/src/operator/operator-server.test.ts
+++ b/src/operator/operator-server.test.ts
@@ -1,68 +1,9 @@
 import {request} from 'undici';
 import test from 'ava';
-import {
-  createSampleMachine,
-  putService,
-} from '../configuration/fakes/sample.js';
-import type {ConfigurationMachine} from '../configuration/create-configuration-machine.js';
-import {createFakeGroup} from '../consensus/fakes/fake-consensus.js';
-import type {FakeGroup} from '../consensus/fakes/fake-consensus.js';
-import {createSilentLog} from '../log/log.js';
-import type {Listener} from '../link/link.js';
-import {defaults} from '../settings/defaults.js';
+import {putService} from '../configuration/fakes/sample.js';
 import {createTimers} from '../time/timers.js';
 import {createOperatorClient} from './create-operator-client.js';
-import {createOperatorServer} from './create-operator-server.js';
-import type {FleetSummary} from '../fleet/summary.js';
-
-const names = ['control-1', 'control-2', 'control-3'];
-
-const fleet = {
-  summary: (version = 0): FleetSummary => ({
-    version,
-    nodes: 2,
-    inForce: version < 2 ? 2 : 1,
-    behind: version < 2 ? 0 : 1,
-    unknown: 0,
-    least: 1,
-    domains: [],
-    laggards: version < 2 ? [] : ['crewbook-1'],
-    homes: [],
-  }),
-};
-
-interface Deployment {
-  readonly group: FakeGroup<ConfigurationMachine>;
-  readonly servers: ReadonlyMap<string, Listener>;
-  readonly addresses: readonly string[];
-  close(): Promise<void>;
-}
-
-async function deploy(token?: string): Promise<Deployment> {
-  const group = createFakeGroup(names, createSampleMachine);
-  const servers = new Map<string, Listener>();
-  for (const name of names) {
-    const server = await createOperatorServer({
-      name,
-      address: '127.0.0.1:0',
-      consensus: group.member(name),
-      machine: group.machine(name),
-      fleet,
-      timers: createTimers(),
-      limits: {...defaults.limits, edits: 3},
-      leaderAddress: leader => servers.get(leader)?.address,
-      token,
-      bodyLimit: 10_000,
-      log: createSilentLog(),
-    });
-    servers.set(name, server);
-  }
-  const addresses = [...servers.values()].map(({address}) => address);
-  const close = async () => {
-    for (const server of servers.values()) await server.close();
-  };
-  return {group, servers, addresses, close};
-}
+import {deploy} from './fakes/deployment.js';
 
 function clientOf(addresses: readonly string[], token?: string) {
   return createOperatorClient({
--- /dev/null
+++ b/src/operator/run-operator-command.test.ts
@@ -0,0 +1,212 @@
+import {mkdtemp, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {Readable} from 'node:stream';
+import test from 'ava';
+import {deploy} from './fakes/deployment.js';
+import type {Deployment} from './fakes/deployment.js';
+import {runOperatorCommand} from './run-operator-command.js';
+
+const setup = [
+  'put service crewbook',
+  'put policy lookups deadline 250ms',
+  'put route records prefix /records to crewbook under lookups',
+].join('; ');
+
+interface Run {
+  readonly code: number;
+  readonly out: string;
+  readonly error: string;
+}
+
+async function run(
+  {addresses}: Pick<Deployment, 'addresses'>,
+  text: string,
+  options: {input?: string; args?: readonly string[]} = {},
+): Promise<Run> {
+  const output = {out: '', error: ''};
+  const args = [
+    '--timeout',
+    '0.5',
+    ...(options.args ?? []),
+    ...text.split(' '),
+  ];
+  const code = await runOperatorCommand(args, {
+    input: Readable.from([options.input ?? '']),
+    out: written => (output.out += written),
+    error: written => (output.error += written),
+    environment: {
+      FOXBARROW_CONTROL: addresses.join(','),
+      FOXBARROW_OPERATOR: 'amina',
+    },
+  });
+  return {code, ...output};
+}
+
+test('an accepted change exits 0 and tells its version and id', async t => {
+  const deployment = await deploy();
+  const {code, out, error} = await run(deployment, setup);
+  t.is(code, 0, error);
+  t.regex(out, /^version 1: accepted \(amina\/\d+\)\n$/);
+  t.regex(error, /^command amina\/\d+\n$/, 'told before it is sent');
+  const shown = await run(deployment, 'show routes');
+  t.is(
+    shown.out,
+    'route    prefix    methods  to        under\n' +
+      'records  /records  all      crewbook  lookups\n' +
+      'version 1\n',
+  );
+  await deployment.close();
+});
+
+test('each outcome has its own exit code', async t => {
+  const deployment = await deploy();
+  const codeOf = async (text: string) => (await run(deployment, text)).code;
+  t.is(await codeOf(setup), 0);
+  t.is(await codeOf('put rotue x'), 2);
+  t.is(await codeOf('remove service crewbook'), 3);
+  t.is(await codeOf('expect 7 put service a'), 4);
+  deployment.group.decide(...Array.from({length: 200}, () => 'lose' as const));
+  const unknown = await run(deployment, 'as amina/9 put service a');
+  t.is(unknown.code, 5);
+  t.regex(unknown.error, /resend it with "as amina\/9" in front/);
+  await deployment.close();
+  t.is(await codeOf('show services'), 6);
+  t.is(await codeOf('put service a'), 6);
+});
+
+test('a resend by hand gets the first answer', async t => {
+  const deployment = await deploy();
+  const first = await run(deployment, `as amina/7 ${setup}`);
+  await run(deployment, 'put service other');
+  const again = await run(deployment, `as amina/7 ${setup}`);
+  t.is(again.out, first.out);
+  await deployment.close();
+});
+
+test('a program reads one object for each command', async t => {
+  const deployment = await deploy();
+  const json = async (text: string) => {
+    const {out} = await run(deployment, text, {args: ['--json']});
+    return JSON.parse(out) as unknown;
+  };
+  t.deepEqual(await json(`as amina/3 ${setup}`), {
+    exitCode: 0,
+    result: {id: 'amina/3', code: 1000, message: 'accepted', version: 1},
+  });
+  t.like(await json('show services crewbook'), {
+    exitCode: 0,
+    result: {version: 1, items: [{value: {name: 'crewbook', slowStart: 0}}]},
+  });
+  t.like(await json('remove policy lookups'), {
+    exitCode: 3,
+    result: {
+      code: 2002,
+      message: 'policy lookups is still used by route records',
+    },
+  });
+  t.like(await json('put service'), {
+    exitCode: 2,
+    result: {code: 2015, offset: 11},
+  });
+  t.like(await json('wait 2 within 30ms'), {
+    exitCode: 3,
+    result: {code: 2013, summary: {laggards: ['crewbook-1']}},
+  });
+  await deployment.close();
+});
+
+test('fleet, control group and history are tables', async t => {
+  const deployment = await deploy();
+  await run(deployment, setup);
+  await run(deployment, 'drain crewbook-1 of crewbook');
+  const force = await run(deployment, 'show in force');
+  t.regex(force.out, /version 2 is in force on 1 of 2 nodes; least version 1/);
+  t.regex(force.out, /behind: crewbook-1/);
+  t.is((await run(deployment, 'wait 1 within 1s')).code, 0);
+  const control = await run(deployment, 'show control');
+  t.regex(control.out, /control-1 +leader +1 +control-1/);
+  t.is(new Set(control.out.match(/[0-9a-f]{12}$/gm)).size, 1, 'one digest');
+  const history = await run(deployment, 'history 1');
+  t.regex(history.out, /^2 .*amina\/\d+ +put drain crewbook-1$/m);
+  const replaced = await run(
+    deployment,
+    'replace control control-3 with control-4 at 127.0.0.1:7104 in hall-b',
+  );
+  t.is(replaced.code, 0);
+  t.regex((await run(deployment, 'show control')).out, /control-4 +127/);
+  await deployment.close();
+});
+
+test('a session reads commands from standard input and gives the highest code', async t => {
+  const deployment = await deploy();
+  const input = [
+    '# the first services',
+    'begin',
+    '  put service crewbook',
+    '  put service drillvault',
+    'end',
+    'remove service gone',
+    '',
+    'show services',
+  ].join('\n');
+  const {code, out, error} = await run(deployment, 'shell', {input});
+  t.is(code, 3);
+  t.regex(out, /version 1: accepted/);
+  t.regex(out, /crewbook +0ms\ndrillvault +0ms/);
+  t.regex(error, /there is no service gone/);
+  await deployment.close();
+});
+
+// A session has a mistyped edit inside begin ... end. The edits after it must
+// not be taken for changes of their own, or half of the block would be in
+// force. The whole block is read before any of it is looked at.
+test('a block with a mistake changes nothing', async t => {
+  const deployment = await deploy();
+  const input = 'begin\n put srevice a\n put service b\nend\nshow services\n';
+  const {code, out, error} = await run(deployment, 'shell', {input});
+  t.is(code, 2);
+  t.regex(error, /\^+ line 2: expected service, policy or route/);
+  t.is(out, 'none\nversion 0\n');
+  t.is(deployment.group.entries().length, 0);
+  await deployment.close();
+});
+
+test('a file of edits is one change', async t => {
+  const deployment = await deploy();
+  const folder = await mkdtemp(join(tmpdir(), 'foxbarrow-'));
+  const file = join(folder, 'edits.txt');
+  await writeFile(file, `# crew records\n${setup.replaceAll('; ', '\n')}\n`);
+  t.regex((await run(deployment, `apply ${file}`)).out, /^version 1: acc/);
+  await writeFile(file, 'put service a\nput service B\n');
+  const bad = await run(deployment, `apply ${file}`);
+  t.is(bad.code, 2);
+  t.regex(
+    bad.error,
+    /edits\.txt:\nput service B\n +\^ line 2: expected a name/,
+  );
+  t.is((await run(deployment, `apply ${file}.gone`)).code, 2);
+  await deployment.close();
+});
+
+test('a command line that lacks something exits 2 and says what', async t => {
+  const misuse = async (args: readonly string[]) => {
+    let error = '';
+    const code = await runOperatorCommand(args, {
+      input: Readable.from([]),
+      out: () => {},
+      error: written => (error += written),
+      environment: {},
+    });
+    t.is(code, 2);
+    return error;
+  };
+  const control = ['--control', '127.0.0.1:7100'];
+  t.regex(await misuse(['show', 'services']), /--control/);
+  t.regex(await misuse([...control, 'put', 'service', 'a']), /--operator/);
+  t.regex(await misuse(['--control', 'host:7']), /IP number and a port/);
+  t.regex(await misuse([...control, '--timeout', 'x', 'help']), /seconds/);
+  t.regex(await misuse(['--colour']), /--colour/);
+  t.regex(await misuse([...control, '--token-file', '/gone']), /be read/);
+  t.regex(await misuse(control), /a command is missing/);
+});
