--- /dev/null
+++ b/src/request/connections.ts
@@ -0,0 +1,107 @@
+/**
+ * The connections to one address, never more than a limit. Each is an undici
+ * client of its own without pipelining, so that a connection carries one
+ * request at a time and its answer can belong to no other.
+ */
+import {Client} from 'undici';
+import type {Dispatcher} from 'undici';
+import type {Address} from '../link/link.js';
+
+/** Options of `createConnections`; times in milliseconds. */
+export interface ConnectionsOptions {
+  readonly address: Address;
+  /** Connections open at once, at most. */
+  readonly limit: number;
+  /** Longest wait for a connection to open; 1000 unless given. */
+  readonly connectTimeout?: number;
+  /** How long an unused connection is kept; 60000 unless given. */
+  readonly keepAlive?: number;
+}
+
+/** The connections to one address. */
+export interface Connections {
+  /** Requests under way. */
+  readonly busy: number;
+  /** Clients made, at most the limit. */
+  readonly size: number;
+  /** Sends a request; false when every connection is in use. */
+  dispatch(
+    request: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): boolean;
+  /** Closes each connection once it is free; resolves when all are closed. */
+  close(): Promise<void>;
+}
+
+/** Creates the connections to one address; none is opened before its use. */
+export function createConnections(options: ConnectionsOptions): Connections {
+  const idle: Client[] = [];
+  const all = new Set<Client>();
+
+  function take(): Client | undefined {
+    // The connection used last is the warmest; the others age out.
+    const client = idle.pop();
+    if (client !== undefined || all.size >= options.limit) return client;
+    const made = createClient(options);
+    all.add(made);
+    return made;
+  }
+
+  return {
+    get busy() {
+      return all.size - idle.length;
+    },
+    get size() {
+      return all.size;
+    },
+    dispatch: (request, handler) => {
+      const client = take();
+      if (client === undefined) return false;
+      client.dispatch(
+        request,
+        watch(handler, () => idle.push(client)),
+      );
+      return true;
+    },
+    close: async () => {
+      await Promise.all([...all].map(client => client.close()));
+    },
+  };
+}
+
+function createClient(options: ConnectionsOptions): Client {
+  const keepAlive = options.keepAlive ?? 60_000;
+  return new Client(`http://${options.address}`, {
+    pipelining: 1,
+    connect: {timeout: options.connectTimeout ?? 1_000},
+    keepAliveTimeout: keepAlive,
+    keepAliveMaxTimeout: keepAlive,
+    // Deadlines are the caller's; the client must not add its own.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    maxResponseSize: -1,
+  });
+}
+
+/** Passes everything to `handler` and tells once when the request has ended. */
+function watch(
+  handler: Dispatcher.DispatchHandler,
+  ended: () => void,
+): Dispatcher.DispatchHandler {
+  return {
+    onRequestStart: (controller, context) =>
+      handler.onRequestStart?.(controller, context),
+    onResponseStart: (controller, status, headers, reason) =>
+      handler.onResponseStart?.(controller, status, headers, reason),
+    onResponseData: (controller, chunk) =>
+      handler.onResponseData?.(controller, chunk),
+    onResponseEnd: (controller, trailers) => {
+      ended();
+      handler.onResponseEnd?.(controller, trailers);
+    },
+    onResponseError: (controller, error) => {
+      ended();
+      handler.onResponseError?.(controller, error);
+    },
+  };
+}
--- /dev/null
+++ b/src/request/ejection.ts
@@ -0,0 +1,90 @@
+/**
+ * Which instances are left out on an entry's own evidence. What an upstream
+ * says of its health may lag or be untrue; failed work does not lie.
+ */
+import type {Clock} from '../time/clock.js';
+
+/** Options of `createEjection`; times in milliseconds. */
+export interface EjectionOptions {
+  /** Failures in a row after which an instance is left out; 5 unless given. */
+  readonly failures?: number;
+  /** How long the first time; doubled each next one; 5000 unless given. */
+  readonly duration?: number;
+  /** Longest time left out; 60000 unless given. */
+  readonly longest?: number;
+  /** Largest share of a service's instances left out; 0.5 unless given. */
+  readonly ceiling?: number;
+  readonly clock: Clock;
+}
+
+/** The instances that one entry leaves out. */
+export interface Ejection {
+  /** Work at an instance succeeded. */
+  succeeded(instance: string): void;
+  /** Work at an instance failed by the instance's fault. */
+  failed(instance: string): void;
+  /** Those of a service's instances that may be used; never none of some. */
+  allowed(instances: readonly string[]): ReadonlySet<string>;
+  /** Forgets instances that are gone. */
+  forget(instance: string): void;
+}
+
+interface Evidence {
+  /** Failures since the last success. */
+  failures: number;
+  /** How often it was left out since it last did well. */
+  times: number;
+  until: number;
+}
+
+const defaults = {failures: 5, duration: 5_000, longest: 60_000, ceiling: 0.5};
+
+/** Creates an ejection that has no evidence yet. */
+export function createEjection(options: EjectionOptions): Ejection {
+  const {clock} = options;
+  const limits = {...defaults, ...options};
+  const known = new Map<string, Evidence>();
+
+  function leaveOut(evidence: Evidence): void {
+    const duration = limits.duration * 2 ** evidence.times;
+    evidence.until = clock.now() + Math.min(duration, limits.longest);
+    evidence.times++;
+    // One more failure on its return is enough to leave it out again.
+    evidence.failures = limits.failures - 1;
+  }
+
+  /**
+   * The ones left out, least recently first, up to the ceiling. Without it a
+   * fault that all instances share would leave a service without any.
+   */
+  function ejected(instances: readonly string[]): string[] {
+    const now = clock.now();
+    const out = instances.filter(name => (known.get(name)?.until ?? 0) > now);
+    const most = Math.floor(instances.length * limits.ceiling);
+    return out
+      .sort((left, right) => known.get(right)!.until - known.get(left)!.until)
+      .slice(0, most);
+  }
+
+  return {
+    succeeded: instance => {
+      const evidence = known.get(instance);
+      if (evidence === undefined || evidence.until > clock.now()) return;
+      known.delete(instance);
+    },
+    failed: instance => {
+      const evidence = known.get(instance) ?? {failures: 0, times: 0, until: 0};
+      known.set(instance, evidence);
+      if (evidence.until > clock.now()) return;
+      evidence.failures++;
+      if (evidence.failures >= limits.failures) leaveOut(evidence);
+    },
+    allowed: instances => {
+      const allowed = new Set(instances);
+      if (known.size === 0) return allowed;
+      for (const name of ejected(instances)) allowed.delete(name);
+      return allowed;
+    },
+    forget: instance => void known.delete(instance),
+  };
+}
--- /dev/null
+++ b/src/request/fingerprint.ts
@@ -0,0 +1,15 @@
+import {createHash} from 'node:crypto';
+import type {Call} from './messages.js';
+
+/**
+ * Digest of what a key was used for. A streamed body is known by its length
+ * only: it is not at hand when the key is claimed.
+ */
+export function fingerprintOf(call: Call): string {
+  const hash = createHash('sha256');
+  hash.update(`${call.method}\n${call.path}\n`);
+  const {body} = call;
+  if (body.kind === 'whole') hash.update(body.bytes);
+  if (body.kind === 'stream') hash.update(`stream ${body.length}`);
+  return hash.digest('base64url');
+}
--- a/src/result/table.ts
+++ b/src/result/table.ts
@@ -5,6 +5,7 @@
 import {configurationCodes} from '../configuration/codes.js';
 import {commonCodes} from './codes.js';
 import {distributionCodes} from '../distribution/codes.js';
+import {requestCodes} from '../request/codes.js';
 import type {Code} from './code.js';
 
 /**
@@ -20,4 +21,5 @@
   ...Object.values(distributionCodes),
   ...Object.values(consensusCodes),
   ...Object.values(configurationCodes),
+  ...Object.values(requestCodes),
 ].sort((left, right) => left.number - right.number);
