Keepers: the leader appoints keeper sets and carries them in the configuration

The set of a service travels as part of the service, so it has one author, a version and the distribution that exists. The leader replaces one member at a time, only after a majority of the current set said that it holds claims in the current epoch; a set of which most lives are certainly over is followed by one under quarantine for the retention time; one of which most members are only out of sight is left alone until an operator accepts the loss (Appointer.acceptLoss), because it may still vote in a partition.

Operators' puts keep the keepers; names that start with keepers. are refused (2016). Smallest changes elsewhere: Announcement.keeper and its announcer option (endpoints), service shape and put (configuration), keeperAddress, claimRetention, claimLimit, claimAnswerLimit (settings), examples.

The stand-ins announce warming as serving, as the announce listener takes it.

--- a/bench/upstreams/announcement.ts
+++ b/bench/upstreams/announcement.ts
@@ -11,7 +11,10 @@
   readonly slots: number;
   readonly connections: number;
   readonly healthPath: string;
-  readonly state: 'warming' | 'serving' | 'draining';
+  /** The node beside it warms a fresh instance itself. */
+  readonly state: 'serving' | 'draining';
+  /** Differs after each start. */
+  readonly started: number;
 }
 
 /** Keeps the node beside an upstream informed. */
--- a/bench/upstreams/main.ts
+++ b/bench/upstreams/main.ts
@@ -41,6 +41,7 @@
 }
 
 const timers = createTimers();
+const started = timers.wall();
 const address = values.address;
 const {host, port} = parseAddress(address);
 const upstream = createUpstream({
@@ -69,7 +70,8 @@
           slots: Number(values.slots ?? shape.slots),
           connections: Number(values.connections ?? shape.connections),
           healthPath: '/health',
-          state: upstream.state(),
+          state: upstream.state() === 'draining' ? 'draining' : 'serving',
+          started,
         }),
         timers,
       );
--- a/scripts/examples.mjs
+++ b/scripts/examples.mjs
@@ -97,6 +97,7 @@
     callerAddress: `${host}:${port}`,
     gateAddress: `${host}:${port + 1}`,
     announceAddress: `${host}:${port + 2}`,
+    keeperAddress: `${host}:${port + 4}`,
     adminAddress: `${host}:${port + 3}`,
     homes: members.map(member => ({
       address: member.distributionAddress,
--- /dev/null
+++ b/src/configuration/appointer-name.test.ts
@@ -0,0 +1,41 @@
+import test from 'ava';
+import {checkLimits} from '../operator/limits.js';
+import {defaults} from '../settings/defaults.js';
+import {appointerName} from './appointer-name.js';
+import {configurationCodes} from './codes.js';
+import type {Service} from './configuration.js';
+import {createSample, putService} from './fakes/sample.js';
+
+const keepers = {
+  epoch: 2,
+  members: [
+    {instance: 's1', incarnation: 1, address: 's1:1', failureDomain: 'seeb-c'},
+  ],
+};
+
+function putKeepers(value: Service) {
+  return {action: 'put', item: {kind: 'service', value}} as const;
+}
+
+test('keepers are put by the appointer and kept by operators', t => {
+  const sample = createSample();
+  const current = () => sample.machine.current().services.get('stock-desk');
+  sample.edit([putService('stock-desk')]);
+  const value = {name: 'stock-desk', slowStart: 0, keepers};
+  sample.edit([putKeepers(value)], appointerName('control-1'));
+  t.deepEqual(current()!.keepers, keepers);
+  sample.edit([putService('stock-desk', 500)]);
+  t.deepEqual(current(), {...value, slowStart: 500});
+});
+
+// What the caller sees: a second booking under its key. Order: an operator's
+// client puts a service with keepers of its own choice, which know no claims.
+test('an operator cannot put keepers, nor take the appointer’s name', t => {
+  const sample = createSample();
+  sample.edit([putKeepers({name: 'stock-desk', slowStart: 0, keepers})]);
+  const put = sample.machine.current().services.get('stock-desk');
+  t.is(put!.keepers, undefined);
+  const command = {operator: appointerName('x'), sequence: 1, edits: []};
+  const checked = checkLimits(command, defaults.limits, 0);
+  t.is(checked.ok ? 0 : checked.code, configurationCodes.operatorReserved);
+});
--- a/src/configuration/codes.ts
+++ b/src/configuration/codes.ts
@@ -114,4 +114,11 @@
     400,
     'The command does not follow the operators’ language. Mend the word that the caret points at.',
   ),
+  operatorReserved: defineCode(
+    2016,
+    'operator-reserved',
+    'not-run',
+    403,
+    'Operator names that start with `keepers.` belong to the system. Take another name.',
+  ),
 } as const;
--- a/src/configuration/create-configuration-machine.ts
+++ b/src/configuration/create-configuration-machine.ts
@@ -2,6 +2,7 @@
 import {commonCodes} from '../result/codes.js';
 import {failure, success} from '../result/failure.js';
 import type {Result} from '../result/failure.js';
+import {isAppointer} from './appointer-name.js';
 import {createAnswerTable} from './answer-table.js';
 import type {AnswerTableSafeguards} from './answer-table.js';
 import {configurationCodes as codes} from './codes.js';
@@ -110,7 +111,7 @@
     if (expected !== undefined && expected !== version) {
       return answerConflict(expected);
     }
-    const edited = editStore(store, command.edits, bounds);
+    const edited = editStore(store, command, bounds);
     if (!edited.ok) {
       return {code: edited.code.number, message: edited.message, version};
     }
@@ -135,11 +136,11 @@
 
   function editStore(
     store: ItemStore,
-    edits: readonly Edit[],
+    {operator, edits}: Command,
     bounds: Entry['bounds'],
   ): Result<readonly Replacement[]> {
     const done: Replacement[] = [];
-    const edited = replaceAll(store, edits, done);
+    const edited = replaceAll(store, edits, isAppointer(operator), done);
     const checked =
       edited.ok && safeguards.validation
         ? validate(store, done, bounds)
@@ -216,11 +217,12 @@
 function replaceAll(
   store: ItemStore,
   edits: readonly Edit[],
+  byAppointer: boolean,
   done: Replacement[],
 ): Result<void> {
   for (const edit of edits) {
     if (edit.action === 'put') {
-      put(store, edit.item, done);
+      put(store, byAppointer ? edit.item : keepKeepers(store, edit.item), done);
       continue;
     }
     const {kind, name} = edit;
@@ -236,6 +238,20 @@
   done.push(store.replace({kind, name: value.name}, value));
 }
 
+/**
+ * Keepers stay as they are when an operator puts a service: another set, or
+ * none, would forget which keys have run.
+ */
+function keepKeepers(store: ItemStore, item: Item): Item {
+  if (item.kind !== 'service') return item;
+  const {name, slowStart} = item.value;
+  const before = store.get('service', name) as Service | undefined;
+  const keepers = before?.keepers;
+  const value =
+    keepers === undefined ? {name, slowStart} : {name, slowStart, keepers};
+  return {kind: 'service', value};
+}
+
 function missing(kind: Kind, name: string): Result<never> {
   return failure(codes.notFound, `there is no ${kind} ${name}`);
 }
--- a/src/configuration/shape.ts
+++ b/src/configuration/shape.ts
@@ -16,7 +16,27 @@
 
 const count = z.number().int().nonnegative().max(Number.MAX_SAFE_INTEGER);
 
-const service = z.object({name, slowStart: count}).strict();
+const keeper = z
+  .object({
+    instance: name,
+    incarnation: count,
+    address: z.string().min(3).max(64),
+    failureDomain: name,
+  })
+  .strict();
+
+const keeperSet = z
+  .object({epoch: count, members: z.array(keeper).min(1).max(5)})
+  .strict();
+
+const keepers = keeperSet.extend({
+  previous: keeperSet.optional(),
+  quarantine: count.optional(),
+});
+
+const service = z
+  .object({name, slowStart: count, keepers: keepers.optional()})
+  .strict();
 
 const objective = z
   .object({target: z.number().min(0).max(1), latency: count})
--- a/src/endpoints/announcer.ts
+++ b/src/endpoints/announcer.ts
@@ -6,7 +6,7 @@
 import {endpointCodes} from './codes.js';
 import {createLifecycle} from './lifecycle.js';
 import type {Lifecycle} from './lifecycle.js';
-import type {Announcement} from './messages.js';
+import type {Announcement, KeeperOffer} from './messages.js';
 import {isNewer} from './order.js';
 
 /** What an upstream says of itself to the node beside it. */
@@ -35,6 +35,8 @@
   readonly gate: Address;
   readonly failureDomain: string;
   readonly region: string;
+  /** Absent when the node holds no claims. */
+  readonly keeper?: KeeperOffer;
   readonly timers: Timers;
   readonly log: Log;
   /**
@@ -104,6 +106,7 @@
       region: options.region,
       slots: upstream.slots,
       connections: upstream.connections,
+      ...(options.keeper !== undefined && {keeper: options.keeper}),
     };
   }
 
--- a/src/endpoints/messages.ts
+++ b/src/endpoints/messages.ts
@@ -1,6 +1,14 @@
 import type {Address} from '../link/link.js';
 import type {Digest} from './digest.js';
 
+/** One life of a node that can hold claims; see src/claims. */
+export interface KeeperOffer {
+  /** Where it takes keeper messages. */
+  readonly address: Address;
+  /** Differs at each start of the node's process, whose memory it names. */
+  readonly incarnation: number;
+}
+
 /** Where an instance is in its life. */
 export type InstanceState = 'warming' | 'serving' | 'draining' | 'gone';
 
@@ -32,6 +40,8 @@
    * the process that holds this. On the wire it is an age; see `transit.ts`.
    */
   readonly since: number;
+  /** Absent when its node holds no claims. */
+  readonly keeper?: KeeperOffer;
 }
 
 /** An announcement as a home passes it on to nodes. */
--- /dev/null
+++ b/src/keepers/appointer.test.ts
@@ -0,0 +1,218 @@
+import test from 'ava';
+import {createClaims} from '../claims/create-claims.js';
+import {createKeeper} from '../claims/keeper.js';
+import type {ClaimKeeper} from '../claims/keeper.js';
+import {putService} from '../configuration/fakes/sample.js';
+import {createSampleMachine} from '../configuration/fakes/sample.js';
+import {createFakeGroup} from '../consensus/fakes/fake-consensus.js';
+import type {KnownInstance} from '../endpoints/messages.js';
+import {createFakeNetwork} from '../link/fakes/fake-network.js';
+import {createSilentLog} from '../log/log.js';
+import {createRandom} from '../random/random.js';
+import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import {createAppointer} from './appointer.js';
+
+const service = 'stock-desk';
+const retention = 60_000;
+const domains = ['rusayl-a', 'rusayl-b', 'seeb-c'];
+
+/** Control, nodes with keepers and one gate, joined as the processes are. */
+async function start(count = 4) {
+  const timers = createFakeTimers(1);
+  const network = createFakeNetwork(timers);
+  const log = createSilentLog();
+  const group = createFakeGroup(['control-1', 'control-2'], () =>
+    createSampleMachine(),
+  );
+  const machine = group.machine('control-1');
+  const nodes = new Map<string, {part: ClaimKeeper; known: KnownInstance}>();
+  const runs = {count: 0};
+  let life = 0;
+
+  async function startNode(name: string, index: number): Promise<void> {
+    const keeper = {address: `${name}:1`, incarnation: ++life};
+    const failureDomain = domains[index % 3]!;
+    const part = await createKeeper({
+      self: {instance: name, failureDomain, ...keeper},
+      network: network.from(name),
+      timers,
+      log,
+      limits: {retention, claims: 100, watchers: 8},
+    });
+    const known: KnownInstance = {
+      instance: name,
+      service,
+      incarnation: life,
+      sequence: 1,
+      state: 'serving',
+      gate: `${name}:2`,
+      failureDomain,
+      region: 'muscat',
+      slots: 20,
+      connections: 110,
+      since: 0,
+      keeper,
+    };
+    nodes.set(name, {part, known});
+    tell();
+  }
+
+  function stopNode(name: string): void {
+    void nodes.get(name)?.part.stop();
+    nodes.delete(name);
+    network.kill(name);
+  }
+
+  function tell(): void {
+    const keepers = machine.current().services.get(service)?.keepers;
+    if (keepers === undefined) return;
+    for (const {part} of nodes.values()) part.assign(service, keepers);
+  }
+
+  function propose(sequence: number): Promise<unknown> {
+    const edits = [putService(service, sequence)];
+    const command = {operator: 'amina', sequence, edits};
+    return group.member('control-1').propose(machine.prepare(command, 0));
+  }
+
+  const claims = createClaims({
+    self: 'gate/1',
+    network: network.from('gate'),
+    timers,
+    random: createRandom(1),
+    log,
+    assignment: name => machine.current().services.get(name)?.keepers,
+  });
+
+  /** Books under a key and loses the answer; tells what the caller sees. */
+  async function book(key: string): Promise<string> {
+    const deadline = timers.now() + 1000;
+    const asked = claims.acquire({service, key, fingerprint: 'f', deadline});
+    await timers.advanceAsync(1100);
+    const outcome = await asked;
+    if (outcome.kind === 'refused') return outcome.code.name;
+    if (outcome.kind === 'granted') {
+      runs.count++;
+      outcome.claim.abandon();
+      await timers.advanceAsync(10);
+    }
+    return outcome.kind;
+  }
+
+  machine.onChange(tell);
+  const appointer = createAppointer({
+    name: 'control-1',
+    consensus: group.member('control-1'),
+    machine,
+    endpoints: {
+      instances: () => [...nodes.values()].map(({known}) => known),
+    },
+    network: network.from('control-1'),
+    timers,
+    log,
+    retention,
+  });
+  for (let index = 0; index < count; index++) {
+    await startNode(`s${index + 1}`, index);
+  }
+  await propose(1);
+  const keepers = () => machine.current().services.get(service)?.keepers;
+  const memberNames = () => keepers()!.members.map(member => member.instance);
+  return {
+    timers,
+    group,
+    appointer,
+    startNode,
+    stopNode,
+    propose,
+    book,
+    runs,
+    keepers,
+    memberNames,
+  };
+}
+
+test('keepers are appointed, and keyed work runs once they are', async t => {
+  const stage = await start();
+  t.is(await stage.book('early'), 'keepers-unavailable');
+  await stage.timers.advanceAsync(4000);
+  t.is(stage.keepers()!.members.length, 3);
+  t.is(await stage.book('key'), 'granted');
+  t.is(await stage.book('key'), 'run-outcome-unknown');
+});
+
+test('only the leader appoints', async t => {
+  const stage = await start();
+  stage.group.lead('control-2');
+  await stage.timers.advanceAsync(10_000);
+  t.is(stage.keepers(), undefined);
+});
+
+test('an operator who puts the service again leaves its keepers alone', async t => {
+  const stage = await start();
+  await stage.timers.advanceAsync(4000);
+  const before = stage.keepers();
+  await stage.propose(2);
+  t.deepEqual(stage.keepers(), before);
+});
+
+// What the caller sees: every keeper that voted for its booking is restarted,
+// one after the other, and its resend must still be told. Order: each restart
+// empties one memory; the appointer names the new life; it copies the claims.
+test('claims outlive the restart of every keeper, one by one', async t => {
+  const stage = await start();
+  await stage.timers.advanceAsync(4000);
+  t.is(await stage.book('key'), 'granted');
+  for (let round = 0; round < 2; round++) {
+    for (const name of ['s1', 's2', 's3', 's4']) {
+      stage.stopNode(name);
+      await stage.timers.advanceAsync(200);
+      await stage.startNode(name, Number(name.slice(1)) - 1);
+      await stage.timers.advanceAsync(3000);
+    }
+  }
+  t.is(await stage.book('key'), 'run-outcome-unknown');
+  t.is(await stage.book('other'), 'granted');
+  t.is(stage.runs.count, 2);
+});
+
+test('a keeper that dies for good is replaced', async t => {
+  const stage = await start();
+  await stage.timers.advanceAsync(4000);
+  t.is(await stage.book('key'), 'granted');
+  const dead = stage.memberNames()[0]!;
+  stage.stopNode(dead);
+  await stage.timers.advanceAsync(8000);
+  t.false(stage.memberNames().includes(dead));
+  stage.stopNode(stage.memberNames()[0]!);
+  t.is(await stage.book('key'), 'run-outcome-unknown');
+});
+
+// What the caller sees: two of three keepers restart together and with them
+// most memories of its booking. Its resend is refused as not run, with a code
+// of its own, until the retention time has passed; it is never run silently.
+test('two restarts at once refuse keyed work for the retention time', async t => {
+  const stage = await start();
+  await stage.timers.advanceAsync(4000);
+  t.is(await stage.book('key'), 'granted');
+  for (const name of stage.memberNames().slice(0, 2)) {
+    stage.stopNode(name);
+    await stage.startNode(name, Number(name.slice(1)) - 1);
+  }
+  await stage.timers.advanceAsync(3000);
+  t.is(await stage.book('key'), 'keepers-lost');
+  t.is(stage.runs.count, 1);
+  await stage.timers.advanceAsync(retention);
+  t.is(await stage.book('later'), 'granted');
+});
+
+test('an operator may accept the loss and go on at once', async t => {
+  const stage = await start(6);
+  await stage.timers.advanceAsync(4000);
+  for (const name of stage.memberNames().slice(0, 2)) stage.stopNode(name);
+  await stage.timers.advanceAsync(8000);
+  t.is(await stage.book('key'), 'keepers-unavailable');
+  const accepted = await stage.appointer.acceptLoss(service);
+  t.true(accepted.ok);
+  t.is(await stage.book('key'), 'granted');
+});
--- a/src/operator/limits.ts
+++ b/src/operator/limits.ts
@@ -1,4 +1,5 @@
 import {configurationCodes as codes} from '../configuration/codes.js';
+import {isAppointer} from '../configuration/appointer-name.js';
 import type {Item} from '../configuration/configuration.js';
 import type {Limits} from '../configuration/limits.js';
 import type {Command} from '../configuration/messages.js';
@@ -22,6 +23,12 @@
   limits: Limits,
   wall: number,
 ): Result<void> {
+  if (isAppointer(command.operator)) {
+    return failure(
+      codes.operatorReserved,
+      `${command.operator} is a name of the system; take another`,
+    );
+  }
   const exceeded = measure(command).find(
     ({value, limit}) => value > limits[limit],
   );
--- a/src/settings/defaults.ts
+++ b/src/settings/defaults.ts
@@ -13,6 +13,9 @@
   bodyLimit: 64 * 1024 * 1024,
   headerLimit: 16 * 1024,
   queueLength: 64,
+  claimRetention: 900_000,
+  claimLimit: 20_000,
+  claimAnswerLimit: 4096,
   operatorBodyLimit: 1024 * 1024,
   limits: {
     services: 2000,
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -102,6 +102,8 @@
     /** How long changes are gathered before they are sent to nodes. */
     batchWindow: milliseconds.default(defaults.batchWindow),
     lease: milliseconds.default(defaults.lease),
+    /** How long idempotency claims are kept; the same at every node. */
+    claimRetention: milliseconds.default(defaults.claimRetention),
   })
   .strict();
 
@@ -150,6 +152,18 @@
     announceAddress: address.optional(),
     /** Services that callers reach through it; absent for all. */
     calls: z.array(name).optional(),
+    /** Where it takes claims of its service; absent to hold none. */
+    keeperAddress: address.optional(),
+    /** How long idempotency claims are kept; the same at every control. */
+    claimRetention: milliseconds.default(defaults.claimRetention),
+    /** Claims that it holds at most, for each service. */
+    claimLimit: z.number().int().positive().default(defaults.claimLimit),
+    /** Largest answer body kept for resends, in bytes. */
+    claimAnswerLimit: z
+      .number()
+      .int()
+      .nonnegative()
+      .default(defaults.claimAnswerLimit),
     renewal: milliseconds.default(defaults.renewal),
     bodyLimit: z.number().int().positive().default(defaults.bodyLimit),
     headerLimit: z.number().int().positive().default(defaults.headerLimit),
