--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -32,7 +32,7 @@
   /** Milliseconds since the epoch. */
   readonly wall: () => number;
   /** By name: `POST /actions/NAME` or `POST /actions/NAME/ARGUMENT`. */
-  readonly actions?: Readonly<Record<string, Action>>;
+  readonly actions?: Readonly<Record<string, Action>> | undefined;
 }
 
 /** One metric as `GET /metrics/NAME` gives it; no values before its first report. */
--- a/src/admin/metrics.test.ts
+++ b/src/admin/metrics.test.ts
@@ -78,8 +78,8 @@
   metrics.waited(4);
   metrics.inForce(17);
   metrics.converged(120);
-  metrics.traffic('configuration', 10, 20);
-  metrics.traffic('configuration', 1, 2);
+  metrics.traffic('distribution', 10, 20);
+  metrics.traffic('distribution', 1, 2);
   metrics.control({
     term: 3,
     isLeader: true,
@@ -94,7 +94,7 @@
     'foxbarrow_gate_wait_seconds_bucket{le="0.005"} 1',
     'foxbarrow_configuration_version{kind="in-force"} 17',
     'foxbarrow_convergence_seconds_bucket{le="0.25"} 1',
-    'foxbarrow_control_bytes_total{plane="configuration",direction="out"} 22',
+    'foxbarrow_control_bytes_total{link="distribution",direction="out"} 22',
     'foxbarrow_control_group{kind="leader"} 1',
     'foxbarrow_linked_nodes{kind="linked"} 12',
   ]) {
--- a/src/admin/metrics.ts
+++ b/src/admin/metrics.ts
@@ -86,7 +86,7 @@
     [],
   );
   const bytes = counter(metricNames.bytes, 'Bytes between own processes.', [
-    'plane',
+    'link',
     'direction',
   ]);
   const group = gauge(metricNames.group, 'Term, leadership, log and snapshot.');
@@ -132,9 +132,9 @@
       convergence.observe(duration / millisecondsPerSecond);
     }
 
-    traffic(plane: Traffic, received: number, sent: number): void {
-      bytes.inc({plane, direction: 'in'}, received);
-      bytes.inc({plane, direction: 'out'}, sent);
+    traffic(link: Traffic, received: number, sent: number): void {
+      bytes.inc({link, direction: 'in'}, received);
+      bytes.inc({link, direction: 'out'}, sent);
     }
 
     control(state: ControlState): void {
--- a/src/burn/command.ts
+++ b/src/burn/command.ts
@@ -9,7 +9,7 @@
 import {computeBurn} from './burn.js';
 import type {BurnReport, Target} from './burn.js';
 import {burnHelp} from './help.js';
-import {readTargets} from './objectives.js';
+import {askTargets, readTargets} from './objectives.js';
 import {resolveBurnOptions} from './options.js';
 import type {BurnOptions} from './options.js';
 import {renderPage} from './page.js';
@@ -138,9 +138,9 @@
 }
 
 async function fetchTargets(options: BurnOptions): Promise<Result<Target[]>> {
-  if (options.objectivesFile !== undefined) {
-    return readTargets(options.objectivesFile);
-  }
+  const {objectivesFile, control} = options;
+  if (objectivesFile !== undefined) return readTargets(objectivesFile);
+  if (control.length > 0) return askTargets(control, options.token);
   return failure(
     adminCodes.objectivesMissing,
     'name the policies: --control ADDRESS or --objectives FILE',
--- a/src/burn/help.ts
+++ b/src/burn/help.ts
@@ -4,7 +4,7 @@
   --node ADDRESS        a node's admin address; repeat, or commas between
   --nodes FILE          admin addresses, one a line
   --control ADDRESS     objectives from the policies in force
-                        (else FOXBARROW_CONTROL)
+                        (else FOXBARROW_CONTROL; FOXBARROW_TOKEN goes with it)
   --objectives FILE     objectives from a file: [{policy, target, latency}]
   --samples FILE        keeps samples between runs; without it a run knows
                         only what it saw itself
--- a/src/burn/objectives.ts
+++ b/src/burn/objectives.ts
@@ -1,9 +1,12 @@
 import {readFile} from 'node:fs/promises';
 import {z} from 'zod';
 import {adminCodes} from '../admin/codes.js';
-import type {Policy} from '../configuration/configuration.js';
+import type {Item} from '../configuration/configuration.js';
+import type {Address} from '../link/link.js';
+import {createOperatorClient} from '../operator/create-operator-client.js';
 import {failure, success} from '../result/failure.js';
 import type {Result} from '../result/failure.js';
+import {createTimers} from '../time/timers.js';
 import type {Target} from './burn.js';
 
 /** Where objectives come from: the policies in force, or a file. */
@@ -30,9 +33,24 @@
   }
 }
 
-/** The objectives of the policies in force. */
-export function targetsOf(policies: readonly Policy[]): Target[] {
-  return policies.map(({name, objective}) => ({policy: name, ...objective}));
+/** The objectives of the policies in force, from the control group. */
+export async function askTargets(
+  addresses: readonly Address[],
+  token: string | undefined,
+): Promise<Result<Target[]>> {
+  const client = createOperatorClient({
+    addresses,
+    timers: createTimers(),
+    ...(token !== undefined && {token}),
+  });
+  const reply = await client.items('policy');
+  if (!reply.ok) return missing(`control: ${reply.refusal.message}`);
+  return success(reply.value.items.flatMap(targetOf));
+}
+
+function targetOf(item: Item): Target[] {
+  if (item.kind !== 'policy') return [];
+  return [{policy: item.value.name, ...item.value.objective}];
 }
 
 function missing(message: string): Result<never> {
--- a/src/burn/options.ts
+++ b/src/burn/options.ts
@@ -14,6 +14,8 @@
   readonly nodes: readonly Address[];
   /** Operators' addresses of control; objectives come from there. */
   readonly control: readonly Address[];
+  /** Secret of the operators' API. */
+  readonly token: string | undefined;
   /** A file of objectives in place of control. */
   readonly objectivesFile: string | undefined;
   /** Where samples are kept between runs; absent to keep none. */
@@ -68,6 +70,7 @@
   return {
     nodes: splitAddresses([...values.node, ...readNodes(values.nodes)]),
     control: splitAddresses(listed),
+    token: environment['FOXBARROW_TOKEN'],
     objectivesFile: values.objectives,
     samplesFile: values.samples,
     length: values.for === undefined ? 0 : duration('--for', values.for),
--- a/src/cli/loaders.ts
+++ b/src/cli/loaders.ts
@@ -1,4 +1,9 @@
-import type {Settings} from '../settings/schema.js';
+import type {
+  ControlSettings,
+  NodeSettings,
+  RelaySettings,
+  Settings,
+} from '../settings/schema.js';
 
 /** A role's process once it takes work. */
 export interface RunningRole {
@@ -29,14 +34,22 @@
 
 /** The parts of this program. */
 export const loaders: Loaders = {
-  control: () => load('../control/run.js', 'runControl'),
-  relay: () => load('../relay/run.js', 'runRelay'),
-  node: () => load('../node/run.js', 'runNode'),
-  operator: () => load('./operator-command.js', 'runOperatorCommand'),
-  report: () => load('../burn/command.js', 'runReportCommand'),
+  control: async () => {
+    const {runControl} = await import('../control/run.js');
+    return settings => runControl(settings as ControlSettings);
+  },
+  relay: async () => {
+    const {runRelay} = await import('../relay/run.js');
+    return settings => runRelay(settings as RelaySettings);
+  },
+  node: async () => {
+    const path: string = '../node/run.js';
+    const {runNode} = (await import(path)) as {
+      runNode: (settings: NodeSettings) => Promise<RunningRole>;
+    };
+    return settings => runNode(settings as NodeSettings);
+  },
+  operator: async () =>
+    (await import('./operator-command.js')).runOperatorCommand,
+  report: async () => (await import('../burn/command.js')).runReportCommand,
 };
-
-async function load<T>(module: string, name: string): Promise<T> {
-  const loaded = (await import(module)) as Record<string, T>;
-  return loaded[name]!;
-}
--- /dev/null
+++ b/src/metrics/metered-network.ts
@@ -0,0 +1,102 @@
+import {Link, Network} from '../link/link.js';
+import type {Address, Listener} from '../link/link.js';
+import type {Timers} from '../time/timers.js';
+import type {Metrics, Traffic} from './metrics.js';
+
+/** Milliseconds between two counts of the open links' bytes. */
+const countEvery = 1000;
+
+/** A network whose links' bytes are counted as `traffic`. */
+export function createMeteredNetwork(
+  network: Network,
+  traffic: Traffic,
+  metrics: Metrics,
+  timers: Timers,
+): Network {
+  const meters = new Set<Meter>();
+
+  timers.every(countEvery, () => {
+    for (const meter of meters) meter.count();
+  });
+
+  function watch(link: Link): Link {
+    const meter = createMeter(link, traffic, metrics);
+    meters.add(meter);
+    return wrapLink(link, () => {
+      meter.count();
+      meters.delete(meter);
+    });
+  }
+
+  return new (class extends Network {
+    listen(address: Address, accept: (link: Link) => void): Promise<Listener> {
+      return network.listen(address, link => accept(watch(link)));
+    }
+
+    async connect(address: Address): Promise<Link> {
+      return watch(await network.connect(address));
+    }
+  })();
+}
+
+interface Meter {
+  /** Reports what came and went since the last count. */
+  count(): void;
+}
+
+function createMeter(link: Link, traffic: Traffic, metrics: Metrics): Meter {
+  let received = 0;
+  let sent = 0;
+  return {
+    count() {
+      const {bytesIn, bytesOut} = link;
+      metrics.traffic(traffic, bytesIn - received, bytesOut - sent);
+      received = bytesIn;
+      sent = bytesOut;
+    },
+  };
+}
+
+/** A link has one observer of its end; this one also tells `ended`. */
+function wrapLink(link: Link, ended: () => void): Link {
+  let isClosed = false;
+  let closed: (() => void) | undefined;
+  link.onClose(() => {
+    isClosed = true;
+    ended();
+    closed?.();
+  });
+
+  return new (class extends Link {
+    readonly peer = link.peer;
+
+    get pending(): number {
+      return link.pending;
+    }
+
+    get bytesIn(): number {
+      return link.bytesIn;
+    }
+
+    get bytesOut(): number {
+      return link.bytesOut;
+    }
+
+    send(message: unknown): void {
+      link.send(message);
+    }
+
+    onMessage(receive: (message: unknown) => void): void {
+      link.onMessage(receive);
+    }
+
+    onClose(observe: () => void): void {
+      closed = observe;
+      if (isClosed) observe();
+    }
+
+    close(): void {
+      link.close();
+    }
+  })();
+}
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -2,9 +2,8 @@
 
 /** What slices report; `src/admin/metrics.ts` publishes it to Prometheus. */
 
-/** Planes of traffic between the system's own processes. */
-export type Traffic =
-  'configuration' | 'endpoints' | 'fleet' | 'peer' | 'claims';
+/** Kinds of links between the system's own processes. */
+export type Traffic = 'distribution' | 'peer' | 'claims';
 
 /** One request that an entry has answered. */
 export interface AnsweredRequest {
@@ -50,8 +49,8 @@
   abstract inForce(version: number): void;
   /** Control: milliseconds from accepting a change until it was in force everywhere. */
   abstract converged(duration: number): void;
-  /** Any link's end: bytes that one plane received and sent, with framing. */
-  abstract traffic(plane: Traffic, received: number, sent: number): void;
+  /** Any link's end: bytes that one kind of link received and sent, with framing. */
+  abstract traffic(kind: Traffic, received: number, sent: number): void;
   /** Control: its part in the group changed, or its log grew. */
   abstract control(state: ControlState): void;
   /** Control, relay: how many nodes are linked to it. */
