--- a/src/claims/create-claims.test.ts
+++ b/src/claims/create-claims.test.ts
@@ -221,3 +221,18 @@
   await settle();
   t.is(await resolve(cluster, outcome), 'keepers-unavailable not-run');
 });
+
+// What the caller sees: each booking refused, for ever. Order: the upstream
+// announces itself under an id of its own, the set is made of such ids, and no
+// keeper finds itself in it. A keeper knows itself by its address and life.
+test('a keeper votes whatever id its upstream chose', async t => {
+  const cluster = createClaimCluster();
+  const members = [];
+  for (const name of ['k1', 'k2', 'k3']) {
+    const keeper = await cluster.startKeeper(name);
+    members.push({...keeper, instance: `upstream-of-${name}`});
+  }
+  cluster.assign({epoch: 1, members});
+  const gate = cluster.startGate('a');
+  t.is(await resolve(cluster, cluster.submit(gate, 'key')), 'granted');
+});
--- a/src/claims/tenure.ts
+++ b/src/claims/tenure.ts
@@ -111,7 +111,7 @@
 
   function isSelf(member: Keeper): boolean {
     if (safeguards.incarnation) return isSameLife(member, self);
-    return member.instance === self.instance;
+    return member.address === self.address;
   }
 
   const stage = () => actor.machine.current as Stage;
@@ -246,8 +246,12 @@
   };
 }
 
-/** Whether two descriptions mean one life of one node. */
+/**
+ * Whether two descriptions mean one life of one node. The instance's id is no
+ * part of it: the upstream may choose it after the keeper has begun, and a
+ * keeper that did not know itself in its set would never vote.
+ */
 export function isSameLife(left: Keeper, right: Keeper): boolean {
-  if (left.instance !== right.instance) return false;
+  if (left.address !== right.address) return false;
   return left.incarnation === right.incarnation;
 }
--- a/src/control/run.ts
+++ b/src/control/run.ts
@@ -1,5 +1,6 @@
 /** The control role: one member of the group that keeps the configuration. */
 import process from 'node:process';
+import {createAdmin} from '../admin/create-admin.js';
 import {createConfigurationMachine} from '../configuration/create-configuration-machine.js';
 import {createConsensus} from '../consensus/create-consensus.js';
 import type {Consensus, Member} from '../consensus/consensus.js';
@@ -8,6 +9,7 @@
 import {createFolderDisk} from '../disk/folder-disk.js';
 import type {RunningRole} from '../cli/loaders.js';
 import type {Hello} from '../fleet/messages.js';
+import {createAppointer} from '../keepers/appointer.js';
 import {createOperatorServer} from '../operator/create-operator-server.js';
 import {createProcess} from '../process/process.js';
 import {createDistributionHost} from '../relay/distribution-host.js';
@@ -55,6 +57,16 @@
     random,
     log,
   });
+  const appointer = createAppointer({
+    name: settings.name,
+    consensus,
+    machine,
+    endpoints: host.registry,
+    network,
+    timers,
+    log,
+    retention: settings.claimRetention,
+  });
   const operators = await createOperatorServer({
     address: settings.operatorAddress,
     name: settings.name,
@@ -70,6 +82,10 @@
     bodyLimit: settings.operatorBodyLimit,
     log,
   });
+  const admin = createAdmin(settings, timers);
+  const adminServer = await admin.listen({
+    notReady: () => (freshness.asOf() === undefined ? ['no quorum yet'] : []),
+  });
   log.info('control takes operators and nodes', {
     operators: settings.operatorAddress,
     nodes: settings.distributionAddress,
@@ -78,9 +94,11 @@
   return {
     async stop() {
       await operators.close();
+      appointer.stop();
       freshness.stop();
       await host.stop();
       await consensus.stop();
+      await adminServer.close();
     },
   };
 }
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -1,4 +1,5 @@
 /** The relay role: a subscriber to control and a home to nodes. */
+import {createAdmin} from '../admin/create-admin.js';
 import {createHome} from '../distribution/home.js';
 import {createSubscriber} from '../distribution/subscriber.js';
 import type {RunningRole} from '../cli/loaders.js';
@@ -41,6 +42,12 @@
   });
   home.onChannels(host.join);
   home.onReport(host.fleet.receive);
+  const admin = createAdmin(settings, timers);
+  subscriber.onSwitch(({version}) => admin.metrics.inForce(version));
+  const adminServer = await admin.listen({
+    notReady: () =>
+      subscriber.current() === undefined ? ['no configuration in force'] : [],
+  });
   log.info('relay takes nodes', {address: settings.distributionAddress});
 
   return {
@@ -48,6 +55,7 @@
       home.stop();
       subscriber.stop();
       await host.stop();
+      await adminServer.close();
     },
   };
 }
--- a/src/settings/defaults.ts
+++ b/src/settings/defaults.ts
@@ -12,6 +12,8 @@
   stopDeadline: 30_000,
   bodyLimit: 64 * 1024 * 1024,
   headerLimit: 16 * 1024,
+  bodyIdle: 10_000,
+  probeTimeout: 500,
   queueLength: 64,
   claimRetention: 900_000,
   claimLimit: 20_000,
