Consensus: elections, read barriers and storage identity shown with and without safeguards

Pre-vote, check-quorum, quorum-round reads and storage identity are each taken out in a test that then shows the failure: a returning member deposes the leader, a deaf leader stops the group, a cut-off leader serves the past, an emptied voter elects a leader that lacks an accepted change. Fakes: a process that can be frozen.

--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -79,7 +79,7 @@
   const roleObservers: Array<(status: Status) => void> = [];
   const replacements = new Set<() => void>();
   const met = new Map<string, Voter>();
-  const formation = createFormation(me, members);
+  const formation = createFormation(me, members, safeguards.storageIdentity);
   let group = storage.identity.group;
   let founders = storage.identity.founders;
   let appliedIndex = 0;
--- /dev/null
+++ b/src/consensus/fakes/freezable.ts
@@ -0,0 +1,113 @@
+import {Link, Network} from '../../link/link.js';
+import type {Address, Listener} from '../../link/link.js';
+import {Timers} from '../../time/timers.js';
+import type {Subscription} from '../../time/timers.js';
+
+/** A process's view of time that can stand still for this process alone. */
+export abstract class FreezableTimers extends Timers {
+  /** Runs a task now, or when the process goes on. */
+  abstract whenAwake(task: () => void): void;
+  abstract freeze(): void;
+  abstract thaw(): void;
+}
+
+/** Creates a freezable view of `timers`. */
+export function createFreezableTimers(timers: Timers): FreezableTimers {
+  let held: Array<() => void> | undefined;
+
+  const whenAwake = (task: () => void) => {
+    if (held === undefined) task();
+    else held.push(task);
+  };
+
+  return new (class extends FreezableTimers {
+    whenAwake = whenAwake;
+
+    freeze(): void {
+      held ??= [];
+    }
+
+    thaw(): void {
+      const tasks = held ?? [];
+      held = undefined;
+      for (const task of tasks) task();
+    }
+
+    now(): number {
+      return timers.now();
+    }
+
+    wall(): number {
+      return timers.wall();
+    }
+
+    after(delay: number, task: () => void): Subscription {
+      return timers.after(delay, () => whenAwake(task));
+    }
+
+    every(period: number, task: () => void): Subscription {
+      let isHeld = false;
+      // An interval that fell due many times while frozen fires once.
+      return timers.every(period, () => {
+        if (isHeld) return;
+        isHeld = true;
+        whenAwake(() => {
+          isHeld = false;
+          task();
+        });
+      });
+    }
+  })();
+}
+
+/** Creates a view of a network whose messages wait while the process is frozen. */
+export function createFreezableNetwork(
+  network: Network,
+  clock: FreezableTimers,
+): Network {
+  return new (class extends Network {
+    listen(address: Address, accept: (link: Link) => void): Promise<Listener> {
+      return network.listen(address, link =>
+        clock.whenAwake(() => accept(wrap(link, clock))),
+      );
+    }
+
+    async connect(address: Address): Promise<Link> {
+      return wrap(await network.connect(address), clock);
+    }
+  })();
+}
+
+function wrap(link: Link, clock: FreezableTimers): Link {
+  return new (class extends Link {
+    readonly peer = link.peer;
+
+    get pending(): number {
+      return link.pending;
+    }
+
+    get bytesIn(): number {
+      return link.bytesIn;
+    }
+
+    get bytesOut(): number {
+      return link.bytesOut;
+    }
+
+    send(message: unknown): void {
+      link.send(message);
+    }
+
+    onMessage(receive: (message: unknown) => void): void {
+      link.onMessage(message => clock.whenAwake(() => receive(message)));
+    }
+
+    onClose(closed: () => void): void {
+      link.onClose(() => clock.whenAwake(closed));
+    }
+
+    close(): void {
+      link.close();
+    }
+  })();
+}
--- a/src/consensus/fakes/group.ts
+++ b/src/consensus/fakes/group.ts
@@ -11,6 +11,8 @@
 import {StateMachine} from '../consensus.js';
 import type {Consensus, Member} from '../consensus.js';
 import {createConsensus} from '../create-consensus.js';
+import {createFreezableNetwork, createFreezableTimers} from './freezable.js';
+import type {FreezableTimers} from './freezable.js';
 import type {ConsensusOptions} from '../create-consensus.js';
 
 /** A state machine that keeps every entry. */
@@ -51,10 +53,12 @@
 /** One member of a group under test, across its lives. */
 export interface TestMember {
   readonly member: Member;
-  readonly disk: FakeDisk;
+  disk: FakeDisk;
   consensus: Consensus | undefined;
   journal: Journal;
   failure: Failure | undefined;
+  /** Its own view of the timer service. */
+  readonly clock: FreezableTimers;
 }
 
 /** A control group in memory. */
@@ -81,6 +85,14 @@
   propose(name: string, text: string): Promise<Result<Uint8Array>>;
   /** Runs until a promise has settled. */
   settled<T>(promise: Promise<T>): Promise<T>;
+  /** Attaches a disk to a member that does not run. */
+  useDisk(name: string, disk: FakeDisk): void;
+  /** Attaches each one's disk to the other. */
+  swapDisks(left: string, right: string): void;
+  /** Stops a process as SIGSTOP does: time and messages wait for it. */
+  freeze(name: string): void;
+  /** Lets a frozen process go on; what fell due meanwhile comes at once. */
+  thaw(name: string): void;
   /** Cuts all messages between `name` and the others, both ways. */
   isolate(name: string): void;
 }
@@ -112,6 +124,7 @@
       consensus: undefined,
       journal: createJournal(),
       failure: undefined,
+      clock: createFreezableTimers(timers),
     });
   }
 
@@ -127,8 +140,8 @@
       self: one.member,
       members: founders,
       disk: one.disk.open(),
-      network: network.from(name),
-      timers,
+      network: createFreezableNetwork(network.from(name), one.clock),
+      timers: one.clock,
       random: createRandom(random.integer(1_000_000)),
       log: createSilentLog(),
       machine: one.journal,
@@ -195,6 +208,13 @@
     propose: (name, text) =>
       settled(all.get(name)!.consensus!.propose(Buffer.from(text))),
     settled,
+    useDisk: (name, disk) => void (all.get(name)!.disk = disk),
+    swapDisks(left, right) {
+      const [one, other] = [all.get(left)!, all.get(right)!];
+      [one.disk, other.disk] = [other.disk, one.disk];
+    },
+    freeze: name => all.get(name)!.clock.freeze(),
+    thaw: name => all.get(name)!.clock.thaw(),
     isolate(name) {
       for (const other of all.keys()) {
         if (other === name) continue;
@@ -213,5 +233,6 @@
   const group = createTestGroup(size, options);
   for (const name of group.names) await group.start(name);
   await group.elect();
+  await group.run(heartbeat * 4);
   return group;
 }
--- a/src/consensus/formation.ts
+++ b/src/consensus/formation.ts
@@ -16,10 +16,12 @@
  * formed only while every one of them says that its folder is empty too. As
  * soon as one knows a group, the others join that one: as founders when it
  * lists their very folders, else by waiting until its leader takes them in.
+ * Tests switch `isStorageChecked` off to show what an emptied voter would do.
  */
 export function createFormation(
   self: Voter,
   members: readonly Member[],
+  isStorageChecked = true,
 ): Formation {
   const empty = new Map<string, Voter>();
   const isFounder = members.some(member => member.name === self.name);
@@ -38,7 +40,9 @@
 
   const lists = (founders: readonly Voter[]) =>
     founders.some(
-      voter => voter.name === self.name && voter.storage === self.storage,
+      voter =>
+        voter.name === self.name &&
+        (voter.storage === self.storage || !isStorageChecked),
     );
 
   return {
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -1,5 +1,5 @@
 import type {Membership, Voter} from './messages.js';
-import {membershipOf} from './core-state.js';
+import {isSame, membershipOf} from './core-state.js';
 import type {CoreState} from './core-state.js';
 import type {Replication} from './replication.js';
 
@@ -55,8 +55,8 @@
   function demoteReturned(): boolean {
     const {voters, learners, replacement} = membershipOf(state);
     const returned = [...voters, ...learners].find(member => {
-      const folder = met.get(member.name)?.storage;
-      return folder !== undefined && folder !== member.storage;
+      const peer = met.get(member.name);
+      return peer !== undefined && !isSame(state, member, peer);
     });
     if (returned === undefined) return false;
     const {name} = returned;
