--- /dev/null
+++ b/src/consensus/applier.ts
@@ -0,0 +1,85 @@
+import type {StateMachine} from './consensus.js';
+import type {CoreState} from './core-state.js';
+import type {Snapshot} from './messages.js';
+import type {Proposals} from './proposals.js';
+import type {Job} from './writer.js';
+
+/** Brings committed entries into the state machine. */
+export interface Applier {
+  /** Index of the last entry applied. */
+  readonly index: number;
+  /** Applies entries up to `index`. */
+  apply(index: number): void;
+  /** Replaces the state by a snapshot's. */
+  restore(snapshot: Snapshot): void;
+  /** Takes note that the snapshot on its way is durable. */
+  onSnapshotSaved(): void;
+  observe(observer: (index: number) => void): void;
+}
+
+/** What the applier works with. */
+export interface ApplierOptions {
+  readonly state: Readonly<CoreState>;
+  readonly machine: StateMachine;
+  readonly proposals: Proposals;
+  readonly snapshotEntries: number;
+  /** Hands a snapshot to the disk. */
+  readonly save: (job: Job) => void;
+}
+
+/** Creates the applier of a member. */
+export function createApplier(options: ApplierOptions): Applier {
+  const {state, machine, proposals, snapshotEntries, save} = options;
+  const observers: Array<(index: number) => void> = [];
+  let applied = 0;
+  let isSaving = false;
+
+  function notify(): void {
+    for (const observer of observers) observer(applied);
+  }
+
+  function applyNext(): void {
+    const entry = state.log.entry(applied + 1)!;
+    applied++;
+    if (entry.kind === 'command') {
+      const answer = machine.apply(entry.index, entry.data);
+      proposals.onApplied(entry.index, answer);
+    }
+    notify();
+  }
+
+  function takeSnapshot(): void {
+    if (isSaving || applied - state.snapshot.index < snapshotEntries) return;
+    isSaving = true;
+    const snapshot: Snapshot = {
+      index: applied,
+      term: state.log.termAt(applied)!,
+      membership: state.log.membershipAt(applied),
+      data: machine.snapshot(),
+    };
+    // A follower a little behind is still fed from the log.
+    const keepAfter = Math.max(state.log.baseIndex, applied - snapshotEntries);
+    const keepAfterTerm = state.log.termAt(keepAfter)!;
+    save({kind: 'save-snapshot', snapshot, keepAfter, keepAfterTerm});
+  }
+
+  return {
+    get index() {
+      return applied;
+    },
+    apply(index) {
+      while (applied < index) applyNext();
+      takeSnapshot();
+    },
+    restore(snapshot) {
+      if (snapshot.index > 0) machine.restore(snapshot.index, snapshot.data);
+      applied = snapshot.index;
+      proposals.onRestored(applied);
+      notify();
+    },
+    onSnapshotSaved() {
+      isSaving = false;
+    },
+    observe: observer => void observers.push(observer),
+  };
+}
--- a/src/consensus/faults.test.ts
+++ b/src/consensus/faults.test.ts
@@ -2,6 +2,7 @@
 import {createRandom} from '../random/random.js';
 import type {Random} from '../random/random.js';
 import {settle} from '../time/fakes/fake-timers.js';
+import {consensusCodes} from './codes.js';
 import type {Safeguards} from './core-state.js';
 import {createTestGroup} from './fakes/group.js';
 import type {TestGroup} from './fakes/group.js';
@@ -15,6 +16,7 @@
 const steps = 150;
 const size = 3;
 const recoveryRounds = 10;
+const mutantSeeds = 60;
 
 interface Run {
   readonly violations: string[];
@@ -84,8 +86,15 @@
     if (isUp(name)) return;
     group.thaw(name);
     frozen.delete(name);
-    await group.start(name);
-    witness.watch(name);
+    const isStarted = await group.start(name).then(
+      () => true,
+      // Its disk failed at once; it is started again later.
+      (error: {code?: unknown}) => {
+        if (error.code !== consensusCodes.syncFailed) throw error;
+        return false;
+      },
+    );
+    if (isStarted) witness.watch(name);
   }
 
   function propose(name: string): void {
@@ -225,15 +234,15 @@
 test('the same faults do show what a missing safeguard costs', async t => {
   // Else the test above could pass because it sees nothing.
   for (const name of ['syncBeforeAnswer', 'storageIdentity'] as const) {
-    let broken = 0;
-    for (const seed of seeds) {
-      const run = runFaults(seed, {[name]: false});
-      broken += await run.then(
-        ({violations}) => violations.length,
-        () => 1,
+    let broken: number | undefined;
+    for (let seed = 1; seed <= mutantSeeds && broken === undefined; seed++) {
+      const isBroken = await runFaults(seed, {[name]: false}).then(
+        ({violations}) => violations.length > 0,
+        ({message}: Error) => message.includes('is committed'),
       );
+      if (isBroken) broken = seed;
     }
-    t.log(`without ${name}: ${broken} violations`);
-    t.true(broken > 0);
+    t.log(`without ${name}: violation at seed ${broken}`);
+    t.not(broken, undefined);
   }
 });
--- a/src/consensus/writer.ts
+++ b/src/consensus/writer.ts
@@ -1,8 +1,7 @@
-import type {Code} from '../result/code.js';
-import {Failure} from '../result/failure.js';
-import {consensusCodes} from './codes.js';
+import type {Failure} from '../result/failure.js';
 import type {Entry, Message, Snapshot, Vote, Voter} from './messages.js';
 import type {Storage} from './storage.js';
+import {toFailure} from './storage-failure.js';
 
 /** One thing for the disk, or one that must wait for the disk. */
 export type Job =
@@ -173,13 +172,3 @@
     },
   };
 }
-
-function toFailure(error: unknown): Failure {
-  const cause = error as NodeJS.ErrnoException;
-  if (cause instanceof Failure) return cause;
-  const isFull = cause.code === 'ENOSPC' || cause.code === 'EDQUOT';
-  const code: Code = isFull
-    ? consensusCodes.diskFull
-    : consensusCodes.syncFailed;
-  return new Failure(code, "the data folder can't be written", cause);
-}
