--- a/src/consensus/fakes/group.ts
+++ b/src/consensus/fakes/group.ts
@@ -5,12 +5,15 @@
 import type {FakeNetwork} from '../../link/fakes/fake-network.js';
 import {createSilentLog} from '../../log/log.js';
 import {createRandom} from '../../random/random.js';
+import type {Random} from '../../random/random.js';
 import type {Failure, Result} from '../../result/failure.js';
 import {createFakeTimers, settle} from '../../time/fakes/fake-timers.js';
 import type {FakeTimers} from '../../time/fakes/fake-timers.js';
 import {StateMachine} from '../consensus.js';
 import type {Consensus, Member} from '../consensus.js';
 import {createConsensus} from '../create-consensus.js';
+import {createFreezableNetwork, createFreezableTimers} from './freezable.js';
+import type {FreezableTimers} from './freezable.js';
 import type {ConsensusOptions} from '../create-consensus.js';
 
 /** A state machine that keeps every entry. */
@@ -51,10 +54,12 @@
 /** One member of a group under test, across its lives. */
 export interface TestMember {
   readonly member: Member;
-  readonly disk: FakeDisk;
+  disk: FakeDisk;
   consensus: Consensus | undefined;
   journal: Journal;
   failure: Failure | undefined;
+  /** Its own view of the timer service. */
+  readonly clock: FreezableTimers;
 }
 
 /** A control group in memory. */
@@ -65,8 +70,8 @@
   readonly names: readonly string[];
   /** Starts a life of a member. */
   start(name: string): Promise<void>;
-  /** Ends a life at once; unsynced bytes are lost. */
-  kill(name: string): void;
+  /** Ends a life at once; unsynced bytes are lost, with `random` some stay. */
+  kill(name: string, random?: Random): void;
   /** Adds a member that is not among the founders. */
   add(name: string): void;
   /** Lets time pass. */
@@ -81,6 +86,14 @@
   propose(name: string, text: string): Promise<Result<Uint8Array>>;
   /** Runs until a promise has settled. */
   settled<T>(promise: Promise<T>): Promise<T>;
+  /** Attaches a disk to a member that does not run. */
+  useDisk(name: string, disk: FakeDisk): void;
+  /** Attaches each one's disk to the other. */
+  swapDisks(left: string, right: string): void;
+  /** Stops a process as SIGSTOP does: time and messages wait for it. */
+  freeze(name: string): void;
+  /** Lets a frozen process go on; what fell due meanwhile comes at once. */
+  thaw(name: string): void;
   /** Cuts all messages between `name` and the others, both ways. */
   isolate(name: string): void;
 }
@@ -112,6 +125,7 @@
       consensus: undefined,
       journal: createJournal(),
       failure: undefined,
+      clock: createFreezableTimers(timers),
     });
   }
 
@@ -123,12 +137,12 @@
     const one = all.get(name)!;
     one.journal = createJournal();
     one.failure = undefined;
-    one.consensus = await createConsensus({
+    const starting = createConsensus({
       self: one.member,
       members: founders,
       disk: one.disk.open(),
-      network: network.from(name),
-      timers,
+      network: createFreezableNetwork(network.from(name), one.clock),
+      timers: one.clock,
       random: createRandom(random.integer(1_000_000)),
       log: createSilentLog(),
       machine: one.journal,
@@ -140,12 +154,13 @@
       },
       ...options,
     });
+    one.consensus = await settled(starting);
   }
 
-  function kill(name: string): void {
+  function kill(name: string, crash?: Random): void {
     const one = all.get(name)!;
     network.kill(name);
-    one.disk.crash();
+    one.disk.crash(crash);
     void one.consensus?.stop().catch(() => {});
     one.consensus = undefined;
   }
@@ -194,6 +209,13 @@
     propose: (name, text) =>
       settled(all.get(name)!.consensus!.propose(Buffer.from(text))),
     settled,
+    useDisk: (name, disk) => void (all.get(name)!.disk = disk),
+    swapDisks(left, right) {
+      const [one, other] = [all.get(left)!, all.get(right)!];
+      [one.disk, other.disk] = [other.disk, one.disk];
+    },
+    freeze: name => all.get(name)!.clock.freeze(),
+    thaw: name => all.get(name)!.clock.thaw(),
     isolate(name) {
       for (const other of all.keys()) {
         if (other === name) continue;
@@ -212,5 +234,6 @@
   const group = createTestGroup(size, options);
   for (const name of group.names) await group.start(name);
   await group.elect();
+  await group.run(heartbeat * 4);
   return group;
 }
