Bench: convergence time against control bytes over batching windows

Stand-in homes and nodes hold real links; the control group's commit is left out. Seen: over 500 ms the relay's own window is added to control's.

--- /dev/null
+++ b/bench/distribution/home-process.ts
@@ -0,0 +1,200 @@
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {
+  Configuration,
+  Policy,
+  Route,
+  Service,
+} from '../../src/configuration/configuration.js';
+import {emptyConfiguration} from '../../src/configuration/configuration.js';
+import {createDistributor} from '../../src/distribution/distributor.js';
+import type {DistributorOptions} from '../../src/distribution/distributor.js';
+import {createFreshness} from '../../src/distribution/freshness.js';
+import {createHome} from '../../src/distribution/home.js';
+import {createSectionSource} from '../../src/distribution/section-source.js';
+import {createSubscriber} from '../../src/distribution/subscriber.js';
+import {createFleet} from '../../src/fleet/fleet.js';
+import type {Hello} from '../../src/fleet/messages.js';
+import {createChannels} from '../../src/link/channel.js';
+import {createTcpNetwork} from '../../src/link/tcp-network.js';
+import {createLog} from '../../src/log/log.js';
+import {createRandom} from '../../src/random/random.js';
+import {success} from '../../src/result/failure.js';
+import {createTimers} from '../../src/time/timers.js';
+import type {AcceptedChange, Ask, HomeSetup, Told} from './messages.js';
+import {
+  countBytes,
+  readSetup,
+  readUsage,
+  serveAsks,
+  tell,
+  wallTime,
+} from './stand-in.js';
+
+/**
+ * A distributor process of the bench: a source, whose configuration changes
+ * when the bench says so, or a relay below sources. The control group's commit
+ * is not part of it.
+ */
+
+type Upstream = Pick<DistributorOptions, 'source' | 'barrier' | 'asOf'>;
+
+const setup = readSetup<HomeSetup>();
+const timers = createTimers();
+const random = createRandom(setup.seed);
+const log = createLog(setup.name, 'error');
+const counted = countBytes(createTcpNetwork());
+const {network} = counted;
+const self: Hello = {
+  kind: setup.sources.length > 0 ? 'relay' : 'control',
+  name: setup.name,
+  failureDomain: 'hall-a',
+  region: 'astana',
+};
+const observers: Array<() => void> = [];
+let configuration = fill();
+
+/** A configuration of the size that was asked for. */
+function fill(): Configuration {
+  const services = new Map<string, Service>();
+  const routes = new Map<string, Route>();
+  for (let index = 0; index < setup.services; index++) {
+    const service = `service-${index}`;
+    services.set(service, {name: service, slowStart: 10_000});
+    for (let place = 0; place < setup.routesPerService; place++) {
+      const name = `${service}-route-${place}`;
+      routes.set(name, {
+        name,
+        prefix: `/${service}/${place}`,
+        methods: ['GET', 'POST'],
+        service,
+        policy: 'lookups',
+      });
+    }
+  }
+  const policies = new Map([['lookups', lookups()]]);
+  return {...emptyConfiguration, version: 1, services, routes, policies};
+}
+
+function lookups(): Policy {
+  return {
+    name: 'lookups',
+    priority: 'normal',
+    deadline: 2000,
+    attempts: 2,
+    repeatability: 'idempotent',
+    bodyLimit: 65_536,
+    objective: {target: 0.999, latency: 50},
+  };
+}
+
+/** Changes one service chosen at random. */
+function change(): AcceptedChange {
+  const version = configuration.version + 1;
+  const name = `service-${random.integer(setup.services)}`;
+  const services = new Map(configuration.services);
+  services.set(name, {name, slowStart: 10_000 + version});
+  configuration = {...configuration, version, services};
+  const at = wallTime();
+  for (const observe of observers) observe();
+  return {version, at};
+}
+
+async function changeOften(count: number, gap: number): Promise<Told> {
+  const changes: AcceptedChange[] = [];
+  const start = wallTime();
+  for (let index = 0; index < count; index++) {
+    const wait = start + index * gap - wallTime();
+    if (wait > 0) await sleep(wait);
+    changes.push(change());
+  }
+  return {kind: 'changes', changes};
+}
+
+function createSource(): Upstream {
+  const barrier = async () => {
+    const {version} = configuration;
+    await sleep(setup.round);
+    return success(version);
+  };
+  const source = createSectionSource({
+    current: () => configuration,
+    onChange: observe => void observers.push(observe),
+  });
+  const freshness = createFreshness(barrier, timers);
+  return {source, barrier, asOf: freshness.asOf};
+}
+
+function createRelay() {
+  const home = createHome({
+    network,
+    homes: setup.sources,
+    self,
+    timers,
+    random,
+    log,
+  });
+  const subscriber = createSubscriber({home, timers, random, log});
+  const upstream: Upstream = {
+    source: subscriber.sections,
+    barrier: subscriber.barrier,
+    asOf: home.asOf,
+  };
+  return {home, upstream};
+}
+
+async function main(): Promise<void> {
+  const relay = setup.sources.length > 0 ? createRelay() : undefined;
+  const upstream = relay?.upstream ?? createSource();
+  const distributor = createDistributor({
+    ...upstream,
+    timers,
+    random,
+    log,
+    batchWindow: setup.batchWindow,
+    ringLength: setup.ringLength,
+    syncBytesPerSecond: setup.syncBytesPerSecond,
+    safeguards: {admission: setup.isAdmitting},
+  });
+  const fleet = createFleet({
+    self,
+    timers,
+    log,
+    position: distributor.position,
+  });
+  fleet.onHello((_hello, channels) => distributor.accept(channels));
+  relay?.home.onChannels(fleet.report);
+  const listener = await network.listen('127.0.0.1:0', link => {
+    fleet.accept(createChannels(link));
+  });
+
+  async function answer(ask: Ask): Promise<Told> {
+    switch (ask.kind) {
+      case 'changes':
+        return changeOften(ask.count, ask.gap);
+      case 'usage': {
+        const usage = readUsage(counted);
+        const counts = distributor.counts();
+        return {kind: 'usage', usage: {...usage, counts}};
+      }
+      case 'synced': {
+        const summary = fleet.summary();
+        return {
+          kind: 'synced',
+          nodes: summary.inForce,
+          least: summary.least ?? 0,
+        };
+      }
+      default:
+        throw new Error(`a home does not know ${ask.kind}`);
+    }
+  }
+
+  serveAsks(answer);
+  tell({kind: 'ready', address: listener.address});
+}
+
+main().catch((error: Error) => {
+  process.stderr.write(`${error.stack}\n`);
+  process.exit(1);
+});
--- /dev/null
+++ b/bench/experiments/distribution-window.ts
@@ -0,0 +1,154 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  awaitSynced,
+  findConvergence,
+  startHome,
+  startNodes,
+  stopAll,
+} from '../distribution/harness.js';
+import type {Convergence, StandInProcess} from '../distribution/harness.js';
+import type {Usage} from '../distribution/messages.js';
+import {compare} from '../experiment.js';
+import type {Experiment, Outcome, Row, RunOptions} from '../experiment.js';
+
+/** Batching windows in milliseconds; the first is the baseline. */
+const windows = [0, 10, 20, 50, 100, 250, 500, 1000, 2000];
+
+/** A burst of changes, as a script of an operator makes it. */
+const burst = {count: 40, gap: 50};
+
+const relays = 2;
+const processes = 2;
+const nodesPerProcess = 120;
+const services = 100;
+
+interface Figures {
+  readonly window: number;
+  readonly convergence: Convergence;
+  /** Bytes at the source's links, and at the nodes', for each change. */
+  readonly source: number;
+  readonly node: number;
+}
+
+async function measure(window: number, seed: number): Promise<Figures> {
+  const source = await startHome({batchWindow: window, services, seed});
+  const sources = [{address: source.address}];
+  const homes = await Promise.all(
+    Array.from({length: relays}, (_, index) =>
+      startHome({name: `relay-${index}`, sources, batchWindow: window, seed}),
+    ),
+  );
+  const nodes = await Promise.all(
+    Array.from({length: processes}, (_, index) =>
+      startNodes({
+        name: `nodes-${index}`,
+        homes: homes.map(({address}) => ({address})),
+        nodes: nodesPerProcess,
+        subscribed: 12,
+        services,
+        seed: seed + index,
+      }),
+    ),
+  );
+  const total = processes * nodesPerProcess;
+  await awaitSynced(nodes, total, 1);
+  await sleep(200);
+  const before = await usageOf([source, ...nodes]);
+  const {changes} = await source.ask({kind: 'changes', ...burst});
+  const last = changes[changes.length - 1]!.version;
+  await awaitSynced(nodes, total, last);
+  await sleep(100);
+  const after = await usageOf([source, ...nodes]);
+  const switches = await Promise.all(
+    nodes.map(one => one.ask({kind: 'switches'})),
+  );
+  await stopAll([...nodes, ...homes, source]);
+  const spent = after.map((usage, index) => bytesOf(usage, before[index]!));
+  const [atSource, ...atNodes] = spent;
+  const sum = atNodes.reduce((left, right) => left + right, 0);
+  return {
+    window,
+    convergence: findConvergence(
+      changes,
+      switches.map(one => one.switches),
+      total,
+    ),
+    source: atSource! / changes.length,
+    node: sum / total / changes.length,
+  };
+}
+
+function usageOf(all: readonly StandInProcess[]): Promise<Usage[]> {
+  return Promise.all(all.map(one => one.usage()));
+}
+
+function bytesOf(after: Usage, before: Usage): number {
+  const spent = (usage: Usage) => usage.bytesIn + usage.bytesOut;
+  return spent(after) - spent(before);
+}
+
+async function run(options: RunOptions): Promise<Outcome> {
+  const figures: Figures[] = [];
+  for (const window of windows) {
+    figures.push(await measure(window, options.seed));
+  }
+  const [baseline, ...others] = figures;
+  const rows: Row[] = others.flatMap(one => rowsOf(one, baseline!));
+  const missing = figures.reduce(
+    (sum, one) => sum + one.convergence.missing,
+    0,
+  );
+  return {
+    rows,
+    plots: [
+      {
+        title: 'Convergence time against control bytes over batching windows',
+        xLabel: 'bytes of a node for each change',
+        yLabel: 'convergence time, ms',
+        yScale: 'log',
+        series: [
+          curve('p50', figures, one => one.p50),
+          curve('p99', figures, one => one.p99),
+          curve('last', figures, one => one.lastMost),
+        ],
+      },
+    ],
+    counts: {
+      nodes: processes * nodesPerProcess,
+      changes: burst.count,
+      'missing pairs of node and change': missing,
+    },
+    notes: ['bytes include heartbeats of the time that the burst takes'],
+  };
+}
+
+function rowsOf(one: Figures, baseline: Figures): Row[] {
+  const {window, convergence} = one;
+  const base = baseline.convergence;
+  const at = `window ${window} ms:`;
+  return [
+    compare(`${at} convergence p50`, 'ms', convergence.p50, base.p50),
+    compare(`${at} convergence p99`, 'ms', convergence.p99, base.p99),
+    compare(`${at} last node`, 'ms', convergence.lastMost, base.lastMost),
+    compare(`${at} source, a change`, 'B', one.source, baseline.source),
+    compare(`${at} node, a change`, 'B', one.node, baseline.node),
+  ];
+}
+
+function curve(
+  name: string,
+  figures: readonly Figures[],
+  pick: (convergence: Convergence) => number,
+) {
+  const points = figures.map(one => ({x: one.node, y: pick(one.convergence)}));
+  return {name, points};
+}
+
+/** The curve from which each deployment's batching window is chosen. */
+export const experiment: Experiment = {
+  name: 'distribution-window',
+  about: 'convergence time against control bytes over batching windows',
+  baseline: 'no batching window',
+  seconds: 60,
+  run,
+};
