--- a/src/distribution/messages.ts
+++ b/src/distribution/messages.ts
@@ -44,13 +44,19 @@
   readonly nonce?: string;
 }
 
+/** The digest of one section, by service. */
+export interface SectionDigest {
+  readonly name: string;
+  readonly digest: string;
+}
+
 /** Tells what is held section by section, to get only what differs. */
 export interface Compare {
   readonly kind: 'compare';
   readonly subscription: number;
   readonly version: number;
-  /** Digest of each section held, by service. */
-  readonly digests: Readonly<Record<string, string>>;
+  /** Digest of each section held. */
+  readonly digests: readonly SectionDigest[];
 }
 
 /** Asks for a proof that the state sent is as new as any accepted so far. */
--- a/src/distribution/subscriber.ts
+++ b/src/distribution/subscriber.ts
@@ -165,10 +165,8 @@
   /** Tells what is held, to get the sections that differ. */
   function compare(): void {
     service.send('compare');
-    const digests: Record<string, string> = {};
-    for (const [name, section] of keepCovered(held, services)) {
-      digests[name] = section.digest;
-    }
+    const covered = keepCovered(held, services);
+    const digests = [...covered].map(([name, {digest}]) => ({name, digest}));
     send({
       kind: 'compare',
       subscription,
--- a/src/distribution/syncer.ts
+++ b/src/distribution/syncer.ts
@@ -159,12 +159,11 @@
   ): boolean {
     count.comparisons++;
     const wanted = new Map(coveredSections(state, session.services));
-    const names = new Set<string>();
-    for (const [name, stored] of wanted) {
-      if (compared.digests[name] !== stored.digest) names.add(name);
-    }
-    for (const name of Object.keys(compared.digests)) {
-      if (!wanted.has(name)) names.add(name);
+    const names = new Set(wanted.keys());
+    for (const {name, digest} of compared.digests) {
+      const stored = wanted.get(name);
+      if (stored === undefined) names.add(name);
+      else if (stored.digest === digest) names.delete(name);
     }
     push(session, state, names, false);
     return true;
--- /dev/null
+++ b/src/link/tcp-network.test.ts
@@ -0,0 +1,50 @@
+import test from 'ava';
+import {createTcpNetwork} from './tcp-network.js';
+
+async function openPair(sharesKeys: boolean) {
+  const network = createTcpNetwork({sharesKeys});
+  const received: unknown[] = [];
+  let end = () => {};
+  const arrived = new Promise<void>(done => (end = done));
+  const listener = await network.listen('127.0.0.1:0', link => {
+    link.onMessage(message => {
+      received.push(message);
+      if (message === 'end') end();
+    });
+  });
+  const link = await network.connect(listener.address);
+  const close = async () => {
+    link.close();
+    await listener.close();
+  };
+  return {link, received, arrived, close};
+}
+
+test('messages of ever new shapes come out as they went in', async t => {
+  const {link, received, arrived, close} = await openPair(true);
+  const messages: unknown[] = [];
+  for (let index = 0; index < 300; index++) {
+    messages.push({kind: 'same', number: index, [`own-${index}`]: [{index}]});
+    messages.push({kind: 'same', number: index});
+  }
+  messages.push('end');
+  for (const message of messages) link.send(message);
+  await arrived;
+  t.deepEqual(received, messages);
+  await close();
+});
+
+test('keys that travelled once are not sent again', async t => {
+  const bytes: number[] = [];
+  for (const sharesKeys of [false, true]) {
+    const {link, arrived, close} = await openPair(sharesKeys);
+    for (let number = 0; number < 100; number++) {
+      link.send({plane: 'fleet', body: {kind: 'ping', number, version: 7}});
+    }
+    link.send('end');
+    await arrived;
+    bytes.push(link.bytesOut);
+    await close();
+  }
+  t.true(bytes[1]! < bytes[0]! / 2, `${bytes}`);
+});
--- a/src/link/tcp-network.ts
+++ b/src/link/tcp-network.ts
@@ -12,6 +12,11 @@
   readonly connectTimeout?: number;
   /** Largest message in bytes; a larger one closes the link. Default 64 MiB. */
   readonly messageLimit?: number;
+  /**
+   * Whether the keys of a message's shape travel once on each link and are
+   * then referred to by number; both ends must agree. Default true.
+   */
+  readonly sharesKeys?: boolean;
 }
 
 const defaultConnectTimeout = 2000;
@@ -21,13 +26,14 @@
 export function createTcpNetwork(options: TcpNetworkOptions = {}): Network {
   const connectTimeout = options.connectTimeout ?? defaultConnectTimeout;
   const messageLimit = options.messageLimit ?? defaultMessageLimit;
+  const sharesKeys = options.sharesKeys ?? true;
+  const open = (socket: Socket) =>
+    createTcpLink(socket, messageLimit, sharesKeys);
 
   return new (class extends Network {
     listen(address: Address, accept: (link: Link) => void): Promise<Listener> {
       const {host, port} = parseAddress(address);
-      const server = createServer(socket =>
-        accept(createTcpLink(socket, messageLimit)),
-      );
+      const server = createServer(socket => accept(open(socket)));
       return new Promise((resolve, reject) => {
         server.once('error', reject);
         server.listen(port, host, () => {
@@ -59,22 +65,36 @@
         socket.once('connect', () => {
           socket.setTimeout(0);
           socket.off('error', abandon);
-          resolve(createTcpLink(socket, messageLimit));
+          resolve(open(socket));
         });
       });
     }
   })();
 }
 
-function createTcpLink(socket: Socket, messageLimit: number): Link {
-  const packr = new Packr({useRecords: false});
+/**
+ * A link is ordered and never loses a message, so each end can refer to the
+ * shapes that it sent before; a new link begins with none.
+ */
+function createPackr(sharesKeys: boolean): Packr {
+  if (!sharesKeys) return new Packr({useRecords: false});
+  return new Packr({sequential: true, useRecords: true});
+}
+
+function createTcpLink(
+  socket: Socket,
+  messageLimit: number,
+  sharesKeys: boolean,
+): Link {
+  const encoder = createPackr(sharesKeys);
+  const decoder = createPackr(sharesKeys);
   const backlog: unknown[] = [];
   let receive: ((message: unknown) => void) | undefined;
   let closed: (() => void) | undefined;
   let ended = false;
 
   const reader = createFrameReader(messageLimit, frame => {
-    const message: unknown = packr.unpack(frame);
+    const message: unknown = decoder.unpack(frame);
     if (receive === undefined) backlog.push(message);
     else receive(message);
   });
@@ -111,7 +131,7 @@
 
     send(message: unknown): void {
       if (ended || socket.destroyed) return;
-      socket.write(encodeFrame(packr.pack(message)));
+      socket.write(encodeFrame(encoder.pack(message)));
     }
 
     onMessage(receiver: (message: unknown) => void): void {
