--- a/src/configuration/create-configuration-machine.ts
+++ b/src/configuration/create-configuration-machine.ts
@@ -1,32 +1,28 @@
 import {StateMachine} from '../consensus/consensus.js';
 import {commonCodes} from '../result/codes.js';
-import {failure, success} from '../result/failure.js';
-import type {Result} from '../result/failure.js';
-import {isAppointer} from './appointer-name.js';
 import {createAnswerTable} from './answer-table.js';
 import type {AnswerTableSafeguards} from './answer-table.js';
 import {configurationCodes as codes} from './codes.js';
 import type {
   Configuration,
   Drain,
-  Item,
   Kind,
   Policy,
   Route,
   Service,
 } from './configuration.js';
+import {editStore} from './edit-store.js';
 import {decodeEntry, encodeAnswer, encodeEntry} from './entry.js';
 import type {Entry} from './entry.js';
 import {describeChange} from './history.js';
 import type {Change} from './history.js';
 import {createItemStore} from './item-store.js';
-import type {ItemStore, Replacement, Value} from './item-store.js';
+import type {ItemStore, Value} from './item-store.js';
 import {selectBounds} from './limits.js';
 import type {Limits} from './limits.js';
-import type {Answer, Command, Edit} from './messages.js';
+import type {Answer, Command} from './messages.js';
 import {decodeState, digestState, encodeState} from './snapshot.js';
 import type {WholeState} from './snapshot.js';
-import {validate} from './validation.js';
 
 /** Safeguards that a test may take out to show what they are for. */
 export interface MachineSafeguards extends AnswerTableSafeguards {
@@ -112,7 +108,7 @@
     if (expected !== undefined && expected !== version) {
       return answerConflict(expected);
     }
-    const edited = editStore(store, command, bounds);
+    const edited = editStore(store, command, bounds, safeguards.validation);
     if (!edited.ok) {
       return {code: edited.code.number, message: edited.message, version};
     }
@@ -135,22 +131,6 @@
     return {code: codes.conflict.number, message, version};
   }
 
-  function editStore(
-    store: ItemStore,
-    {operator, edits}: Command,
-    bounds: Entry['bounds'],
-  ): Result<readonly Replacement[]> {
-    const done: Replacement[] = [];
-    const edited = replaceAll(store, edits, isAppointer(operator), done);
-    const checked =
-      edited.ok && safeguards.validation
-        ? validate(store, done, bounds)
-        : edited;
-    if (checked.ok) return success(done);
-    undo(store, done);
-    return checked;
-  }
-
   function notify(): void {
     for (const observe of observers) observe(version);
   }
@@ -170,8 +150,10 @@
 
   function restore(index: number, bytes: Uint8Array): void {
     const state = decodeState(bytes);
-    store = fillStore(state);
-    answers = createAnswerTable(state.answers, safeguards);
+    const items = fillStore(state);
+    const table = createAnswerTable(state.answers, safeguards);
+    store = items;
+    answers = table;
     changes = [...state.history];
     version = state.version;
     applied = index;
@@ -218,60 +200,6 @@
   })();
 }
 
-/** Makes all edits, keeping in `done` what changed; stops at a missing item. */
-function replaceAll(
-  store: ItemStore,
-  edits: readonly Edit[],
-  byAppointer: boolean,
-  done: Replacement[],
-): Result<void> {
-  for (const edit of edits) {
-    if (edit.action === 'put') {
-      put(store, byAppointer ? edit.item : keepKeepers(store, edit.item), done);
-      continue;
-    }
-    const {kind, name} = edit;
-    if (store.get(kind, name) === undefined) return missing(kind, name);
-    done.push(store.replace({kind, name}, undefined));
-  }
-  return success(undefined);
-}
-
-function put(store: ItemStore, item: Item, done: Replacement[]): void {
-  const {kind, value} = item;
-  if (isSame(store.get(kind, value.name), value)) return;
-  done.push(store.replace({kind, name: value.name}, value));
-}
-
-/**
- * Keepers stay as they are when an operator puts a service: another set, or
- * none, would forget which keys have run.
- */
-function keepKeepers(store: ItemStore, item: Item): Item {
-  if (item.kind !== 'service') return item;
-  const {name, slowStart} = item.value;
-  const before = store.get('service', name) as Service | undefined;
-  const keepers = before?.keepers;
-  const value =
-    keepers === undefined ? {name, slowStart} : {name, slowStart, keepers};
-  return {kind: 'service', value};
-}
-
-function missing(kind: Kind, name: string): Result<never> {
-  return failure(codes.notFound, `there is no ${kind} ${name}`);
-}
-
-function undo(store: ItemStore, done: readonly Replacement[]): void {
-  for (const {kind, name, before} of [...done].reverse()) {
-    store.replace({kind, name}, before);
-  }
-}
-
-/** Items have their keys in one order, so equal items are equal text. */
-function isSame(left: Value | undefined, right: Value): boolean {
-  return JSON.stringify(left) === JSON.stringify(right);
-}
-
 function fillStore(state: WholeState): ItemStore {
   const store = createItemStore();
   const lists: Record<Kind, readonly Value[]> = {
--- a/src/operator/create-operator-client.ts
+++ b/src/operator/create-operator-client.ts
@@ -66,6 +66,9 @@
   readonly limit?: number;
 }
 
+/** Milliseconds that each attempt gets, however late it is. */
+const shortestAttempt = 50;
+
 /** Milliseconds between two rounds over all addresses. */
 const roundPause = 100;
 
@@ -123,7 +126,12 @@
     const {limit = attemptTimeout} = call;
     let effect: Effect = 'not-run';
     for (let tries = 1; ; tries++) {
-      const reply = await attempt(preferred, call, limit + extra);
+      const left = Math.max(shortestAttempt, deadline - timers.now());
+      const reply = await attempt(
+        preferred,
+        call,
+        Math.min(limit + extra, left),
+      );
       if (reply.ok || !isPassing(reply.refusal)) return reply;
       if (reply.refusal.effect === 'unknown') effect = call.effect;
       if (effect === 'unknown' && call.resend === 'not-run') return reply;
--- /dev/null
+++ b/src/operator/service.test.ts
@@ -0,0 +1,107 @@
+import test from 'ava';
+import {
+  createSampleMachine,
+  putService,
+} from '../configuration/fakes/sample.js';
+import {createFakeGroup} from '../consensus/fakes/fake-consensus.js';
+import type {FleetSummary} from '../fleet/summary.js';
+import {defaults} from '../settings/defaults.js';
+import {createFakeTimers, settle} from '../time/fakes/fake-timers.js';
+import {createOperatorService} from './service.js';
+
+function summarize(version: number, inForce: number): FleetSummary {
+  return {
+    version,
+    nodes: 2,
+    inForce,
+    behind: 2 - inForce,
+    unknown: 0,
+    domains: [],
+    laggards: [],
+    homes: [],
+  };
+}
+
+function createTrial(nodes = 2) {
+  const timers = createFakeTimers();
+  const group = createFakeGroup(['control-1'], createSampleMachine);
+  let inForce = 0;
+  const service = createOperatorService({
+    name: 'control-1',
+    consensus: group.member('control-1'),
+    machine: group.machine('control-1'),
+    fleet: {
+      summary: (version = 0) => ({...summarize(version, inForce), nodes}),
+    },
+    timers,
+    limits: defaults.limits,
+    leaderAddress: () => undefined,
+  });
+  const spread = (count: number) => (inForce = count);
+  return {timers, group, service, spread};
+}
+
+const command = {operator: 'amina', sequence: 1, edits: [putService('a')]};
+
+test('a wait ends when the last node has the version', async t => {
+  const {timers, service, spread} = createTrial();
+  let waited: boolean | undefined;
+  void service.wait(3, 5000).then(({inForce}) => (waited = inForce));
+  spread(1);
+  await timers.advanceAsync(1000);
+  t.is(waited, undefined);
+  spread(2);
+  await timers.advanceAsync(100);
+  t.true(waited);
+});
+
+test('a wait ends in time when a node lags', async t => {
+  const {timers, service, spread} = createTrial();
+  spread(1);
+  const waiting = service.wait(3, 500);
+  await timers.advanceAsync(600);
+  t.like(await waiting, {inForce: false, summary: {behind: 1}});
+});
+
+test('a version is in force nowhere when no node is known', async t => {
+  const {timers, service} = createTrial(0);
+  const waiting = service.wait(3, 100);
+  await timers.advanceAsync(200);
+  t.false((await waiting).inForce);
+});
+
+// The group has lost its majority and an operator asks what is in force where.
+// The fleet is still known and is shown, but this process can't tell whether a
+// newer version was accepted elsewhere, so the answer must not claim it.
+test('without a majority the fleet is shown as unconfirmed, items are refused', async t => {
+  const {group, service} = createTrial();
+  await service.change(command);
+  t.like(await service.inForce(), {confirmed: true, summary: {version: 1}});
+  group.lead(undefined);
+  t.like(await service.inForce(), {confirmed: false, summary: {version: 1}});
+  t.false((await service.items('service')).ok);
+  t.false((await service.history(1)).ok);
+});
+
+test('a majority that stays silent does not hold the answer back', async t => {
+  const timers = createFakeTimers();
+  const group = createFakeGroup(['control-1'], createSampleMachine);
+  const service = createOperatorService({
+    name: 'control-1',
+    consensus: {
+      ...group.member('control-1'),
+      readBarrier: () => new Promise(() => {}),
+    },
+    machine: group.machine('control-1'),
+    fleet: {summary: (version = 0) => summarize(version, 0)},
+    timers,
+    limits: defaults.limits,
+    leaderAddress: () => undefined,
+  });
+  let confirmed: boolean | undefined;
+  void service.inForce().then(answer => (confirmed = answer.confirmed));
+  await settle();
+  t.is(confirmed, undefined);
+  await timers.advanceAsync(1000);
+  t.false(confirmed);
+});
