--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -102,7 +102,8 @@
   }
 
   function refuseHopeless(ticket: Ticket): void {
-    durations.doubt();
+    // While work runs, its durations will correct the estimates.
+    if (running === 0) durations.doubt();
     ticket.refuse(
       refusal(
         requestCodes.deadlineUnreachable,
--- /dev/null
+++ b/src/request/attempt-answer.ts
@@ -0,0 +1,63 @@
+import {Answer} from './answer.js';
+import {requestCodes} from './codes.js';
+import type {AnswerHead, Refusal} from './messages.js';
+import type {Peer} from './peers.js';
+import type {Code} from '../result/code.js';
+
+/** The answer to one attempt; tells its peer once how the attempt went. */
+export abstract class AttemptAnswer extends Answer {
+  /** The caller has left; what still comes is of no interest. */
+  abstract abandon(): void;
+}
+
+/** Passes an answer on; a refusal goes to `refused` instead. */
+export function createAttemptAnswer(
+  answer: Answer,
+  peer: Peer,
+  refused: (reason: Refusal) => void,
+): AttemptAnswer {
+  let status = 0;
+  let settled = false;
+
+  function settle(code: Code | undefined): boolean {
+    if (settled) return false;
+    settled = true;
+    peer.ended(code, status);
+    return true;
+  }
+
+  return new (class extends AttemptAnswer {
+    admit(): void {
+      answer.admit();
+    }
+
+    start(head: AnswerHead): void {
+      status = head.status;
+      answer.start(head);
+    }
+
+    write(chunk: Buffer): boolean {
+      return answer.write(chunk);
+    }
+
+    onDrain(resume: () => void): void {
+      answer.onDrain(resume);
+    }
+
+    end(): void {
+      if (settle(undefined)) answer.end();
+    }
+
+    refuse(reason: Refusal): void {
+      if (settle(reason.code)) refused(reason);
+    }
+
+    cut(): void {
+      if (settle(requestCodes.upstreamLost)) answer.cut();
+    }
+
+    abandon(): void {
+      settle(requestCodes.callerLeft);
+    }
+  })();
+}
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -5,11 +5,13 @@
 import type {Configuration} from '../configuration/configuration.js';
 import type {Code} from '../result/code.js';
 import type {Timers} from '../time/timers.js';
-import {Answer} from './answer.js';
+import type {Answer} from './answer.js';
+import {createAttemptAnswer} from './attempt-answer.js';
+import type {AttemptAnswer} from './attempt-answer.js';
 import {requestCodes} from './codes.js';
 import type {Gate} from './gate.js';
 import type {GateLinks} from './gate-link.js';
-import type {AnswerHead, Call, Cancel, Refusal} from './messages.js';
+import type {Call, Cancel, Refusal} from './messages.js';
 import type {Peer, Peers} from './peers.js';
 import {refusal} from './refusal.js';
 import {shouldRetry} from './retry.js';
@@ -27,6 +29,8 @@
   /** The own node's gate; work for its upstream needs no hop between. */
   readonly gate: Gate | undefined;
   readonly timers: Timers;
+  /** Test only: false to send work again that may have begun. */
+  readonly once: boolean;
 }
 
 /** The attempts of one request. */
@@ -45,6 +49,7 @@
   const tried = new Set<string>();
   let count = 0;
   let cancelled = false;
+  let current: AttemptAnswer | undefined;
   let cancelAttempt: Cancel = () => {};
   let last: Refusal | undefined;
 
@@ -57,10 +62,13 @@
     tried.add(peer.announcement.instance);
     peer.began();
     const own = createAttemptAnswer(answer, peer, ended);
-    cancelAttempt = sendTo(peer, own);
+    current = own;
+    const cancel = sendTo(peer, own);
+    // A gate may refuse before it returns, and the next attempt be under way.
+    if (current === own) cancelAttempt = cancel;
   }
 
-  function sendTo(peer: Peer, own: Answer): Cancel {
+  function sendTo(peer: Peer, own: AttemptAnswer): Cancel {
     const {gate, links} = options;
     if (gate?.instance === peer.announcement.instance) {
       return gate.handle(call, own);
@@ -84,6 +92,7 @@
       left: call.deadline - timers.now(),
       replayable: body.kind !== 'stream' || !body.consumed(),
       budget,
+      once: options.once,
     });
   }
 
@@ -98,48 +107,7 @@
     cancel: () => {
       cancelled = true;
       cancelAttempt();
+      current?.abandon();
     },
   };
 }
-
-/** Passes an answer on and tells its peer how the attempt went. */
-function createAttemptAnswer(
-  answer: Answer,
-  peer: Peer,
-  refused: (reason: Refusal) => void,
-): Answer {
-  let status = 0;
-  return new (class extends Answer {
-    admit(): void {
-      answer.admit();
-    }
-
-    start(head: AnswerHead): void {
-      status = head.status;
-      answer.start(head);
-    }
-
-    write(chunk: Buffer): boolean {
-      return answer.write(chunk);
-    }
-
-    onDrain(resume: () => void): void {
-      answer.onDrain(resume);
-    }
-
-    end(): void {
-      peer.ended(undefined, status);
-      answer.end();
-    }
-
-    refuse(reason: Refusal): void {
-      peer.ended(reason.code, 0);
-      refused(reason);
-    }
-
-    cut(): void {
-      peer.ended(requestCodes.upstreamLost, status);
-      answer.cut();
-    }
-  })();
-}
--- a/src/request/balancer.ts
+++ b/src/request/balancer.ts
@@ -21,10 +21,14 @@
   abstract choose<T extends Candidate>(candidates: readonly T[]): T;
 }
 
-/** How busy an instance is, counting what it says and what was sent since. */
+/**
+ * How busy an instance is, counting what it says and what was sent since. The
+ * weight is not in it: a cold instance would lose every comparison with an
+ * idle one and never warm.
+ */
 export function busyness(candidate: Candidate): number {
-  const {slots, weight, load, outstanding} = candidate;
-  return (load * slots + outstanding + 1) / (slots * weight);
+  const {slots, load, outstanding} = candidate;
+  return (load * slots + outstanding + 1) / slots;
 }
 
 /** Each instance is as likely, but for its weight. */
--- a/src/request/durations.ts
+++ b/src/request/durations.ts
@@ -4,7 +4,7 @@
 const newest = 0.05;
 /** How much the shortest duration is let grow by each longer one. */
 const growth = 1.02;
-/** How much a refusal lowers the shortest duration. */
+/** How much a doubt lowers both estimates. */
 const doubt = 0.9;
 
 /** Estimates of the durations of one upstream's work, in milliseconds. */
@@ -15,7 +15,7 @@
   shortest(): number;
   add(duration: number): void;
   /**
-   * Lowers the least duration. Without it one slow phase could make every
+   * Lowers both, when work is refused while none runs. Without it one slow phase could make every
    * deadline look unreachable, and no work would run to correct the estimate.
    */
   doubt(): void;
@@ -37,7 +37,7 @@
     },
     doubt: () => {
       shortest *= doubt;
-      mean *= 1 - (1 - doubt) * newest;
+      mean *= doubt;
     },
   };
 }
--- a/src/request/entry.ts
+++ b/src/request/entry.ts
@@ -28,6 +28,8 @@
 import {refusal, refusalOf} from './refusal.js';
 import {createRouter, isMatch} from './router.js';
 import type {Match, Router} from './router.js';
+import {resolveSafeguards} from './safeguards.js';
+import type {Safeguards} from './safeguards.js';
 import {receiveUpload} from './upload.js';
 import type {Upload} from './upload.js';
 
@@ -61,6 +63,8 @@
     PeersOptions,
     'localLimit' | 'loadAge' | 'leavingPause' | 'ejection' | 'retryBudget'
   >;
+  /** Test only. */
+  readonly safeguards?: Partial<Safeguards>;
   /** Hears of each request that ended. */
   readonly onOutcome?: (outcome: Outcome) => void;
 }
@@ -78,7 +82,8 @@
 /** Creates an entry that does not listen yet. */
 export function createEntry(options: EntryOptions): Entry {
   const {timers, random} = options;
-  const links = createGateLinks({timers});
+  const safeguards = resolveSafeguards(options.safeguards);
+  const links = createGateLinks({timers, safeguards});
   const peers = createPeers({
     ...options.peers,
     failureDomain: options.failureDomain,
@@ -91,7 +96,7 @@
     headerLimit: options.headerLimit,
     grace: options.grace,
     timers,
-    handle: (request, response) => void handle(request, response),
+    handle,
   });
   const nextId = createIds(options.name, random);
   const routerOf = createRouterCache();
@@ -103,6 +108,7 @@
     const exchange = createExchange(request, response, {
       listener,
       timers,
+      safeguards,
       onOutcome: options.onOutcome,
     });
     const {answer} = exchange;
@@ -111,7 +117,7 @@
     const {match, configuration} = found;
     exchange.matched(match);
     const deadline = timers.now() + allowedTime(request, match);
-    const upload = await receive(request, match, answer);
+    const upload = await receive(request, match, deadline, answer);
     if (upload === undefined || response.destroyed) return;
     exchange.receives(upload);
     const call = makeCall(request, match, upload, deadline);
@@ -124,6 +130,7 @@
       links,
       gate: options.gate,
       timers,
+      once: safeguards.once,
     });
     exchange.attempted(attempts);
     attempts.start();
@@ -148,13 +155,16 @@
   async function receive(
     request: IncomingMessage,
     match: Match,
+    deadline: number,
     answer: Answer,
   ): Promise<Upload | undefined> {
     try {
       return await receiveUpload(request, {
         limit: Math.min(match.policy.bodyLimit, options.bodyLimit),
         idle: options.bodyIdle ?? defaultBodyIdle,
+        deadline,
         timers,
+        safeguards,
       });
     } catch (error) {
       answer.refuse(refusalOf(error));
@@ -173,7 +183,7 @@
       service: match.route.service,
       method: request.method!,
       path: request.url!,
-      headers: endToEnd(request.rawHeaders),
+      headers: endToEnd(request.rawHeaders, safeguards.internalHeaders),
       body,
       priority: match.policy.priority,
       repeatability: match.policy.repeatability,
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -7,6 +7,7 @@
 import {createHttpAnswer} from './http-answer.js';
 import type {Listener} from './listener.js';
 import type {Outcome} from './messages.js';
+import type {Safeguards} from './safeguards.js';
 import type {Match} from './router.js';
 import type {Upload} from './upload.js';
 import {hasBody} from './upload.js';
@@ -16,6 +17,7 @@
 export interface ExchangeOptions {
   readonly listener: Listener;
   readonly timers: Timers;
+  readonly safeguards: Safeguards;
   readonly onOutcome: ((outcome: Outcome) => void) | undefined;
 }
 
@@ -48,6 +50,7 @@
       if (upload?.kind === 'stream') upload.release();
     },
     closing: () => listener.stopping,
+    visibleCuts: options.safeguards.visibleCuts,
     onRefusal: refusal => {
       refusedBy = refusal.code;
     },
--- /dev/null
+++ b/src/request/fakes/calls.ts
@@ -0,0 +1,30 @@
+import type {Call} from '../messages.js';
+
+/** A lookup with five seconds to run; `changes` go over the defaults. */
+export function callOf(changes: Partial<Call> = {}): Call {
+  return {
+    id: 'entry-1',
+    service: 'stock-desk',
+    method: 'GET',
+    path: '/stock/7',
+    headers: ['host', 'stock'],
+    body: {kind: 'none'},
+    priority: 'normal',
+    repeatability: 'idempotent',
+    key: undefined,
+    deadline: performance.now() + 5_000,
+    ...changes,
+  };
+}
+
+/** A booking: it must not run twice. */
+export function bookingOf(changes: Partial<Call> = {}): Call {
+  return callOf({
+    method: 'POST',
+    path: '/bookings',
+    headers: ['host', 'stock', 'content-length', '4'],
+    body: {kind: 'whole', bytes: Buffer.from('book')},
+    repeatability: 'once',
+    ...changes,
+  });
+}
--- /dev/null
+++ b/src/request/fakes/raw-server.ts
@@ -0,0 +1,46 @@
+import {createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+
+/** A TCP server that says exactly what a test wants said. */
+export interface RawServer {
+  readonly address: string;
+  /** Heads of requests received. */
+  readonly heads: readonly string[];
+  close(): Promise<void>;
+}
+
+/** Starts a server that calls `answer` with each request's head. */
+export async function createRawServer(
+  answer: (socket: Socket, head: string, count: number) => void,
+): Promise<RawServer> {
+  const sockets = new Set<Socket>();
+  const heads: string[] = [];
+  const server = createServer(socket => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+    socket.on('error', () => {});
+    socket.on('data', chunk => {
+      const text = chunk.toString('latin1');
+      const end = text.indexOf('\r\n\r\n');
+      if (!/^[A-Z]+ \//.test(text) || end < 0) return;
+      heads.push(text.slice(0, end));
+      answer(socket, text.slice(0, end), heads.length);
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    heads,
+    close: async () => {
+      for (const socket of sockets) socket.destroy();
+      await new Promise(resolve => server.close(resolve));
+    },
+  };
+}
+
+/** An address of loopback on which nothing listens. */
+export async function unusedAddress(): Promise<string> {
+  const server = await createRawServer(() => {});
+  await server.close();
+  return server.address;
+}
--- a/src/request/gate-link.ts
+++ b/src/request/gate-link.ts
@@ -16,6 +16,7 @@
 import type {Call, Cancel, Refusal} from './messages.js';
 import type {Peer} from './peers.js';
 import {refusal} from './refusal.js';
+import type {Safeguards} from './safeguards.js';
 import {send} from './sending.js';
 import type {Receiver, Sending} from './sending.js';
 
@@ -24,6 +25,7 @@
   /** Connections to one gate, at most; 256 unless given. */
   readonly limit?: number;
   readonly timers: Timers;
+  readonly safeguards: Safeguards;
 }
 
 /** The links to the gates of other nodes. */
@@ -58,7 +60,16 @@
   return {
     handle: (call, bodyLimit, peer, answer) => {
       const link = linkTo(peer.announcement.gate);
-      return callGate({call, bodyLimit, peer, answer, link, timers});
+      const {safeguards} = options;
+      return callGate({
+        call,
+        bodyLimit,
+        peer,
+        answer,
+        link,
+        timers,
+        safeguards,
+      });
     },
     close: async () => {
       await Promise.all([...links.values()].map(link => link.close()));
@@ -73,10 +84,11 @@
   readonly answer: Answer;
   readonly link: Connections;
   readonly timers: Timers;
+  readonly safeguards: Safeguards;
 }
 
 function callGate(options: GateCall): Cancel {
-  const {call, peer, answer, timers} = options;
+  const {call, peer, answer, timers, safeguards} = options;
   let limit: Subscription | undefined;
   let refused = false;
   let started = false;
@@ -111,7 +123,7 @@
       end();
       if (refused) return;
       if (started) answer.cut();
-      else answer.refuse(reasonOf(error, began));
+      else answer.refuse(reasonOf(error, began && safeguards.doubt));
     },
   };
 
--- a/src/request/gate-server.ts
+++ b/src/request/gate-server.ts
@@ -11,6 +11,8 @@
 import type {Listener} from './listener.js';
 import type {Call} from './messages.js';
 import {refusal, refusalOf} from './refusal.js';
+import {resolveSafeguards} from './safeguards.js';
+import type {Safeguards} from './safeguards.js';
 import {receiveUpload} from './upload.js';
 import type {Upload} from './upload.js';
 
@@ -25,6 +27,8 @@
   /** How long a stop serves what keep-alive callers still send. */
   readonly grace?: number;
   readonly timers: Timers;
+  /** Test only. */
+  readonly safeguards?: Partial<Safeguards>;
 }
 
 /** Internal headers make the head larger than the caller's; room for them. */
@@ -33,12 +37,13 @@
 /** Creates the listener of a gate. */
 export function createGateServer(options: GateServerOptions): Listener {
   const {gate, timers} = options;
+  const safeguards = resolveSafeguards(options.safeguards);
   const listener = createListener({
     address: options.address,
     headerLimit: options.headerLimit + internalHeaderRoom,
     grace: options.grace,
     timers,
-    handle: (request, response) => void handle(request, response),
+    handle,
   });
 
   async function handle(
@@ -49,13 +54,14 @@
     const answer = createHttpAnswer(response, {
       extra: () => [headerNames.load, gate.load.toFixed(3)],
       closing: () => listener.stopping,
+      visibleCuts: safeguards.visibleCuts,
       onAdmit: () => {
         if (upload?.kind !== 'stream') return;
         upload.release();
         response.writeProcessing();
       },
     });
-    if (!isForGate(request)) {
+    if (safeguards.instanceCheck && !isForGate(request)) {
       return answer.refuse(refusal(requestCodes.wrongInstance));
     }
     try {
@@ -63,6 +69,7 @@
         limit: bodyLimitOf(request),
         idle: options.bodyIdle,
         timers,
+        safeguards,
       });
     } catch (error) {
       return answer.refuse(refusalOf(error));
--- a/src/request/gate.ts
+++ b/src/request/gate.ts
@@ -22,6 +22,8 @@
 import type {Call, Cancel, Refusal} from './messages.js';
 import {refusal} from './refusal.js';
 import {createRun} from './run.js';
+import {resolveSafeguards} from './safeguards.js';
+import type {Safeguards} from './safeguards.js';
 
 /** Options of `createGate`. */
 export interface GateOptions {
@@ -42,6 +44,8 @@
   readonly claims: Claims | undefined;
   readonly timers: Timers;
   readonly log: Log;
+  /** Test only. */
+  readonly safeguards?: Partial<Safeguards>;
   /** Choices of the admission, with its own defaults. */
   readonly admission?: Pick<
     AdmissionOptions,
@@ -73,6 +77,7 @@
 export function createGate(options: GateOptions): Gate {
   const {timers, instance} = options;
   const machine = createGateMachine();
+  const safeguards = resolveSafeguards(options.safeguards);
   const connections = createConnections({
     address: options.upstream,
     limit: options.connections,
@@ -121,6 +126,7 @@
       connections,
       timers,
       closedReason,
+      safeguards,
       ended: () => untrack(work.cut),
     });
     track(work.cut);
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -46,14 +46,17 @@
  * those that `connection` names, nor internal ones. Dropping internal headers
  * keeps a caller or upstream from forging a priority or a refusal.
  */
-export function endToEnd(raw: readonly (string | Buffer)[]): string[] {
+export function endToEnd(
+  raw: readonly (string | Buffer)[],
+  dropsInternal = true,
+): string[] {
   const named = connectionNames(raw);
   const kept: string[] = [];
   for (let index = 0; index + 1 < raw.length; index += 2) {
     const name = text(raw[index]!);
     const lower = name.toLowerCase();
     if (hopByHop.has(lower) || named?.has(lower)) continue;
-    if (lower.startsWith(internalPrefix)) continue;
+    if (dropsInternal && lower.startsWith(internalPrefix)) continue;
     kept.push(name, text(raw[index + 1]!));
   }
   return kept;
--- a/src/request/http-answer.ts
+++ b/src/request/http-answer.ts
@@ -17,6 +17,8 @@
   readonly extra?: () => string[];
   /** Whether the connection closes after this answer. */
   readonly closing?: () => boolean;
+  /** Test only: false to end a cut answer as if it were whole. */
+  readonly visibleCuts?: boolean;
   /** The upstream takes the request; a held upload may go on. */
   readonly onAdmit?: () => void;
 }
@@ -72,6 +74,7 @@
 
     cut(): void {
       options.onCut?.();
+      if (options.visibleCuts === false) return this.end();
       // A reset, not an end: a receiver of an answer without a length would
       // take an orderly close for the end of a whole answer.
       response.socket?.resetAndDestroy();
--- a/src/request/listener.ts
+++ b/src/request/listener.ts
@@ -16,9 +16,9 @@
 import type {Address} from '../link/link.js';
 import type {Timers} from '../time/timers.js';
 import {requestCodes} from './codes.js';
-import {describe, refusalHeaders} from './http-answer.js';
+import {createHttpAnswer, describe, refusalHeaders} from './http-answer.js';
 import type {Refusal} from './messages.js';
-import {refusal} from './refusal.js';
+import {refusal, refusalOf} from './refusal.js';
 
 /** Options of `createListener`; times in milliseconds. */
 export interface ListenerOptions {
@@ -32,7 +32,10 @@
   /** How long a stop serves what keep-alive callers still send; 500 unless given. */
   readonly grace?: number;
   readonly timers: Timers;
-  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+  readonly handle: (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ) => Promise<void>;
 }
 
 /** A listener. */
@@ -75,7 +78,11 @@
       // An answer begun before the stop did not tell its caller to close.
       if (pastGrace) setImmediate(closeUnused);
     });
-    options.handle(request, response);
+    // A caller may be gone before its answer; that is no fault of the node.
+    response.on('error', () => response.destroy());
+    options
+      .handle(request, response)
+      .catch(error => answerFault(error, response));
   }
 
   function listen(): Promise<void> {
@@ -147,6 +154,13 @@
   return server;
 }
 
+/** Ends one request whose handling failed; the others go on. */
+function answerFault(error: unknown, response: ServerResponse): void {
+  const answer = createHttpAnswer(response);
+  if (response.headersSent) answer.cut();
+  else answer.refuse(refusalOf(error));
+}
+
 /** Answers what the parser refused; no request was made of it. */
 function answerBadInput(error: NodeJS.ErrnoException, socket: Socket): void {
   if (socket.destroyed || !socket.writable) {
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -15,6 +15,8 @@
   /** Whether its body can be sent again. */
   readonly replayable: boolean;
   readonly budget: RetryBudget;
+  /** Test only: false to send work again that may have begun. */
+  readonly once?: boolean;
 }
 
 /** Refusals after which another instance may well do the work. */
@@ -51,6 +53,6 @@
   if (refused.attempts >= policy.attempts) return false;
   const safe =
     code.effect === 'not-run' || policy.repeatability === 'idempotent';
-  if (!safe) return false;
+  if (!safe && refused.once !== false) return false;
   return leaving.has(code) || refused.budget.take();
 }
--- a/src/request/run.ts
+++ b/src/request/run.ts
@@ -8,6 +8,7 @@
 import {endToEnd, findHeader, headerNames} from './headers.js';
 import type {Call, Cancel, Refusal} from './messages.js';
 import {refusal} from './refusal.js';
+import type {Safeguards} from './safeguards.js';
 import {send} from './sending.js';
 import type {Receiver, Sending} from './sending.js';
 
@@ -20,6 +21,7 @@
   readonly timers: Timers;
   /** Why new work is refused now; undefined when it is taken. */
   readonly closedReason: () => Refusal | undefined;
+  readonly safeguards: Safeguards;
   /** Called once when nothing of it is left at the gate. */
   readonly ended: () => void;
 }
@@ -36,7 +38,7 @@
 
 /** Creates a piece of work; `offer` sets it going. */
 export function createRun(options: RunOptions): Run {
-  const {call, answer, admission, timers} = options;
+  const {call, answer, admission, timers, safeguards} = options;
   let sending: Sending | undefined;
   let startedAt: number | undefined;
   let begun = false;
@@ -63,9 +65,15 @@
     head: (status, reason, raw) => {
       if (answered) return;
       const {method} = call;
-      if (!isFramed(method, status, raw)) return abort(unframed());
+      if (safeguards.framing && !isFramed(method, status, raw)) {
+        return abort(refusal(requestCodes.answerUnframed));
+      }
       headSent = true;
-      answer.start({status, reason, headers: endToEnd(raw)});
+      answer.start({
+        status,
+        reason,
+        headers: endToEnd(raw, safeguards.internalHeaders),
+      });
     },
     data: chunk => {
       if (answered) return true;
@@ -81,13 +89,13 @@
       finish(timers.now() - startedAt!);
     },
     failed: (error, began) => {
-      breakOff(reasonOf(error, began));
+      breakOff(reasonOf(error, began && safeguards.doubt));
       finish(undefined);
     },
   };
 
   function start(): void {
-    const closed = options.closedReason();
+    const closed = safeguards.drainAtStart ? options.closedReason() : undefined;
     if (closed !== undefined) {
       answerRefusal(closed);
       return finish(undefined);
@@ -154,6 +162,7 @@
       admission.offer(ticket);
     },
     cancel: () => {
+      if (!safeguards.cancellation) return;
       answered = true;
       abort(refusal(requestCodes.callerLeft));
     },
@@ -177,10 +186,6 @@
   return refusal(requestCodes.upstreamLost, error.message);
 }
 
-function unframed(): Refusal {
-  return refusal(requestCodes.answerUnframed);
-}
-
 /**
  * Whether the end of an answer can be told from a cut. An answer that ends
  * with its connection looks whole when its upstream is killed half-way.
--- /dev/null
+++ b/src/request/safeguards.ts
@@ -0,0 +1,47 @@
+/**
+ * Safeguards of the request path that tests can take out, to show the failure
+ * that each one prevents. Test only: a process runs with all of them.
+ */
+export interface Safeguards {
+  /** Work that may have reached its upstream is `unknown`, not `not-run`. */
+  readonly doubt: boolean;
+  /** Work that may have begun is sent again only when it is idempotent. */
+  readonly once: boolean;
+  /** Internal headers from outside the mesh are dropped. */
+  readonly internalHeaders: boolean;
+  /** An answer whose end cannot be told from a cut is an error. */
+  readonly framing: boolean;
+  /** A cut answer is reset, not ended. */
+  readonly visibleCuts: boolean;
+  /** A gate takes only calls that name its own instance. */
+  readonly instanceCheck: boolean;
+  /** An upload whose sender left is not passed on as whole. */
+  readonly wholeUploads: boolean;
+  /** A large upload waits for its admission, so that it can be sent elsewhere. */
+  readonly heldUploads: boolean;
+  /** Work whose caller has left is broken off. */
+  readonly cancellation: boolean;
+  /** The gate looks again for a drain when work leaves the queue. */
+  readonly drainAtStart: boolean;
+}
+
+/** What a process runs with. */
+export const allSafeguards: Safeguards = {
+  doubt: true,
+  once: true,
+  internalHeaders: true,
+  framing: true,
+  visibleCuts: true,
+  instanceCheck: true,
+  wholeUploads: true,
+  heldUploads: true,
+  cancellation: true,
+  drainAtStart: true,
+};
+
+/** All safeguards but for those that a test has taken out. */
+export function resolveSafeguards(
+  changes: Partial<Safeguards> | undefined,
+): Safeguards {
+  return changes === undefined ? allSafeguards : {...allSafeguards, ...changes};
+}
--- a/src/request/sending.ts
+++ b/src/request/sending.ts
@@ -82,6 +82,8 @@
       path: outgoing.path,
       headers: outgoing.headers,
       body: bodyOf(outgoing.body) as Dispatcher.DispatchOptions['body'],
+      // The client would close its connection after each HEAD.
+      reset: outgoing.method === 'HEAD' ? false : undefined,
     },
     handler,
   );
--- a/src/request/upload.ts
+++ b/src/request/upload.ts
@@ -8,10 +8,15 @@
 import {Failure} from '../result/failure.js';
 import type {Subscription, Timers} from '../time/timers.js';
 import {requestCodes} from './codes.js';
+import {allSafeguards} from './safeguards.js';
+import type {Safeguards} from './safeguards.js';
 
 /** Bodies up to this many bytes are gathered before they are sent on. */
 export const gatherLimit = 64 * 1024;
 
+/** Longest delay that a timer of the platform takes, in milliseconds. */
+const longestTimer = 2 ** 31 - 1;
+
 /** A body that streams from its sender. */
 export interface StreamUpload {
   readonly kind: 'stream';
@@ -38,6 +43,10 @@
   /** Longest pause between two parts, in milliseconds. */
   readonly idle: number;
   readonly timers: Timers;
+  /** When its time is up, by the timer service. */
+  readonly deadline?: number;
+  /** Test only. */
+  readonly safeguards?: Pick<Safeguards, 'wholeUploads' | 'heldUploads'>;
 }
 
 /**
@@ -80,6 +89,10 @@
     const watch = createWatch(options, () =>
       finish(fail(requestCodes.bodySlow, `no bytes for ${options.idle} ms`)),
     );
+    const left = (options.deadline ?? Infinity) - options.timers.now();
+    const limit = options.timers.after(Math.min(left, longestTimer), () =>
+      finish(fail(requestCodes.bodySlow, 'its time ran out')),
+    );
     const onData = (part: Buffer) => {
       parts.push(part);
       received += part.length;
@@ -93,6 +106,7 @@
       finish(fail(requestCodes.badRequest, 'the body was cut'));
     function finish(error: Failure | undefined): void {
       watch.stop();
+      limit.cancel();
       message.off('data', onData).off('end', onEnd).off('close', onCut);
       if (error !== undefined) reject(error);
       else resolve(parts.length === 1 ? parts[0]! : Buffer.concat(parts));
@@ -107,6 +121,7 @@
   length: number | undefined,
   options: UploadOptions,
 ): StreamUpload {
+  const {wholeUploads, heldUploads} = options.safeguards ?? allSafeguards;
   const source = message.iterator({destroyOnReturn: false});
   let first: Buffer | undefined;
   let received = 0;
@@ -119,7 +134,8 @@
     if (result.done === true) {
       // A sender that leaves may end the stream without an error event; the
       // next hop would take a cut upload for a whole one.
-      if (!message.complete) throw fail(requestCodes.badRequest, 'cut body');
+      if (wholeUploads && !message.complete)
+        throw fail(requestCodes.badRequest, 'cut body');
       return undefined;
     }
     const part = result.value as Buffer;
@@ -134,7 +150,7 @@
     first ??= await next();
     if (first === undefined) return;
     yield first;
-    await released;
+    if (heldUploads) await released;
     pastFirst = true;
     for (let part = await next(); part; part = await next()) yield part;
   }
