Requests: lost gates, chains, cut answers, uploads, bad input, stops and keyed work, each tested

Found by the tests and mended: a retry from inside the client's error handling broke an assertion of the client and ended the process; an upload attempt that had been refused took parts from the attempt that was admitted; a second stop failed on clients already closed.

--- /dev/null
+++ b/src/request/attempts.test.ts
@@ -0,0 +1,173 @@
+import {createServer} from 'node:http';
+import test from 'ava';
+import {request} from 'undici';
+import {createMesh, listen} from './fakes/mesh.js';
+import type {Mesh} from './fakes/mesh.js';
+
+const depth = 11;
+
+for (const internalHeaders of [false, true]) {
+  test(`a chain ${depth} deep whose bottom refuses, internal headers dropped: ${internalHeaders}`, async t => {
+    // Each upstream calls the next through its own entry and passes on what it
+    // got, headers and all. If an entry took a refusal from further down for
+    // its own gate's, every level would try again and the bottom would see
+    // two to the power of eleven attempts. Three deep are enough to show it.
+    const levels = internalHeaders ? depth : 3;
+    let attempts = 0;
+    const meshes: Mesh[] = [];
+    const bottom = createServer((_req, res) => {
+      attempts++;
+      res.statusCode = 503;
+      res.setHeader('foxbarrow-code', '5004');
+      res.setHeader('foxbarrow-effect', 'not-run');
+      res.end('full');
+    });
+    let next = `http://${await listen(bottom)}`;
+    for (let level = 0; level < levels; level++) {
+      const below = next;
+      const mesh = await createMesh({
+        upstreams: [1, 2].map(() => async (req, res) => {
+          const answer = await request(`${below}${req.url}`);
+          const headers = {...answer.headers} as Record<string, string>;
+          delete headers['transfer-encoding'];
+          res.writeHead(answer.statusCode, headers);
+          res.end(await answer.body.text());
+        }),
+        entry: {safeguards: {internalHeaders}},
+        gate: {safeguards: {internalHeaders}},
+      });
+      meshes.push(mesh);
+      next = mesh.url;
+    }
+    const answer = await request(`${next}/stock/7`);
+    t.is(answer.statusCode, 503);
+    await answer.body.dump();
+    if (internalHeaders) t.is(attempts, 1);
+    else t.true(attempts > 8, String(attempts));
+    for (const mesh of meshes) await mesh.close();
+    bottom.closeAllConnections();
+    bottom.close();
+  });
+}
+
+test('a chain 11 deep whose bottom gate is full makes three attempts, not three to the eleventh', async t => {
+  // The lowest entry alone stands next to the refusal, and it alone tries
+  // again; its caller gets a final refusal, which its own entry passes up.
+  let tried = 0;
+  const meshes: Mesh[] = [];
+  const lowest = await createMesh({
+    upstreams: [1, 2, 3, 4].map(() => () => {}),
+    configuration: () => {
+      return undefined;
+    },
+  });
+  meshes.push(lowest);
+  let next = lowest.url;
+  for (let level = 1; level < depth; level++) {
+    const below = next;
+    const mesh = await createMesh({
+      upstreams: [1, 2].map(() => async (_req, res) => {
+        if (below === lowest.url) tried++;
+        const answer = await request(`${below}/stock/7`);
+        res.writeHead(answer.statusCode);
+        res.end(await answer.body.text());
+      }),
+    });
+    meshes.push(mesh);
+    next = mesh.url;
+  }
+  const answer = await request(`${next}/stock/7`);
+  t.is(answer.statusCode, 503);
+  await answer.body.dump();
+  t.is(tried, 1);
+  for (const mesh of meshes) await mesh.close();
+});
+
+for (const once of [false, true]) {
+  test(`a booking whose upstream breaks off, sent again only if idempotent: ${once}`, async t => {
+    // The upstream books and its connection breaks before the answer. Sent
+    // again to the next instance, the booking lands twice.
+    let booked = 0;
+    const breaksOff = (_req: unknown, res: {destroy(): void}) => {
+      booked++;
+      res.destroy();
+    };
+    const mesh = await createMesh({
+      upstreams: [breaksOff, breaksOff, breaksOff],
+      entry: {safeguards: {once}},
+    });
+    const answer = await request(`${mesh.url}/bookings`, {
+      method: 'POST',
+      body: 'book',
+    });
+    t.is(answer.headers['foxbarrow-effect'], 'unknown');
+    await answer.body.dump();
+    t.is(booked, once ? 1 : 3);
+    await mesh.close();
+  });
+}
+
+test('a lookup whose upstream breaks off is answered by another', async t => {
+  const mesh = await createMesh({
+    upstreams: [
+      (_req, res) => void res.destroy(),
+      (_req, res) => res.end('found'),
+    ],
+  });
+  for (let count = 0; count < 6; count++) {
+    const answer = await request(`${mesh.url}/stock/7`);
+    t.is(await answer.body.text(), 'found');
+  }
+  await mesh.close();
+});
+
+for (const heldUploads of [false, true]) {
+  test(`a large upload refused by one gate goes to the next, upload held: ${heldUploads}`, async t => {
+    // The first gate drains, the entry does not know yet. Unless the upload
+    // waits for its admission, its parts are gone when the refusal comes, and
+    // the fitter must send the scan again though another instance was free.
+    let stored = 0;
+    const mesh = await createMesh({
+      upstreams: [1, 2].map(() => async (req, res) => {
+        for await (const part of req) stored += part.length;
+        res.end();
+      }),
+      entry: {
+        safeguards: {heldUploads},
+        balancer: {choose: candidates => candidates[0]!},
+      },
+    });
+    mesh.members[0]!.gate.drain();
+    const body = Buffer.alloc(4 * 1024 * 1024);
+    const answer = await request(`${mesh.url}/stock/7`, {method: 'PUT', body});
+    await answer.body.dump();
+    if (heldUploads) {
+      t.is(answer.statusCode, 200);
+      t.is(stored, body.length);
+    } else {
+      t.is(answer.headers['foxbarrow-code'], '5005');
+      t.is(stored, 0);
+    }
+    await mesh.close();
+  });
+}
+
+test('an operator’s drain and an announced one keep new work away at the entry', async t => {
+  const counts = [0, 0];
+  const mesh = await createMesh({
+    upstreams: [0, 1].map(index => (_req, res) => {
+      counts[index]!++;
+      res.end();
+    }),
+  });
+  mesh.endpoints.put({
+    ...mesh.endpoints.instances('stock-desk')[0]!,
+    state: 'draining',
+  });
+  for (let count = 0; count < 10; count++) {
+    const answer = await request(`${mesh.url}/stock/7`);
+    await answer.body.dump();
+  }
+  t.deepEqual(counts, [0, 10]);
+  await mesh.close();
+});
--- a/src/request/connections.ts
+++ b/src/request/connections.ts
@@ -37,11 +37,13 @@
 export function createConnections(options: ConnectionsOptions): Connections {
   const idle: Client[] = [];
   const all = new Set<Client>();
+  let closed: Promise<unknown> | undefined;
 
   function take(): Client | undefined {
     // The connection used last is the warmest; the others age out.
     const client = idle.pop();
-    if (client !== undefined || all.size >= options.limit) return client;
+    if (client !== undefined) return client;
+    if (closed !== undefined || all.size >= options.limit) return undefined;
     const made = createClient(options);
     all.add(made);
     return made;
@@ -64,7 +66,8 @@
       return true;
     },
     close: async () => {
-      await Promise.all([...all].map(client => client.close()));
+      closed ??= Promise.all([...all].map(client => client.close()));
+      await closed;
     },
   };
 }
@@ -83,7 +86,12 @@
   });
 }
 
-/** Passes everything to `handler` and tells once when the request has ended. */
+/**
+ * Passes everything to `handler` and tells once when the request has ended.
+ * The end is passed on after the client's own work on it: a retry that came
+ * back to the same client from inside its error handling would break an
+ * assertion of the client's and end the process.
+ */
 function watch(
   handler: Dispatcher.DispatchHandler,
   ended: () => void,
@@ -95,13 +103,15 @@
       handler.onResponseStart?.(controller, status, headers, reason),
     onResponseData: (controller, chunk) =>
       handler.onResponseData?.(controller, chunk),
-    onResponseEnd: (controller, trailers) => {
-      ended();
-      handler.onResponseEnd?.(controller, trailers);
-    },
-    onResponseError: (controller, error) => {
-      ended();
-      handler.onResponseError?.(controller, error);
-    },
+    onResponseEnd: (controller, trailers) =>
+      queueMicrotask(() => {
+        ended();
+        handler.onResponseEnd?.(controller, trailers);
+      }),
+    onResponseError: (controller, error) =>
+      queueMicrotask(() => {
+        ended();
+        handler.onResponseError?.(controller, error);
+      }),
   };
 }
--- /dev/null
+++ b/src/request/fakes/fake-claims.ts
@@ -0,0 +1,38 @@
+import {Claims} from '../../claims/claims.js';
+import type {
+  Acquisition,
+  Claim,
+  ClaimRequest,
+  StoredAnswer,
+} from '../../claims/claims.js';
+import {requestCodes} from '../codes.js';
+
+type Held = 'running' | 'abandoned' | StoredAnswer;
+
+/** Claims kept in memory; `remembers: false` shows what happens without them. */
+export function createFakeClaims(remembers = true): Claims {
+  const held = new Map<string, Held>();
+
+  function claimOf(key: string): Claim {
+    return {
+      release: () => void held.delete(key),
+      complete: answer => void held.set(key, answer),
+      abandon: () => void held.set(key, 'abandoned'),
+    };
+  }
+
+  return new (class extends Claims {
+    async acquire({key}: ClaimRequest): Promise<Acquisition> {
+      const before = remembers ? held.get(key) : undefined;
+      if (before === undefined) {
+        held.set(key, 'running');
+        return {kind: 'granted', claim: claimOf(key)};
+      }
+      if (before === 'running' || before === 'abandoned') {
+        const code = requestCodes.upstreamLost;
+        return {kind: 'refused', code, message: before, retryAfter: 1};
+      }
+      return {kind: 'answered', answer: before};
+    }
+  })();
+}
--- a/src/request/fakes/mesh.ts
+++ b/src/request/fakes/mesh.ts
@@ -13,6 +13,7 @@
 import type {Gate, GateOptions} from '../gate.js';
 import {createGateServer} from '../gate-server.js';
 import type {Listener} from '../listener.js';
+import type {Safeguards} from '../safeguards.js';
 import {stockConfiguration} from './configurations.js';
 import {announcementOf, createFakeEndpoints} from './fake-endpoints.js';
 import type {FakeEndpoints} from './fake-endpoints.js';
@@ -33,6 +34,7 @@
   readonly claims?: Claims;
   readonly gate?: Partial<GateOptions>;
   readonly entry?: Partial<EntryOptions>;
+  readonly gateSafeguards?: Partial<Safeguards>;
   /** Places the entry on the node of the first upstream. */
   readonly sameNode?: boolean;
 }
@@ -130,6 +132,7 @@
     bodyIdle: 10_000,
     grace,
     timers,
+    safeguards: options.gateSafeguards,
   });
   await server.listen();
   return {instance, upstream, gate, server};
--- /dev/null
+++ b/src/request/gate-link.test.ts
@@ -0,0 +1,103 @@
+import test from 'ava';
+import {request} from 'undici';
+import {createMesh} from './fakes/mesh.js';
+import type {Mesh} from './fakes/mesh.js';
+import {announcementOf} from './fakes/fake-endpoints.js';
+import {createRawServer, unusedAddress} from './fakes/raw-server.js';
+
+/** Puts a gate at `address` in place of the mesh's own instance. */
+function replaceGate(mesh: Mesh, gate: string): void {
+  mesh.endpoints.put(announcementOf({gate, incarnation: 2}));
+}
+
+function book(mesh: Mesh) {
+  return request(`${mesh.url}/bookings`, {method: 'POST', body: 'book'});
+}
+
+for (const doubt of [false, true]) {
+  test(`a gate lost after the head was sent, doubt kept: ${doubt}`, async t => {
+    // The gate's process dies with a booking in hand, which may have reached
+    // the upstream. Called `not-run`, the entry sends it to the other gate and
+    // it is booked twice.
+    let booked = 0;
+    const lost = await createRawServer(socket => {
+      booked++;
+      socket.destroy();
+    });
+    const mesh = await createMesh({
+      upstreams: [() => {}, (_req, res) => (booked++, res.end('booked'))],
+      entry: {
+        safeguards: {doubt},
+        balancer: {choose: candidates => candidates[0]!},
+      },
+    });
+    replaceGate(mesh, lost.address);
+    const answer = await book(mesh);
+    t.is(booked, doubt ? 1 : 2);
+    t.is(answer.headers['foxbarrow-effect'], doubt ? 'unknown' : undefined);
+    t.is(answer.headers['foxbarrow-code'], doubt ? '5011' : undefined);
+    await answer.body.dump();
+    await mesh.close();
+    await lost.close();
+  });
+}
+
+test('a gate that takes no connection leaves a booking not run and free to go elsewhere', async t => {
+  const mesh = await createMesh({
+    upstreams: [() => {}, (_req, res) => res.end('booked')],
+    entry: {balancer: {choose: candidates => candidates[0]!}},
+  });
+  replaceGate(mesh, await unusedAddress());
+  const answer = await book(mesh);
+  t.is(await answer.body.text(), 'booked');
+  await mesh.close();
+});
+
+test('the only gate unreachable: refused as not run, with a time to come back', async t => {
+  const mesh = await createMesh({upstreams: [() => {}]});
+  replaceGate(mesh, await unusedAddress());
+  const answer = await book(mesh);
+  t.is(answer.statusCode, 502);
+  t.is(answer.headers['foxbarrow-effect'], 'not-run');
+  t.is(answer.headers['retry-after'], '1');
+  await answer.body.dump();
+  await mesh.close();
+});
+
+for (const instanceCheck of [false, true]) {
+  test(`an address that now belongs to another upstream, instance checked: ${instanceCheck}`, async t => {
+    // The announcement names an instance that moved; its old address was given
+    // to another upstream's gate, which would run the booking as its own.
+    const mesh = await createMesh({
+      upstreams: [(_req, res) => res.end('booked')],
+      gate: {instance: 'parts-files-1', service: 'parts-files'},
+      gateSafeguards: {instanceCheck},
+    });
+    const answer = await book(mesh);
+    t.is(answer.headers['foxbarrow-code'], instanceCheck ? '5014' : undefined);
+    await answer.body.dump();
+    await mesh.close();
+  });
+}
+
+test('answers of one gate that come late and crossed go to their own callers', async t => {
+  // Twenty lookups share the gate's connections; the upstream answers them in
+  // the opposite order. Each caller must read its own part.
+  const waiting: Array<() => void> = [];
+  const mesh = await createMesh({
+    upstreams: [
+      (req, res) => {
+        waiting.push(() => res.end(`part ${req.url}`));
+        if (waiting.length === 20) waiting.reverse().forEach(run => run());
+      },
+    ],
+  });
+  const answers = await Promise.all(
+    Array.from({length: 20}, async (_none, part) => {
+      const answer = await request(`${mesh.url}/stock/${part}`);
+      return answer.body.text();
+    }),
+  );
+  answers.forEach((text, part) => t.is(text, `part /stock/${part}`));
+  await mesh.close();
+});
--- a/src/request/gate.ts
+++ b/src/request/gate.ts
@@ -69,7 +69,10 @@
   undrain(): void;
   /** Looks at the configuration again; called after each switch of it. */
   review(): void;
-  /** Drains, then resolves when the last work has ended or been cut. */
+  /**
+   * Drains, then resolves when the last work has ended, or been cut after
+   * `deadline`; called again, the earlier deadline counts.
+   */
   stop(deadline: number): Promise<void>;
 }
 
@@ -91,6 +94,7 @@
   });
   const cuts = new Set<Cancel>();
   let emptied = () => {};
+  let empty: Promise<void> | undefined;
   const keyed = createKeyedRuns({claims: options.claims, run, track, untrack});
 
   /** Why new work is refused now; undefined when it is taken. */
@@ -171,17 +175,14 @@
     },
   };
 
-  function waitForEnd(deadline: number): Promise<void> {
-    if (cuts.size === 0) return Promise.resolve();
-    return new Promise(resolve => {
-      const limit = timers.after(deadline, () => {
-        options.log.warn('work cut at the stop deadline', {count: cuts.size});
-        for (const cut of [...cuts]) cut();
-      });
-      emptied = () => {
-        limit.cancel();
-        resolve();
-      };
+  async function waitForEnd(deadline: number): Promise<void> {
+    if (cuts.size === 0) return;
+    empty ??= new Promise(resolve => (emptied = resolve));
+    const limit = timers.after(deadline, () => {
+      options.log.warn('work cut at the stop deadline', {count: cuts.size});
+      for (const cut of [...cuts]) cut();
     });
+    await empty;
+    limit.cancel();
   }
 }
--- /dev/null
+++ b/src/request/listener.test.ts
@@ -0,0 +1,244 @@
+import test from 'ava';
+import {request} from 'undici';
+import {createTimers} from '../time/timers.js';
+import {createMesh} from './fakes/mesh.js';
+import type {Mesh} from './fakes/mesh.js';
+import {openRaw, readAll, sendRaw} from './fakes/raw-client.js';
+import {createListener} from './listener.js';
+
+const host = 'host: stock\r\n';
+const close = 'connection: close\r\n';
+
+const badInputs: Record<string, {text: string; code: number}> = {
+  'two lengths': {
+    text: `POST /stock HTTP/1.1\r\n${host}content-length: 1\r\ncontent-length: 2\r\n\r\nab`,
+    code: 5015,
+  },
+  'a length and chunks': {
+    text: `POST /stock HTTP/1.1\r\n${host}content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n`,
+    code: 5015,
+  },
+  'an encoding hidden by a space': {
+    text: `POST /stock HTTP/1.1\r\n${host}transfer-encoding : chunked\r\n\r\n0\r\n\r\n`,
+    code: 5015,
+  },
+  'an encoding behind another': {
+    text: `POST /stock HTTP/1.1\r\n${host}${close}transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n`,
+    code: 5015,
+  },
+  'a negative length': {
+    text: `POST /stock HTTP/1.1\r\n${host}content-length: -1\r\n\r\n`,
+    code: 5015,
+  },
+  'headers over the limit': {
+    text: `GET /stock HTTP/1.1\r\n${host}x: ${'y'.repeat(20_000)}\r\n\r\n`,
+    code: 5016,
+  },
+  'no HTTP at all': {text: '\x16\x03\x01\x02\r\n\r\n', code: 5015},
+  'dot segments': {
+    text: `GET /stock/%2e%2e/bookings HTTP/1.1\r\n${host}${close}\r\n`,
+    code: 5015,
+  },
+  'another origin’s path': {
+    text: `GET http://elsewhere/stock HTTP/1.1\r\n${host}${close}\r\n`,
+    code: 5015,
+  },
+  'two idempotency keys': {
+    text: `POST /bookings HTTP/1.1\r\n${host}${close}idempotency-key: a\r\nidempotency-key: b\r\n\r\n`,
+    code: 5015,
+  },
+  'a time left that is no number': {
+    text: `GET /stock HTTP/1.1\r\n${host}${close}foxbarrow-timeout: 1e9\r\n\r\n`,
+    code: 5015,
+  },
+  'a body over the route’s limit': {
+    text: `PUT /stock HTTP/1.1\r\n${host}${close}content-length: 999999999\r\n\r\n`,
+    code: 5017,
+  },
+};
+
+for (const [name, {text, code}] of Object.entries(badInputs)) {
+  test(`bad input, ${name}: refused as not run, and the entry goes on`, async t => {
+    let reached = 0;
+    const mesh = await createMesh({
+      upstreams: [(_req, res) => (reached++, res.end('here'))],
+    });
+    const answer = await sendRaw(mesh.entry.address, text);
+    t.regex(answer.text, new RegExp(`foxbarrow-code: ${code}`), answer.text);
+    t.regex(answer.text, /foxbarrow-effect: not-run/);
+    t.is(reached, 0);
+    const next = await request(`${mesh.url}/stock/7`);
+    t.is(await next.body.text(), 'here');
+    await mesh.close();
+  });
+}
+
+test('a body that stops arriving is refused, and nothing was sent on', async t => {
+  let reached = 0;
+  const mesh = await createMesh({
+    upstreams: [() => reached++],
+    entry: {bodyIdle: 30},
+  });
+  const answer = await sendRaw(
+    mesh.entry.address,
+    `POST /bookings HTTP/1.1\r\n${host}${close}content-length: 9\r\n\r\nbo`,
+  );
+  t.regex(answer.text, /foxbarrow-code: 5019/);
+  t.regex(answer.text, /foxbarrow-effect: not-run/);
+  t.is(reached, 0);
+  await mesh.close();
+});
+
+test('a head that stops arriving is refused', async t => {
+  const listener = createListener({
+    address: '127.0.0.1:0',
+    headerLimit: 1024,
+    headTimeout: 50,
+    timers: createTimers(),
+    handle: async () => {},
+  });
+  await listener.listen();
+  const answer = await sendRaw(listener.address, 'GET /stock HTT');
+  t.regex(answer.text, /foxbarrow-code: 5024/);
+  await listener.stop(0);
+});
+
+test('a caller that closes its half of the connection has left', async t => {
+  let aborted = false;
+  const mesh = await createMesh({
+    upstreams: [req => req.on('close', () => (aborted = true))],
+  });
+  const {gate} = mesh.members[0]!;
+  const socket = openRaw(
+    mesh.entry.address,
+    `GET /stock HTTP/1.1\r\n${host}\r\n`,
+  );
+  while (gate.running === 0) await tick();
+  socket.end();
+  while (gate.running > 0 || !aborted) await tick();
+  t.true(aborted);
+  await mesh.close();
+});
+
+test('a fault in handling one request ends that one alone', async t => {
+  const listener = createListener({
+    address: '127.0.0.1:0',
+    headerLimit: 1024,
+    grace: 1,
+    timers: createTimers(),
+    handle: async (req, res) => {
+      if (req.url === '/fault') throw new Error('fault');
+      res.end('here');
+    },
+  });
+  await listener.listen();
+  const fault = await request(`http://${listener.address}/fault`);
+  t.is(fault.headers['foxbarrow-code'], '5023');
+  t.is(fault.headers['foxbarrow-effect'], 'unknown');
+  await fault.body.dump();
+  const next = await request(`http://${listener.address}/stock`);
+  t.is(await next.body.text(), 'here');
+  await listener.stop(0);
+});
+
+async function startSlow(): Promise<{
+  mesh: Mesh;
+  finish: () => void;
+}> {
+  let finish = () => {};
+  const mesh = await createMesh({
+    upstreams: [
+      async (req, res) => {
+        let size = 0;
+        for await (const part of req) size += part.length;
+        if (req.method === 'GET') res.end('quick');
+        else finish = () => res.end(`got ${size}`);
+      },
+    ],
+    entry: {grace: 100},
+  });
+  return {mesh, finish: () => finish()};
+}
+
+test('a stop finishes what runs and tells keep-alive callers to close', async t => {
+  // An answer is under way and another connection stands open unused. The stop
+  // takes no new connection, lets the open one ask once more and tells it to
+  // close, and cuts neither.
+  const {mesh, finish} = await startSlow();
+  const {address} = mesh.entry;
+  const {gate} = mesh.members[0]!;
+  const running = openRaw(
+    address,
+    `PUT /stock HTTP/1.1\r\n${host}content-length: 2\r\n\r\nab`,
+  );
+  const unused = openRaw(address, `GET /stock HTTP/1.1\r\n${host}\r\n`);
+  await new Promise(resolve => unused.once('data', resolve));
+  while (gate.running === 0) await tick();
+  const stopped = mesh.entry.stop(60_000);
+  unused.write(`GET /stock HTTP/1.1\r\n${host}\r\n`);
+  const last = await readAll(unused);
+  t.regex(last.text, /connection: close/);
+  t.regex(last.text, /quick/);
+  await t.throwsAsync(request(`${mesh.url}/stock`));
+  finish();
+  t.regex((await readAll(running)).text, /got 2/);
+  await stopped;
+  t.pass();
+  await mesh.close();
+});
+
+test('a long upload that runs at the stop is stored whole', async t => {
+  const {mesh, finish} = await startSlow();
+  const {gate} = mesh.members[0]!;
+  const size = 200_000;
+  const socket = openRaw(
+    mesh.entry.address,
+    `PUT /stock HTTP/1.1\r\n${host}content-length: ${size}\r\n\r\n`,
+  );
+  socket.write('x'.repeat(size / 2));
+  while (gate.running === 0) await tick();
+  const stopped = mesh.entry.stop(60_000);
+  const gone = gate.stop(60_000);
+  for (let turn = 0; turn < 20; turn++) await tick();
+  const answer = readAll(socket);
+  socket.write('x'.repeat(size / 2));
+  const timer = setInterval(finish, 5);
+  t.regex((await answer).text, new RegExp(`got ${size}`));
+  clearInterval(timer);
+  await stopped;
+  await gone;
+  await mesh.close();
+});
+
+test('at the stop deadline what still runs is cut, visibly', async t => {
+  const {mesh} = await startSlow();
+  const {gate} = mesh.members[0]!;
+  const socket = openRaw(
+    mesh.entry.address,
+    `PUT /stock HTTP/1.1\r\n${host}content-length: 2\r\n\r\nab`,
+  );
+  while (gate.running === 0) await tick();
+  const answer = readAll(socket);
+  await mesh.entry.stop(10);
+  t.is((await answer).text, '');
+  await mesh.close();
+});
+
+test('a second stop with an earlier deadline counts', async t => {
+  const {mesh} = await startSlow();
+  const {gate} = mesh.members[0]!;
+  const socket = openRaw(
+    mesh.entry.address,
+    `PUT /stock HTTP/1.1\r\n${host}content-length: 2\r\n\r\nab`,
+  );
+  while (gate.running === 0) await tick();
+  const answer = readAll(socket);
+  const first = [mesh.entry.stop(60_000), gate.stop(60_000)];
+  await Promise.all([mesh.entry.stop(1), gate.stop(1), ...first]);
+  t.is((await answer).text, '');
+  await mesh.close();
+});
+
+function tick(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, 1));
+}
--- a/src/request/listener.ts
+++ b/src/request/listener.ts
@@ -46,7 +46,10 @@
   readonly stopping: boolean;
   readonly connections: number;
   listen(): Promise<void>;
-  /** Resolves when each connection has closed, at the latest after `deadline`. */
+  /**
+   * Resolves when each connection has closed, at the latest after `deadline`;
+   * called again, the earlier deadline counts.
+   */
   stop(deadline: number): Promise<void>;
 }
 
@@ -64,6 +67,7 @@
   const {host, port} = parseAddress(options.address);
   let stopping = false;
   let pastGrace = false;
+  let closed: Promise<void> | undefined;
 
   server.on('request', polka({onNoMatch: serve}).handler as RequestListener);
   server.on('checkContinue', serve);
@@ -104,15 +108,12 @@
     }
   }
 
-  function stop(deadline: number): Promise<void> {
-    stopping = true;
+  function closeListening(): Promise<void> {
     return new Promise(resolve => {
-      const limit = timers.after(deadline, () => server.closeAllConnections());
       // Only the listening socket closes first. The server's own `close` would
       // close unused connections too, and cut a request that is on its way on
       // one; during the grace such requests are served and told to close.
       SocketServer.prototype.close.call(server, () => {
-        limit.cancel();
         grace.cancel();
         resolve();
       });
@@ -123,6 +124,14 @@
     });
   }
 
+  async function stop(deadline: number): Promise<void> {
+    stopping = true;
+    closed ??= closeListening();
+    const limit = timers.after(deadline, () => server.closeAllConnections());
+    await closed;
+    limit.cancel();
+  }
+
   return {
     get address() {
       const bound = server.address() as AddressInfo | null;
--- a/src/request/upload.ts
+++ b/src/request/upload.ts
@@ -126,6 +126,7 @@
   let first: Buffer | undefined;
   let received = 0;
   let pastFirst = false;
+  let attempts = 0;
   let release = () => {};
   const released = new Promise<void>(resolve => (release = resolve));
 
@@ -147,10 +148,14 @@
   }
 
   async function* parts(): AsyncGenerator<Buffer> {
+    const attempt = ++attempts;
     first ??= await next();
     if (first === undefined) return;
     yield first;
     if (heldUploads) await released;
+    // An attempt that was refused still waits here; going on, it would take
+    // parts away from the attempt that was admitted.
+    if (attempt !== attempts) throw fail(requestCodes.callerLeft, 'refused');
     pastFirst = true;
     for (let part = await next(); part; part = await next()) yield part;
   }
