--- a/src/request/gate.ts
+++ b/src/request/gate.ts
@@ -22,6 +22,8 @@
 import type {Call, Cancel, Refusal} from './messages.js';
 import {refusal} from './refusal.js';
 import {createRun} from './run.js';
+import {resolveSafeguards} from './safeguards.js';
+import type {Safeguards} from './safeguards.js';
 
 /** Options of `createGate`. */
 export interface GateOptions {
@@ -42,6 +44,8 @@
   readonly claims: Claims | undefined;
   readonly timers: Timers;
   readonly log: Log;
+  /** Test only. */
+  readonly safeguards?: Partial<Safeguards>;
   /** Choices of the admission, with its own defaults. */
   readonly admission?: Pick<
     AdmissionOptions,
@@ -65,7 +69,10 @@
   undrain(): void;
   /** Looks at the configuration again; called after each switch of it. */
   review(): void;
-  /** Drains, then resolves when the last work has ended or been cut. */
+  /**
+   * Drains, then resolves when the last work has ended, or been cut after
+   * `deadline`; called again, the earlier deadline counts.
+   */
   stop(deadline: number): Promise<void>;
 }
 
@@ -73,6 +80,7 @@
 export function createGate(options: GateOptions): Gate {
   const {timers, instance} = options;
   const machine = createGateMachine();
+  const safeguards = resolveSafeguards(options.safeguards);
   const connections = createConnections({
     address: options.upstream,
     limit: options.connections,
@@ -86,6 +94,7 @@
   });
   const cuts = new Set<Cancel>();
   let emptied = () => {};
+  let empty: Promise<void> | undefined;
   const keyed = createKeyedRuns({claims: options.claims, run, track, untrack});
 
   /** Why new work is refused now; undefined when it is taken. */
@@ -121,6 +130,7 @@
       connections,
       timers,
       closedReason,
+      safeguards,
       ended: () => untrack(work.cut),
     });
     track(work.cut);
@@ -165,17 +175,14 @@
     },
   };
 
-  function waitForEnd(deadline: number): Promise<void> {
-    if (cuts.size === 0) return Promise.resolve();
-    return new Promise(resolve => {
-      const limit = timers.after(deadline, () => {
-        options.log.warn('work cut at the stop deadline', {count: cuts.size});
-        for (const cut of [...cuts]) cut();
-      });
-      emptied = () => {
-        limit.cancel();
-        resolve();
-      };
+  async function waitForEnd(deadline: number): Promise<void> {
+    if (cuts.size === 0) return;
+    empty ??= new Promise(resolve => (emptied = resolve));
+    const limit = timers.after(deadline, () => {
+      options.log.warn('work cut at the stop deadline', {count: cuts.size});
+      for (const cut of [...cuts]) cut();
     });
+    await empty;
+    limit.cancel();
   }
 }
--- a/src/request/listener.ts
+++ b/src/request/listener.ts
@@ -16,9 +16,9 @@
 import type {Address} from '../link/link.js';
 import type {Timers} from '../time/timers.js';
 import {requestCodes} from './codes.js';
-import {describe, refusalHeaders} from './http-answer.js';
+import {createHttpAnswer, describe, refusalHeaders} from './http-answer.js';
 import type {Refusal} from './messages.js';
-import {refusal} from './refusal.js';
+import {refusal, refusalOf} from './refusal.js';
 
 /** Options of `createListener`; times in milliseconds. */
 export interface ListenerOptions {
@@ -32,7 +32,10 @@
   /** How long a stop serves what keep-alive callers still send; 500 unless given. */
   readonly grace?: number;
   readonly timers: Timers;
-  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+  readonly handle: (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ) => Promise<void>;
 }
 
 /** A listener. */
@@ -43,7 +46,10 @@
   readonly stopping: boolean;
   readonly connections: number;
   listen(): Promise<void>;
-  /** Resolves when each connection has closed, at the latest after `deadline`. */
+  /**
+   * Resolves when each connection has closed, at the latest after `deadline`;
+   * called again, the earlier deadline counts.
+   */
   stop(deadline: number): Promise<void>;
 }
 
@@ -61,6 +67,7 @@
   const {host, port} = parseAddress(options.address);
   let stopping = false;
   let pastGrace = false;
+  let closed: Promise<void> | undefined;
 
   server.on('request', polka({onNoMatch: serve}).handler as RequestListener);
   server.on('checkContinue', serve);
@@ -75,7 +82,11 @@
       // An answer begun before the stop did not tell its caller to close.
       if (pastGrace) setImmediate(closeUnused);
     });
-    options.handle(request, response);
+    // A caller may be gone before its answer; that is no fault of the node.
+    response.on('error', () => response.destroy());
+    options
+      .handle(request, response)
+      .catch(error => answerFault(error, response));
   }
 
   function listen(): Promise<void> {
@@ -97,15 +108,12 @@
     }
   }
 
-  function stop(deadline: number): Promise<void> {
-    stopping = true;
+  function closeListening(): Promise<void> {
     return new Promise(resolve => {
-      const limit = timers.after(deadline, () => server.closeAllConnections());
       // Only the listening socket closes first. The server's own `close` would
       // close unused connections too, and cut a request that is on its way on
       // one; during the grace such requests are served and told to close.
       SocketServer.prototype.close.call(server, () => {
-        limit.cancel();
         grace.cancel();
         resolve();
       });
@@ -116,6 +124,14 @@
     });
   }
 
+  async function stop(deadline: number): Promise<void> {
+    stopping = true;
+    closed ??= closeListening();
+    const limit = timers.after(deadline, () => server.closeAllConnections());
+    await closed;
+    limit.cancel();
+  }
+
   return {
     get address() {
       const bound = server.address() as AddressInfo | null;
@@ -147,6 +163,13 @@
   return server;
 }
 
+/** Ends one request whose handling failed; the others go on. */
+function answerFault(error: unknown, response: ServerResponse): void {
+  const answer = createHttpAnswer(response);
+  if (response.headersSent) answer.cut();
+  else answer.refuse(refusalOf(error));
+}
+
 /** Answers what the parser refused; no request was made of it. */
 function answerBadInput(error: NodeJS.ErrnoException, socket: Socket): void {
   if (socket.destroyed || !socket.writable) {
