--- /dev/null
+++ b/bench/deployment/deployment.ts
@@ -0,0 +1,144 @@
+/** A whole example deployment as processes on loopback. */
+import {mkdtemp, readdir, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join, resolve} from 'node:path';
+import process from 'node:process';
+import {parseAddress} from '../../src/link/address.js';
+import type {
+  ControlSettings,
+  NodeSettings,
+  Settings,
+} from '../../src/settings/schema.js';
+import {resolveSettings} from '../../src/settings/resolve.js';
+import {runProgram, startProgram} from './program.js';
+import type {Finished, Program} from './program.js';
+
+/** A node with the stand-in upstream beside it. */
+export interface Place {
+  readonly settings: NodeSettings;
+  readonly service: string;
+  readonly node: Program;
+  readonly upstream: Program;
+  readonly upstreamAddress: string;
+}
+
+/** A running deployment. */
+export interface Deployment {
+  readonly controls: readonly Program[];
+  readonly places: readonly Place[];
+  /** Runs one operator command. */
+  operate(...words: readonly string[]): Promise<Finished>;
+  /** Starts a program again under its settings. */
+  restart(name: string): Program;
+  /** Stops all in a planned way; gives the names that did not exit with 0. */
+  stop(): Promise<readonly string[]>;
+}
+
+/** How a deployment is started. */
+export interface DeploymentOptions {
+  /** Folder of settings files, such as `examples/qurm`. */
+  readonly folder: string;
+  /** Milliseconds that one piece of the upstreams' work takes. */
+  readonly work: number;
+}
+
+/** Ports from a node's caller address to its stand-in upstream's. */
+const upstreamPortOffset = 5;
+
+/** The program under test: the one binary when it is named, else modules. */
+export function foxbarrow(): readonly string[] {
+  const binary = process.env['FOXBARROW_BINARY'];
+  if (binary !== undefined && binary !== '') return [resolve(binary)];
+  return [process.execPath, resolve('build/src/cli/bin.js')];
+}
+
+/** Starts control processes, nodes and stand-ins of all settings in a folder. */
+export async function startDeployment(
+  options: DeploymentOptions,
+): Promise<Deployment> {
+  const data = await mkdtemp(join(tmpdir(), 'foxbarrow-'));
+  const settings = await readAll(options.folder);
+  const started = new Map<string, Program>();
+
+  function start(one: Settings): Program {
+    const file = resolve(options.folder, `${one.name}.json`);
+    const command = [...foxbarrow(), one.role, file];
+    const program = startProgram({name: one.name, command, folder: data});
+    started.set(one.name, program);
+    return program;
+  }
+
+  function startPlace(one: NodeSettings): Place {
+    const service = one.name.replace(/-\d+$/, '');
+    const {host, port} = parseAddress(one.callerAddress);
+    const upstreamAddress = `${host}:${port + upstreamPortOffset}`;
+    const node = start(one);
+    const command = [
+      process.execPath,
+      resolve('build/bench/upstreams/main.js'),
+      ...['--service', service, '--address', upstreamAddress],
+      ...['--announce', one.announceAddress!, '--instance', one.name],
+      ...['--work', String(options.work)],
+    ];
+    const name = `upstream of ${one.name}`;
+    const upstream = startProgram({name, command, folder: data});
+    started.set(name, upstream);
+    return {settings: one, service, node, upstream, upstreamAddress};
+  }
+
+  const controls = settings.filter(isControl);
+  const places = settings.filter(isNode);
+  const controlPrograms = controls.map(start);
+  const startedPlaces = places.map(startPlace);
+  const operators = controls.map(({operatorAddress}) => operatorAddress);
+
+  return {
+    controls: controlPrograms,
+    places: startedPlaces,
+    operate: (...words) =>
+      runProgram({
+        name: 'operator',
+        command: [
+          ...foxbarrow(),
+          ...['--control', operators.join(','), '--operator', 'demo'],
+          ...words,
+        ],
+        folder: process.cwd(),
+      }),
+    restart: name => start(settings.find(one => one.name === name)!),
+    async stop() {
+      const failed: string[] = [];
+      const stopOne = async (program: Program) => {
+        const code = await program.stop();
+        if (code !== 0) failed.push(`${program.name} (${code})`);
+      };
+      const stopAll = (programs: readonly Program[]) =>
+        Promise.all(programs.map(stopOne));
+      const all = [...started.values()].filter(program => !program.wasKilled());
+      await stopAll(all.filter(({name}) => name.startsWith('upstream of')));
+      await stopAll(all.filter(({name}) => !name.startsWith('upstream of')));
+      await rm(data, {recursive: true, force: true});
+      return failed;
+    },
+  };
+}
+
+async function readAll(folder: string): Promise<Settings[]> {
+  const names = await readdir(folder);
+  const files = names.filter(name => name.endsWith('.json'));
+  return Promise.all(files.map(name => readOne(join(folder, name))));
+}
+
+async function readOne(file: string): Promise<Settings> {
+  const result = await resolveSettings(file);
+  if (!result.ok) throw new Error(result.message);
+  return result.value;
+}
+
+function isControl(settings: Settings): settings is ControlSettings {
+  return settings.role === 'control';
+}
+
+function isNode(settings: Settings): settings is NodeSettings {
+  return settings.role === 'node';
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Installs, builds and runs the demo; exits 0 only if every answer was right.
+set -eu
+cd "$(dirname "$0")/.."
+npm run --silent compile
+node build/bench/demo/main.js
