--- a/src/control/run.ts
+++ b/src/control/run.ts
@@ -73,6 +73,7 @@
     consensus,
     machine,
     fleet: host.fleet,
+    keepers: appointer,
     timers,
     limits: settings.limits,
     leaderAddress: name => operatorAddress(settings, name),
--- a/src/language/parse.test.ts
+++ b/src/language/parse.test.ts
@@ -101,6 +101,10 @@
   t.deepEqual(read('show in force'), {kind: 'show-in-force'});
   t.deepEqual(read('show control'), {kind: 'show-control'});
   t.deepEqual(read('history 5'), {kind: 'history', count: 5});
+  t.deepEqual(read('accept loss of crewbook'), {
+    kind: 'accept-loss',
+    service: 'crewbook',
+  });
   t.deepEqual(read('wait 12 within 5s'), {
     kind: 'wait',
     version: 12,
--- a/src/language/parser.ts
+++ b/src/language/parser.ts
@@ -90,6 +90,7 @@
       {ALT: () => this.SUBRULE(this.history)},
       {ALT: () => this.SUBRULE(this.wait)},
       {ALT: () => this.SUBRULE(this.replace)},
+      {ALT: () => this.SUBRULE(this.acceptLoss)},
       {
         ALT: () => {
           this.key('help');
@@ -162,6 +163,17 @@
     }));
   });
 
+  private readonly acceptLoss = this.RULE('acceptLoss', (): Statement => {
+    this.key('accept');
+    this.key('loss');
+    this.key('of');
+    const service = this.CONSUME(Word);
+    return this.ACTION(() => ({
+      kind: 'accept-loss',
+      service: values.toName(service),
+    }));
+  });
+
   private readonly replace = this.RULE('replace', (): Statement => {
     this.key('replace');
     this.key('control');
--- a/src/language/statement.ts
+++ b/src/language/statement.ts
@@ -28,4 +28,5 @@
       readonly leaving: string;
       readonly joining: Member;
     }
+  | {readonly kind: 'accept-loss'; readonly service: string}
   | {readonly kind: 'help'};
--- a/src/language/tokens.ts
+++ b/src/language/tokens.ts
@@ -51,6 +51,8 @@
   'wait',
   'replace',
   'apply',
+  'accept',
+  'loss',
   'help',
   'service',
   'route',
--- a/src/operator/create-operator-client.ts
+++ b/src/operator/create-operator-client.ts
@@ -46,6 +46,7 @@
   /** The group as each address sees it, in the order of the addresses. */
   control(): Promise<readonly Reply<ControlView>[]>;
   replace(leaving: string, joining: Member): Promise<Reply<null>>;
+  acceptLoss(service: string): Promise<Reply<Answer>>;
   /** Closes the connections; calls under way end first. */
   close(): Promise<void>;
 }
@@ -203,6 +204,12 @@
         resend: 'not-run',
         effect: 'unknown',
       }),
+    acceptLoss: service =>
+      ask({
+        run: (api, signal) => api.acceptLoss.mutate({service}, {signal}),
+        resend: 'not-run',
+        effect: 'unknown',
+      }),
     close: () => agent.close(),
   };
 }
--- a/src/operator/fakes/deployment.ts
+++ b/src/operator/fakes/deployment.ts
@@ -5,6 +5,7 @@
 import type {FleetSummary} from '../../fleet/summary.js';
 import type {Listener} from '../../link/link.js';
 import {createSilentLog} from '../../log/log.js';
+import {success} from '../../result/failure.js';
 import {defaults} from '../../settings/defaults.js';
 import {createTimers} from '../../time/timers.js';
 import {createOperatorServer} from '../create-operator-server.js';
@@ -45,6 +46,14 @@
       consensus: group.member(name),
       machine: group.machine(name),
       fleet,
+      keepers: {
+        acceptLoss: async service =>
+          success({
+            code: 1000,
+            message: `loss of ${service} accepted`,
+            version: 2,
+          }),
+      },
       timers: createTimers(),
       limits: {...defaults.limits, edits: 3},
       leaderAddress: leader => servers.get(leader)?.address,
--- a/src/operator/help.ts
+++ b/src/operator/help.ts
@@ -18,6 +18,8 @@
   show control                 the control group
   history [N]                  the last changes
   wait VERSION [within DURATION]
+The keepers of a service:
+  accept loss of SERVICE       its keepers are stopped and their claims given up
 The control group:
   replace control OLD with NEW at ADDRESS in FAILURE-DOMAIN
 `;
--- a/src/operator/render.ts
+++ b/src/operator/render.ts
@@ -34,8 +34,12 @@
 
 function renderServices(services: readonly Service[]): string {
   return renderTable(
-    ['service', 'slow-start'],
-    services.map(({name, slowStart}) => [name, showDuration(slowStart)]),
+    ['service', 'slow-start', 'keepers'],
+    services.map(({name, slowStart, keepers}) => [
+      name,
+      showDuration(slowStart),
+      keepers?.members.map(({instance}) => instance).join(' ') ?? '-',
+    ]),
   );
 }
 
--- a/src/operator/router.ts
+++ b/src/operator/router.ts
@@ -68,6 +68,9 @@
     replace: mutation
       .input(z.object({leaving: nameShape, joining: memberShape}).strict())
       .mutation(({input}) => service.replace(input.leaving, input.joining)),
+    acceptLoss: mutation
+      .input(z.object({service: nameShape}).strict())
+      .mutation(({input}) => service.acceptLoss(input.service)),
   });
 }
 
--- a/src/operator/run-operator-command.test.ts
+++ b/src/operator/run-operator-command.test.ts
@@ -134,6 +134,10 @@
     'replace control control-3 with control-4 at 127.0.0.1:7104 in hall-b',
   );
   t.is(replaced.code, 0);
+  t.regex(
+    (await run(deployment, 'accept loss of crewbook')).out,
+    /^version 2: loss of crewbook accepted/,
+  );
   t.regex((await run(deployment, 'show control')).out, /control-4 +127/);
   await deployment.close();
 });
@@ -153,7 +157,7 @@
   const {code, out, error} = await run(deployment, 'shell', {input});
   t.is(code, 3);
   t.regex(out, /version 1: accepted/);
-  t.regex(out, /crewbook +0ms\ndrillvault +0ms/);
+  t.regex(out, /crewbook +0ms +-\ndrillvault +0ms/);
   t.regex(error, /there is no service gone/);
   await deployment.close();
 });
--- a/src/operator/run-statement.ts
+++ b/src/operator/run-statement.ts
@@ -69,6 +69,12 @@
       const text = `${joining.name} has taken the place of ${leaving}\n`;
       return present(replaced, () => text);
     }
+    case 'accept-loss': {
+      const {service} = statement;
+      const reply = await client.acceptLoss(service);
+      if (!reply.ok) return present(reply, () => '');
+      return presentAnswer(`loss of ${service}`, reply.value);
+    }
     case 'help':
       return present({ok: true, value: null}, () => languageHelp);
   }
--- a/src/operator/service.ts
+++ b/src/operator/service.ts
@@ -3,8 +3,10 @@
 import {decodeAnswer} from '../configuration/entry.js';
 import type {Limits} from '../configuration/limits.js';
 import type {Answer, Command} from '../configuration/messages.js';
+import {consensusCodes} from '../consensus/codes.js';
 import type {Consensus, Member} from '../consensus/consensus.js';
 import type {Fleet} from '../fleet/fleet.js';
+import type {Appointer} from '../keepers/appointer.js';
 import type {Code} from '../result/code.js';
 import type {Result} from '../result/failure.js';
 import type {Subscription, Timers} from '../time/timers.js';
@@ -26,6 +28,8 @@
   readonly consensus: Consensus;
   readonly machine: ConfigurationMachine;
   readonly fleet: Pick<Fleet, 'summary'>;
+  /** Who appoints keepers; absent where nobody does. */
+  readonly keepers?: Pick<Appointer, 'acceptLoss'>;
   readonly timers: Timers;
   readonly limits: Limits;
   /** The operators' address of a control process; undefined if not known. */
@@ -42,6 +46,8 @@
   wait(version: number, within: number): Promise<Waited>;
   control(): ControlView;
   replace(leaving: string, joining: Member): Promise<Reply<null>>;
+  /** Gives up the claims of a service's stopped keepers. */
+  acceptLoss(service: string): Promise<Reply<Answer>>;
 }
 
 /** Milliseconds between two looks at the fleet while someone waits. */
@@ -167,6 +173,17 @@
     return replaced.ok ? {ok: true, value: null} : refused(replaced);
   }
 
+  async function acceptLoss(service: string): Promise<Reply<Answer>> {
+    const {role, leader} = consensus.status();
+    const {keepers} = options;
+    if (role !== 'leader' || keepers === undefined) {
+      const message = `the leader is ${leader ?? 'not known'}; ask it`;
+      return refused({ok: false, code: consensusCodes.notLeader, message});
+    }
+    const accepted = await keepers.acceptLoss(service);
+    return accepted.ok ? {ok: true, value: accepted.value} : refused(accepted);
+  }
+
   return {
     change,
     items,
@@ -179,6 +196,7 @@
     wait,
     control,
     replace,
+    acceptLoss,
   };
 }
 
