Pages of result codes and settings are made from the code

npm run docs writes them; tests compare them, ask a meaning of every setting and a place in the table of every slice's codes, and check all examples. Found on the way: periods of 0 were taken and would be busy loops; an election timeout within three heartbeats ends a leadership that works. Both refused.

--- /dev/null
+++ b/scripts/docs.test.ts
@@ -0,0 +1,74 @@
+import {readFileSync, readdirSync} from 'node:fs';
+import {join} from 'node:path';
+import test from 'ava';
+import {resolveSettings} from '../src/settings/resolve.js';
+import {resultTable} from '../src/result/table.js';
+import {renderResultCodes} from './result-codes-page.js';
+import {renderSettings} from './settings-page.js';
+
+const advice = 'run `npm run docs` and commit the page';
+
+test('docs/RESULT_CODES.md is what the code says', t => {
+  const page = readFileSync('docs/RESULT_CODES.md', 'utf8');
+  t.is(page, renderResultCodes(resultTable), advice);
+});
+
+test('every result code has its own number, its own name and a meaning', t => {
+  const numbers = resultTable.map(code => code.number);
+  t.deepEqual([...new Set(numbers)], numbers);
+  const names = resultTable.map(code => code.name);
+  t.deepEqual([...new Set(names)].sort(), [...names].sort());
+  for (const code of resultTable) {
+    t.regex(code.meaning, /^[A-Z].*\.$/, code.name);
+    t.regex(code.name, /^[a-z][a-z-]*$/);
+  }
+});
+
+test("every slice's codes are in the table", async t => {
+  for (const slice of readdirSync('src')) {
+    const module = join('src', slice, 'codes.ts');
+    if (
+      slice === 'result' ||
+      !readdirSync(join('src', slice)).includes('codes.ts')
+    )
+      continue;
+    const text = readFileSync(module, 'utf8');
+    const defined = text.match(/defineCode\(\s*(\d+)/g) ?? [];
+    t.true(defined.length > 0, module);
+    for (const definition of defined) {
+      const number = Number(/\d+/.exec(definition)![0]);
+      t.true(
+        resultTable.some(code => code.number === number),
+        `${module}: ${number}`,
+      );
+    }
+  }
+});
+
+test('docs/SETTINGS.md is what the schema says', t => {
+  const page = readFileSync('docs/SETTINGS.md', 'utf8');
+  t.is(page, renderSettings(), advice);
+});
+
+test('every setting has its meaning', t => {
+  const rows = renderSettings()
+    .split('\n')
+    .filter(line => line.startsWith('| `'));
+  t.true(rows.length > 40);
+  for (const row of rows) t.notRegex(row, /\| {2}\|$/, row);
+});
+
+test('every example settings file is good', async t => {
+  let files = 0;
+  for (const deployment of readdirSync('examples')) {
+    for (const file of readdirSync(join('examples', deployment))) {
+      if (!file.endsWith('.json')) continue;
+      const settings = await resolveSettings(
+        join('examples', deployment, file),
+      );
+      t.true(settings.ok, settings.ok ? '' : settings.message);
+      files++;
+    }
+  }
+  t.true(files >= 28);
+});
--- a/src/configuration/limits.ts
+++ b/src/configuration/limits.ts
@@ -8,9 +8,13 @@
 
 /** Limits that `apply` needs; they travel in each entry. */
 export interface Bounds {
+  /** Services at once. */
   readonly services: number;
+  /** Routes at once. */
   readonly routes: number;
+  /** Policies at once. */
   readonly policies: number;
+  /** Drains at once. */
   readonly drains: number;
   /** Operators whose answers are kept, the most recent first. */
   readonly operators: number;
--- a/src/settings/clashes.ts
+++ b/src/settings/clashes.ts
@@ -8,7 +8,9 @@
 export function findClash(settings: Settings): string | undefined {
   const clash = findListenerClash(settings);
   if (clash !== undefined) return clash;
-  if (settings.role === 'control') return findMemberClash(settings);
+  if (settings.role === 'control') {
+    return findMemberClash(settings) ?? findElectionClash(settings);
+  }
   if (settings.role === 'node') return findUpstreamClash(settings);
   return undefined;
 }
@@ -70,6 +72,17 @@
   return findOwnClash(settings, index);
 }
 
+/** Heartbeats that may be lost before an election begins. */
+const leastHeartbeats = 3;
+
+/** One late heartbeat must not end a leadership. */
+function findElectionClash(settings: ControlSettings): string | undefined {
+  const {electionTimeout, heartbeat} = settings;
+  const least = heartbeat * leastHeartbeats;
+  if (electionTimeout >= least) return undefined;
+  return `electionTimeout: ${electionTimeout} is short for a heartbeat of ${heartbeat}; give at least ${least}`;
+}
+
 /** The others call a member where the list says, so it must listen there. */
 function findOwnClash(
   settings: ControlSettings,
--- a/src/settings/resolve.test.ts
+++ b/src/settings/resolve.test.ts
@@ -151,3 +151,14 @@
   if (!none.ok)
     t.regex(none.message, /^no-such-folder\/a\.json: cannot be read/);
 });
+
+test('an election timeout within three heartbeats is refused', t => {
+  // One late heartbeat would end a leadership that works.
+  const line = problem({...control, heartbeat: 100, electionTimeout: 250});
+  t.regex(line, /^a\.json: electionTimeout: 250 .* at least 300/);
+});
+
+test('periods of none at all, which would be busy loops, are refused', t => {
+  t.regex(problem({...control, heartbeat: 0}), /^a\.json: heartbeat: /);
+  t.regex(problem({...node, renewal: 0}), /^a\.json: renewal: /);
+});
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -40,11 +40,17 @@
 
 const milliseconds = z.number().int().nonnegative();
 
+/** For periods and timeouts, where none at all would be a busy loop. */
+const period = z.number().int().positive();
+
 const common = {
   /** The process's own name, unique in the deployment. */
   name,
+  /** The region it stands in; the same name as in all other processes there. */
   region: name,
+  /** What fails together with it, such as a hall or a rack. */
   failureDomain: name,
+  /** How much is logged. */
   logLevel: z
     .enum(['error', 'warn', 'info', 'debug'])
     .default(defaults.logLevel),
@@ -60,6 +66,7 @@
 
 const member = z
   .object({
+    /** The member's name, that of its own settings. */
     name,
     /** Where it takes peer messages of the control group. */
     peerAddress: address,
@@ -67,6 +74,7 @@
     operatorAddress: address,
     /** Where relays and nodes reach it. */
     distributionAddress: address,
+    /** The member's failure domain. */
     failureDomain: name,
   })
   .strict();
@@ -74,11 +82,16 @@
 /** Settings of a control process. */
 export const controlSchema = z
   .object({
+    /** Which role these settings are for. */
     role: z.literal('control'),
     ...common,
+    /** Folder of the log and snapshots, on the VM's own disk; made when missing. */
     dataFolder: z.string().min(1),
+    /** Where it takes peer messages of the control group. */
     peerAddress: address,
+    /** Where operators reach it. */
     operatorAddress: address,
+    /** Where relays and nodes reach it. */
     distributionAddress: address,
     /** Secret that operators' changes must show; absent for none. */
     operatorToken: z.string().min(16).optional(),
@@ -92,8 +105,11 @@
     limits: limitsSchema.default({}),
     /** The first members of the group, this process among them. */
     members: z.array(member).min(1).max(7),
-    heartbeat: milliseconds.default(defaults.heartbeat),
-    electionTimeout: milliseconds.default(defaults.electionTimeout),
+    /** How often the leader shows that it lives. */
+    heartbeat: period.default(defaults.heartbeat),
+    /** Least silence of a leader after which another may be elected. */
+    electionTimeout: period.default(defaults.electionTimeout),
+    /** Log entries after which a snapshot replaces them. */
     snapshotEntries: z
       .number()
       .int()
@@ -101,7 +117,8 @@
       .default(defaults.snapshotEntries),
     /** How long changes are gathered before they are sent to nodes. */
     batchWindow: milliseconds.default(defaults.batchWindow),
-    lease: milliseconds.default(defaults.lease),
+    /** How long an instance is kept without a renewal. */
+    lease: period.default(defaults.lease),
     /** How long idempotency claims are kept; the same at every node. */
     claimRetention: milliseconds.default(defaults.claimRetention),
   })
@@ -110,15 +127,19 @@
 /** Settings of a relay process. */
 export const relaySchema = z
   .object({
+    /** Which role these settings are for. */
     role: z.literal('relay'),
     ...common,
+    /** Where nodes reach it. */
     distributionAddress: address,
     /** Distribution addresses of the control processes. */
     sources: z.array(home).min(1),
     /** Distribution addresses of the other relays. */
     relays: z.array(address).default([]),
+    /** How long changes are gathered before they are sent to nodes. */
     batchWindow: milliseconds.default(defaults.batchWindow),
-    lease: milliseconds.default(defaults.lease),
+    /** How long an instance is kept without a renewal. */
+    lease: period.default(defaults.lease),
   })
   .strict();
 
@@ -126,9 +147,13 @@
   .object({
     /** The instance's id; absent for the process's name. */
     instance: name.optional(),
+    /** The service that it is an instance of. */
     service: name,
+    /** Where the node reaches it, on the same VM. */
     address,
+    /** Requests that it runs at once. */
     slots: z.number().int().positive(),
+    /** Connections that it takes at once. */
     connections: z.number().int().positive(),
     /** Path that answers 200 when the upstream is ready; a hint only. */
     healthPath: z.string().startsWith('/').optional(),
@@ -138,6 +163,7 @@
 /** Settings of a node process. */
 export const nodeSchema = z
   .object({
+    /** Which role these settings are for. */
     role: z.literal('node'),
     ...common,
     /** Where callers reach the entry. */
@@ -164,9 +190,13 @@
       .int()
       .nonnegative()
       .default(defaults.claimAnswerLimit),
-    renewal: milliseconds.default(defaults.renewal),
+    /** How often its instance's lease is renewed. */
+    renewal: period.default(defaults.renewal),
+    /** Largest request body; a policy's own limit counts where smaller. */
     bodyLimit: z.number().int().positive().default(defaults.bodyLimit),
+    /** Largest request head. */
     headerLimit: z.number().int().positive().default(defaults.headerLimit),
+    /** Requests that wait for a slot at most. */
     queueLength: z.number().int().nonnegative().default(defaults.queueLength),
   })
   .strict();
