--- a/src/request/codes.ts
+++ b/src/request/codes.ts
@@ -172,7 +172,7 @@
   ),
   internal: defineCode(
     5023,
-    'internal',
+    'node-fault',
     'unknown',
     500,
     'The node failed on this request. See its log for the request id.',
