--- a/bench/experiments/metrics.ts
+++ b/bench/experiments/metrics.ts
@@ -61,6 +61,7 @@
     policy: 'lookups',
     code: commonCodes.ok,
     status: 200,
+    whole: true,
     duration: service % 100,
     objective: 50,
   });
--- a/src/admin/metrics.test.ts
+++ b/src/admin/metrics.test.ts
@@ -10,6 +10,7 @@
     policy: 'lookups',
     code: commonCodes.ok,
     status,
+    whole: true,
     duration,
     objective: 50,
   };
@@ -35,6 +36,9 @@
 
 test("a caller's own error spends no budget; refusals and late answers do", t => {
   t.is(judge(answer('a', 404)), 'good');
+  t.is(judge({...answer('a', 499), whole: false}), 'good');
+  t.is(judge({...answer('a', 499, 51), whole: false}), 'slow');
+  t.is(judge({...answer('a'), whole: false}), 'failed', 'cut short');
   t.is(judge(answer('a', 429)), 'failed');
   t.is(judge(answer('a', 502)), 'failed');
   t.is(judge(answer('a', 200, 51)), 'slow');
@@ -49,7 +53,7 @@
   const metrics = createMetrics({registry, routeLimit});
   for (let number = 0; number < 710; number++) {
     metrics.answered(answer(`route-${number}`));
-    metrics.retried(`service-${number}`);
+    metrics.retried(`service-${number}`, 1);
   }
   const lines = (await registry.metrics()).split('\n');
   const counted = lines.filter(line => line.startsWith('foxbarrow_requests_'));
--- a/src/admin/metrics.ts
+++ b/src/admin/metrics.ts
@@ -110,8 +110,8 @@
       countRequest(request);
     }
 
-    retried(service: string): void {
-      retries.inc({service: services.label(service)});
+    retried(service: string, attempts: number): void {
+      retries.inc({service: services.label(service)}, attempts);
     }
 
     load(load: GateLoad): void {
@@ -151,13 +151,21 @@
   })();
 }
 
+/** HTTP statuses that decide how an answer counts. */
+const callerLeft = 499;
+const tooMany = 429;
+const serverError = 500;
+
 /**
- * What an answer spends: server-side failures and refusals do, and answers
- * later than the objective; a caller's own error (4xx) does not.
+ * What an answer spends: server-side failures, refusals and answers cut short
+ * do, and answers later than the objective. A caller's own error (4xx) does
+ * not, nor does a caller that left before the objective's time.
  */
 export function judge(
-  request: Pick<AnsweredRequest, 'status' | 'duration' | 'objective'>,
+  request: Pick<AnsweredRequest, 'status' | 'whole' | 'duration' | 'objective'>,
 ): Verdict {
-  if (request.status >= 500 || request.status === 429) return 'failed';
+  const {status, whole} = request;
+  if (status >= serverError || status === tooMany) return 'failed';
+  if (!whole && status !== callerLeft) return 'failed';
   return request.duration > request.objective ? 'slow' : 'good';
 }
--- /dev/null
+++ b/src/admin/reports.test.ts
@@ -0,0 +1,77 @@
+import test from 'ava';
+import {emptyConfiguration} from '../configuration/configuration.js';
+import type {Policy} from '../configuration/configuration.js';
+import {createNoMetrics} from '../metrics/metrics.js';
+import type {AnsweredRequest} from '../metrics/metrics.js';
+import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import {createConvergence} from './convergence.js';
+import {reportOutcome} from './report-outcome.js';
+
+const outcome = {
+  service: 'crewbook',
+  route: 'records',
+  policy: 'lookups',
+  status: 200,
+  code: undefined,
+  duration: 7,
+  attempts: 3,
+  whole: true,
+};
+
+test("an outcome is reported under its policy's objective, with its retries", t => {
+  const answered: AnsweredRequest[] = [];
+  const retried: Array<[string, number]> = [];
+  const metrics = Object.assign(createNoMetrics(), {
+    answered: (request: AnsweredRequest) => void answered.push(request),
+    retried: (service: string, attempts: number) =>
+      void retried.push([service, attempts]),
+  });
+  const policy = {
+    name: 'lookups',
+    objective: {target: 0.99, latency: 40},
+  } as Policy;
+  const policies = new Map([['lookups', policy]]);
+  reportOutcome(metrics, {...emptyConfiguration, policies}, outcome);
+  t.is(answered[0]!.objective, 40);
+  t.is(answered[0]!.code.number, 1000);
+  t.deepEqual(retried, [['crewbook', 2]]);
+  reportOutcome(metrics, undefined, {...outcome, route: '', service: ''});
+  t.is(answered[1]!.route, 'none');
+  t.is(answered[1]!.objective, Infinity);
+});
+
+test('a change has converged once every node has it, and not before', t => {
+  const timers = createFakeTimers();
+  const times: number[] = [];
+  const metrics = Object.assign(createNoMetrics(), {
+    converged: (duration: number) => void times.push(duration),
+  });
+  let inForce = 0;
+  const fleet = () => ({nodes: 3, inForce});
+  const convergence = createConvergence({timers, metrics, fleet});
+  convergence.accepted(5);
+  timers.advance(400);
+  inForce = 2;
+  timers.advance(1000);
+  t.deepEqual(times, []);
+  inForce = 3;
+  timers.advance(100);
+  t.deepEqual(times, [1450]);
+  timers.advance(1000);
+  t.is(times.length, 1);
+});
+
+test('a change that never gets everywhere counts as beyond every bound', t => {
+  // A node that stays cut off would otherwise leave the figures looking good.
+  const timers = createFakeTimers();
+  const times: number[] = [];
+  const metrics = Object.assign(createNoMetrics(), {
+    converged: (duration: number) => void times.push(duration),
+  });
+  const fleet = () => ({nodes: 3, inForce: 2});
+  const convergence = createConvergence({timers, metrics, fleet});
+  convergence.accepted(5);
+  timers.advance(61_000);
+  t.deepEqual(times, [60_000]);
+  convergence.stop();
+});
--- /dev/null
+++ b/src/admin/watch-control.ts
@@ -0,0 +1,44 @@
+import {stat} from 'node:fs/promises';
+import {join} from 'node:path';
+import type {Consensus} from '../consensus/consensus.js';
+import type {Metrics} from '../metrics/metrics.js';
+import type {Subscription, Timers} from '../time/timers.js';
+
+/** What `watchControl` reads. */
+export interface ControlWatch {
+  readonly consensus: Pick<Consensus, 'status'>;
+  readonly dataFolder: string;
+  readonly metrics: Metrics;
+  readonly timers: Timers;
+}
+
+/** Milliseconds between two looks. */
+const lookEvery = 5_000;
+
+/** Reports the state of a control process from time to time. */
+export function watchControl(options: ControlWatch): Subscription {
+  const {consensus, dataFolder, metrics, timers} = options;
+
+  async function report(): Promise<void> {
+    const {role, term, commitIndex} = consensus.status();
+    metrics.control({
+      term,
+      isLeader: role === 'leader',
+      commitIndex,
+      logBytes: await sizeOf(join(dataFolder, 'log')),
+      snapshotBytes: await sizeOf(join(dataFolder, 'snapshot')),
+    });
+  }
+
+  void report();
+  return timers.every(lookEvery, () => void report());
+}
+
+/** 0 for a file that is not there yet. */
+async function sizeOf(file: string): Promise<number> {
+  try {
+    return (await stat(file)).size;
+  } catch {
+    return 0;
+  }
+}
--- a/src/burn/scrape.test.ts
+++ b/src/burn/scrape.test.ts
@@ -19,6 +19,7 @@
     policy: 'lookups',
     code: commonCodes.ok,
     status: 200,
+    whole: true,
     duration: 3,
     objective: 50,
   };
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -13,6 +13,8 @@
   readonly code: Code;
   /** The HTTP status that the caller got. */
   readonly status: number;
+  /** Whether the answer reached the caller whole. */
+  readonly whole: boolean;
   /** Milliseconds from the request's first byte to the answer's last. */
   readonly duration: number;
   /** Milliseconds within which the policy's objective counts it as good. */
@@ -39,15 +41,18 @@
 export abstract class Metrics {
   /** Entry: a request was answered, by an upstream or by a refusal. */
   abstract answered(request: AnsweredRequest): void;
-  /** Entry: an attempt after the first began. */
-  abstract retried(service: string): void;
+  /** Entry: attempts after the first were made. */
+  abstract retried(service: string, attempts: number): void;
   /** Gate: work began, ended, came into the queue or left it. */
   abstract load(load: GateLoad): void;
   /** Gate: milliseconds that one request waited for a slot. */
   abstract waited(duration: number): void;
   /** Node, relay: a version came into force here. */
   abstract inForce(version: number): void;
-  /** Control: milliseconds from accepting a change until it was in force everywhere. */
+  /**
+   * Control: milliseconds from accepting a change until it was in force
+   * everywhere, or was given up.
+   */
   abstract converged(duration: number): void;
   /** Any link's end: bytes that one kind of link received and sent, with framing. */
   abstract traffic(kind: Traffic, received: number, sent: number): void;
--- a/src/node/upstream-gate.ts
+++ b/src/node/upstream-gate.ts
@@ -41,7 +41,8 @@
   }
 
   function leave(): void {
-    if (gate !== undefined && !stopping) finish(gate.stop(options.stopDeadline));
+    if (gate !== undefined && !stopping)
+      finish(gate.stop(options.stopDeadline));
     gate = undefined;
     shape = '';
   }
