--- a/src/admin/metric-names.ts
+++ b/src/admin/metric-names.ts
@@ -4,10 +4,9 @@
   latency: 'foxbarrow_request_seconds',
   retries: 'foxbarrow_retries_total',
   gate: 'foxbarrow_gate_requests',
-  wait: 'foxbarrow_gate_wait_seconds',
   version: 'foxbarrow_configuration_version',
   convergence: 'foxbarrow_convergence_seconds',
   bytes: 'foxbarrow_control_bytes_total',
   group: 'foxbarrow_control_group',
-  nodes: 'foxbarrow_linked_nodes',
+  nodes: 'foxbarrow_nodes',
 } as const;
--- a/src/admin/metrics.ts
+++ b/src/admin/metrics.ts
@@ -72,12 +72,6 @@
     'service',
   ]);
   const work = gauge(metricNames.gate, 'Requests queued, running, and slots.');
-  const wait = histogram(
-    metricNames.wait,
-    'Seconds that requests waited for a slot.',
-    latencyBuckets,
-    [],
-  );
   const version = gauge(metricNames.version, 'Configuration in force here.');
   const convergence = histogram(
     metricNames.convergence,
@@ -90,7 +84,7 @@
     'direction',
   ]);
   const group = gauge(metricNames.group, 'Term, leadership, log and snapshot.');
-  const nodes = gauge(metricNames.nodes, 'Nodes linked to this process.');
+  const nodes = gauge(metricNames.nodes, 'Nodes that this process knows.');
 
   function countRequest(request: AnsweredRequest): void {
     const route = routes.label(request.route);
@@ -120,10 +114,6 @@
       work.set({kind: 'slots'}, load.slots);
     }
 
-    waited(duration: number): void {
-      wait.observe(duration / millisecondsPerSecond);
-    }
-
     inForce(number: number): void {
       version.set({kind: 'in-force'}, number);
     }
@@ -145,8 +135,8 @@
       group.set({kind: 'snapshot-bytes'}, state.snapshotBytes);
     }
 
-    linked(count: number): void {
-      nodes.set({kind: 'linked'}, count);
+    fleet(count: number): void {
+      nodes.set({kind: 'known'}, count);
     }
   })();
 }
--- a/src/admin/watch-control.ts
+++ b/src/admin/watch-control.ts
@@ -8,6 +8,8 @@
 export interface ControlWatch {
   readonly consensus: Pick<Consensus, 'status'>;
   readonly dataFolder: string;
+  /** How many nodes are known. */
+  readonly nodes: () => number;
   readonly metrics: Metrics;
   readonly timers: Timers;
 }
@@ -21,6 +23,7 @@
 
   async function report(): Promise<void> {
     const {role, term, commitIndex} = consensus.status();
+    metrics.fleet(options.nodes());
     metrics.control({
       term,
       isLeader: role === 'leader',
--- a/src/cli/loaders.ts
+++ b/src/cli/loaders.ts
@@ -43,10 +43,7 @@
     return settings => runRelay(settings as RelaySettings);
   },
   node: async () => {
-    const path: string = '../node/run.js';
-    const {runNode} = (await import(path)) as {
-      runNode: (settings: NodeSettings) => Promise<RunningRole>;
-    };
+    const {runNode} = await import('../node/run.js');
     return settings => runNode(settings as NodeSettings);
   },
   operator: async () =>
--- a/src/control/run.ts
+++ b/src/control/run.ts
@@ -1,6 +1,8 @@
 /** The control role: one member of the group that keeps the configuration. */
 import process from 'node:process';
+import {createConvergence} from '../admin/convergence.js';
 import {createAdmin} from '../admin/create-admin.js';
+import {watchControl} from '../admin/watch-control.js';
 import {createConfigurationMachine} from '../configuration/create-configuration-machine.js';
 import {createConsensus} from '../consensus/create-consensus.js';
 import type {Consensus, Member} from '../consensus/consensus.js';
@@ -10,6 +12,7 @@
 import type {RunningRole} from '../cli/loaders.js';
 import type {Hello} from '../fleet/messages.js';
 import {createAppointer} from '../keepers/appointer.js';
+import {createMeteredNetwork} from '../metrics/metered-network.js';
 import {createOperatorServer} from '../operator/create-operator-server.js';
 import {createProcess} from '../process/process.js';
 import {createDistributionHost} from '../relay/distribution-host.js';
@@ -20,7 +23,16 @@
   settings: ControlSettings,
 ): Promise<RunningRole> {
   const base = createProcess(settings);
-  const {network, timers, random, log} = base;
+  const {timers, random, log} = base;
+  const admin = createAdmin(settings, timers);
+  const {metrics} = admin;
+  const peers = createMeteredNetwork(base.network, 'peer', metrics, timers);
+  const network = createMeteredNetwork(
+    base.network,
+    'distribution',
+    metrics,
+    timers,
+  );
   const machine = createConfigurationMachine({limits: settings.limits});
   const members = settings.members.map(toMember);
   const consensus: Consensus = await createConsensus({
@@ -33,6 +45,7 @@
     snapshotEntries: settings.snapshotEntries,
     onFailure: endProcess,
     ...base,
+    network: peers,
   });
 
   const barrier = () => consensus.readBarrier();
@@ -57,6 +70,22 @@
     random,
     log,
   });
+  const convergence = createConvergence({
+    timers,
+    metrics,
+    fleet: version => host.fleet.summary(version),
+  });
+  // Changes replayed at a start, or applied by a follower, were accepted before.
+  machine.onChange(version => {
+    if (consensus.status().role === 'leader') convergence.accepted(version);
+  });
+  const watch = watchControl({
+    consensus,
+    dataFolder: settings.dataFolder,
+    nodes: () => host.fleet.summary().nodes,
+    metrics,
+    timers,
+  });
   const appointer = createAppointer({
     name: settings.name,
     consensus,
@@ -82,7 +111,6 @@
     bodyLimit: settings.operatorBodyLimit,
     log,
   });
-  const admin = createAdmin(settings, timers);
   const adminServer = await admin.listen({
     notReady: () => (freshness.asOf() === undefined ? ['no quorum yet'] : []),
   });
@@ -94,6 +122,8 @@
   return {
     async stop() {
       await operators.close();
+      convergence.stop();
+      watch.cancel();
       appointer.stop();
       freshness.stop();
       await host.stop();
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -43,10 +43,8 @@
   abstract answered(request: AnsweredRequest): void;
   /** Entry: attempts after the first were made. */
   abstract retried(service: string, attempts: number): void;
-  /** Gate: work began, ended, came into the queue or left it. */
+  /** Gate: work that waits and runs, from time to time. */
   abstract load(load: GateLoad): void;
-  /** Gate: milliseconds that one request waited for a slot. */
-  abstract waited(duration: number): void;
   /** Node, relay: a version came into force here. */
   abstract inForce(version: number): void;
   /**
@@ -58,8 +56,8 @@
   abstract traffic(kind: Traffic, received: number, sent: number): void;
   /** Control: its part in the group changed, or its log grew. */
   abstract control(state: ControlState): void;
-  /** Control, relay: how many nodes are linked to it. */
-  abstract linked(nodes: number): void;
+  /** Control: how many nodes it knows, its own and those of other homes. */
+  abstract fleet(nodes: number): void;
 }
 
 /** Creates metrics that go nowhere, for tests and benches. */
@@ -68,11 +66,10 @@
     answered(): void {}
     retried(): void {}
     load(): void {}
-    waited(): void {}
     inForce(): void {}
     converged(): void {}
     traffic(): void {}
     control(): void {}
-    linked(): void {}
+    fleet(): void {}
   })();
 }
--- a/src/node/run.ts
+++ b/src/node/run.ts
@@ -1,6 +1,8 @@
 /** The node role: the proxy beside an upstream. */
 import type {RunningRole} from '../cli/loaders.js';
 import {createAdmin} from '../admin/create-admin.js';
+import {reportLoad} from '../admin/report-load.js';
+import {reportOutcome} from '../admin/report-outcome.js';
 import {createHome} from '../distribution/home.js';
 import {createSubscriber} from '../distribution/subscriber.js';
 import {createAnnounceServer} from '../endpoints/announce-server.js';
@@ -12,6 +14,7 @@
 import type {Health} from '../endpoints/health.js';
 import {createMembership} from '../endpoints/membership.js';
 import type {Hello} from '../fleet/messages.js';
+import {createMeteredNetwork} from '../metrics/metered-network.js';
 import {createProcess} from '../process/process.js';
 import type {Process} from '../process/process.js';
 import {createEntry} from '../request/entry.js';
@@ -25,7 +28,15 @@
 /** Starts a node; resolves once callers and other nodes reach it. */
 export async function runNode(settings: NodeSettings): Promise<RunningRole> {
   const process = createProcess(settings);
-  const {network, timers, random, log} = process;
+  const {timers, random, log} = process;
+  const admin = createAdmin(settings, timers);
+  const {metrics} = admin;
+  const network = createMeteredNetwork(
+    process.network,
+    'distribution',
+    metrics,
+    timers,
+  );
   const self: Hello = {
     kind: 'node',
     name: settings.name,
@@ -44,7 +55,14 @@
   });
   const subscriber = createSubscriber({home, services, timers, random, log});
   const configuration = () => subscriber.current();
-  const claims = await createNodeClaims({settings, process, configuration});
+  const claims = await createNodeClaims({
+    settings,
+    process: {
+      ...process,
+      network: createMeteredNetwork(process.network, 'claims', metrics, timers),
+    },
+    configuration,
+  });
   subscriber.onSwitch(claims.review);
 
   const announcer = createAnnouncer({
@@ -106,6 +124,7 @@
     timers,
     random,
     log,
+    onOutcome: outcome => reportOutcome(metrics, configuration(), outcome),
   });
   await gateServer.listen();
   await entry.listen();
@@ -123,8 +142,8 @@
   if (settings.upstream !== undefined) {
     announcer.announce({...settings.upstream, state: 'serving'});
   }
-  const admin = createAdmin(settings, timers);
-  subscriber.onSwitch(({version}) => admin.metrics.inForce(version));
+  subscriber.onSwitch(({version}) => metrics.inForce(version));
+  const loads = reportLoad(gate, announcer, metrics, timers);
   const adminServer = await admin.listen({
     notReady: () =>
       subscriber.current() === undefined ? ['no configuration in force'] : [],
@@ -144,6 +163,7 @@
       await Promise.all([entry.stop(left()), gate.stop(left())]);
       await gateServer.stop(left());
       announcer.withdraw();
+      loads.cancel();
       health.close();
       membership.close();
       subscriber.stop();
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -4,13 +4,22 @@
 import {createSubscriber} from '../distribution/subscriber.js';
 import type {RunningRole} from '../cli/loaders.js';
 import type {Hello} from '../fleet/messages.js';
+import {createMeteredNetwork} from '../metrics/metered-network.js';
 import type {RelaySettings} from '../settings/schema.js';
 import {createProcess} from '../process/process.js';
 import {createDistributionHost} from './distribution-host.js';
 
 /** Starts a relay; resolves once nodes can reach it. */
 export async function runRelay(settings: RelaySettings): Promise<RunningRole> {
-  const {network, timers, random, log} = createProcess(settings);
+  const base = createProcess(settings);
+  const {timers, random, log} = base;
+  const admin = createAdmin(settings, timers);
+  const network = createMeteredNetwork(
+    base.network,
+    'distribution',
+    admin.metrics,
+    timers,
+  );
   const self: Hello = {
     kind: 'relay',
     name: settings.name,
@@ -42,7 +51,6 @@
   });
   home.onChannels(host.join);
   home.onReport(host.fleet.receive);
-  const admin = createAdmin(settings, timers);
   subscriber.onSwitch(({version}) => admin.metrics.inForce(version));
   const adminServer = await admin.listen({
     notReady: () =>
