--- a/src/admin/metrics.ts
+++ b/src/admin/metrics.ts
@@ -72,12 +72,6 @@
     'service',
   ]);
   const work = gauge(metricNames.gate, 'Requests queued, running, and slots.');
-  const wait = histogram(
-    metricNames.wait,
-    'Seconds that requests waited for a slot.',
-    latencyBuckets,
-    [],
-  );
   const version = gauge(metricNames.version, 'Configuration in force here.');
   const convergence = histogram(
     metricNames.convergence,
@@ -90,7 +84,7 @@
     'direction',
   ]);
   const group = gauge(metricNames.group, 'Term, leadership, log and snapshot.');
-  const nodes = gauge(metricNames.nodes, 'Nodes linked to this process.');
+  const nodes = gauge(metricNames.nodes, 'Nodes that this process knows.');
 
   function countRequest(request: AnsweredRequest): void {
     const route = routes.label(request.route);
@@ -110,8 +104,8 @@
       countRequest(request);
     }
 
-    retried(service: string): void {
-      retries.inc({service: services.label(service)});
+    retried(service: string, attempts: number): void {
+      retries.inc({service: services.label(service)}, attempts);
     }
 
     load(load: GateLoad): void {
@@ -120,10 +114,6 @@
       work.set({kind: 'slots'}, load.slots);
     }
 
-    waited(duration: number): void {
-      wait.observe(duration / millisecondsPerSecond);
-    }
-
     inForce(number: number): void {
       version.set({kind: 'in-force'}, number);
     }
@@ -145,19 +135,27 @@
       group.set({kind: 'snapshot-bytes'}, state.snapshotBytes);
     }
 
-    linked(count: number): void {
-      nodes.set({kind: 'linked'}, count);
+    fleet(count: number): void {
+      nodes.set({kind: 'known'}, count);
     }
   })();
 }
 
+/** HTTP statuses that decide how an answer counts. */
+const callerLeft = 499;
+const tooMany = 429;
+const serverError = 500;
+
 /**
- * What an answer spends: server-side failures and refusals do, and answers
- * later than the objective; a caller's own error (4xx) does not.
+ * What an answer spends: server-side failures, refusals and answers cut short
+ * do, and answers later than the objective. A caller's own error (4xx) does
+ * not, nor does a caller that left before the objective's time.
  */
 export function judge(
-  request: Pick<AnsweredRequest, 'status' | 'duration' | 'objective'>,
+  request: Pick<AnsweredRequest, 'status' | 'whole' | 'duration' | 'objective'>,
 ): Verdict {
-  if (request.status >= 500 || request.status === 429) return 'failed';
+  const {status, whole} = request;
+  if (status >= serverError || status === tooMany) return 'failed';
+  if (!whole && status !== callerLeft) return 'failed';
   return request.duration > request.objective ? 'slow' : 'good';
 }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -13,6 +13,8 @@
   readonly code: Code;
   /** The HTTP status that the caller got. */
   readonly status: number;
+  /** Whether the answer reached the caller whole. */
+  readonly whole: boolean;
   /** Milliseconds from the request's first byte to the answer's last. */
   readonly duration: number;
   /** Milliseconds within which the policy's objective counts it as good. */
@@ -39,22 +41,23 @@
 export abstract class Metrics {
   /** Entry: a request was answered, by an upstream or by a refusal. */
   abstract answered(request: AnsweredRequest): void;
-  /** Entry: an attempt after the first began. */
-  abstract retried(service: string): void;
-  /** Gate: work began, ended, came into the queue or left it. */
+  /** Entry: attempts after the first were made. */
+  abstract retried(service: string, attempts: number): void;
+  /** Gate: work that waits and runs, from time to time. */
   abstract load(load: GateLoad): void;
-  /** Gate: milliseconds that one request waited for a slot. */
-  abstract waited(duration: number): void;
   /** Node, relay: a version came into force here. */
   abstract inForce(version: number): void;
-  /** Control: milliseconds from accepting a change until it was in force everywhere. */
+  /**
+   * Control: milliseconds from accepting a change until it was in force
+   * everywhere, or was given up.
+   */
   abstract converged(duration: number): void;
   /** Any link's end: bytes that one kind of link received and sent, with framing. */
   abstract traffic(kind: Traffic, received: number, sent: number): void;
   /** Control: its part in the group changed, or its log grew. */
   abstract control(state: ControlState): void;
-  /** Control, relay: how many nodes are linked to it. */
-  abstract linked(nodes: number): void;
+  /** Control: how many nodes it knows, its own and those of other homes. */
+  abstract fleet(nodes: number): void;
 }
 
 /** Creates metrics that go nowhere, for tests and benches. */
@@ -63,11 +66,10 @@
     answered(): void {}
     retried(): void {}
     load(): void {}
-    waited(): void {}
     inForce(): void {}
     converged(): void {}
     traffic(): void {}
     control(): void {}
-    linked(): void {}
+    fleet(): void {}
   })();
 }
