Failure tests of the control group with real processes

Cause: kills, lost disks, freezes and races were shown with fakes only. Ruled out: the example settings for this (fixed ports; tests run beside each other).

--- a/bench/demo/main.ts
+++ b/bench/demo/main.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import {startDeployment} from '../deployment/deployment.js';
 import type {Deployment} from '../deployment/deployment.js';
-import {until} from '../deployment/until.js';
+import {setUp} from '../deployment/setup.js';
 import {createChecks} from './checks.js';
 import type {Checks} from './checks.js';
 import {tryAgency} from './agency.js';
@@ -14,7 +14,6 @@
 
 /** Milliseconds that a piece of the stand-ins' work takes. */
 const work = 5;
-const startLimit = 60_000;
 
 const checks = createChecks();
 await show('qurm', checks, tryQurm);
@@ -33,7 +32,8 @@
   const folder = `examples/${name}`;
   const deployment = await startDeployment({folder, work});
   try {
-    await setUp(deployment, folder, checks);
+    await setUp(deployment, `${folder}/setup.fox`);
+    checks.check('the set-up is in force everywhere', true);
     await course(deployment, checks);
     await tryBadInput(deployment, checks);
     const places = await deployment.operate('show', 'in', 'force');
@@ -49,37 +49,6 @@
   );
 }
 
-async function setUp(
-  deployment: Deployment,
-  folder: string,
-  checks: Checks,
-): Promise<void> {
-  await until('the control group has a leader', startLimit, async () => {
-    const {code} = await deployment.operate('history');
-    return code === 0;
-  });
-  const file = `"${process.cwd()}/${folder}/setup.fox"`;
-  const applied = await deployment.operate('apply', file);
-  checks.check('the set-up was accepted', applied.code === 0, applied.errors);
-  const version = /version (\d+)/.exec(applied.output)?.[1] ?? '0';
-  const waited = await deployment.operate('wait', version, 'within', '30s');
-  checks.check(
-    `version ${version} is in force everywhere`,
-    waited.code === 0,
-    waited.errors,
-  );
-  await until('each service has its keepers', startLimit, () =>
-    haveKeepers(deployment),
-  );
-}
-
-/** Keyed work is taken once the leader has appointed who keeps the claims. */
-async function haveKeepers(deployment: Deployment): Promise<boolean> {
-  const services = new Set(deployment.places.map(({service}) => service));
-  const {output} = await deployment.operate('--json', 'show', 'services');
-  return output.split('"keepers"').length > services.size;
-}
-
 function print(text: string): void {
   process.stdout.write(`${text}\n`);
 }
--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -26,6 +26,10 @@
 export interface Deployment {
   readonly controls: readonly Program[];
   readonly places: readonly Place[];
+  /** The settings of the control processes, in the order of `controls`. */
+  readonly controlSettings: readonly ControlSettings[];
+  /** The folder in which the data folders lie. */
+  readonly data: string;
   /** Runs one operator command. */
   operate(...words: readonly string[]): Promise<Finished>;
   /** Starts a program again under its settings. */
@@ -40,6 +44,8 @@
   readonly folder: string;
   /** Milliseconds that one piece of the upstreams' work takes. */
   readonly work: number;
+  /** The next stand-in's address; by default some ports above its node's. */
+  readonly upstreamAddress?: () => string;
 }
 
 /** Ports from a node's caller address to its stand-in upstream's. */
@@ -70,8 +76,7 @@
 
   function startPlace(one: NodeSettings): Place {
     const service = one.name.replace(/-\d+$/, '');
-    const {host, port} = parseAddress(one.callerAddress);
-    const upstreamAddress = `${host}:${port + upstreamPortOffset}`;
+    const upstreamAddress = options.upstreamAddress?.() ?? besides(one);
     const node = start(one);
     const command = [
       process.execPath,
@@ -94,6 +99,8 @@
 
   return {
     controls: controlPrograms,
+    controlSettings: controls,
+    data,
     places: startedPlaces,
     operate: (...words) =>
       runProgram({
@@ -123,6 +130,11 @@
   };
 }
 
+function besides({callerAddress}: NodeSettings): string {
+  const {host, port} = parseAddress(callerAddress);
+  return `${host}:${port + upstreamPortOffset}`;
+}
+
 async function readAll(folder: string): Promise<Settings[]> {
   const names = await readdir(folder);
   const files = names.filter(name => name.endsWith('.json'));
--- /dev/null
+++ b/bench/deployment/setup.ts
@@ -0,0 +1,67 @@
+/** Brings a started deployment to where callers can use it. */
+import {resolve} from 'node:path';
+import {createOperatorClient} from '../../src/operator/create-operator-client.js';
+import type {OperatorClient} from '../../src/operator/create-operator-client.js';
+import {createTimers} from '../../src/time/timers.js';
+import type {Deployment} from './deployment.js';
+import {until} from './until.js';
+
+const limit = 60_000;
+
+/** A client of all control processes, or of those named by index. */
+export function connectOperator(
+  deployment: Deployment,
+  indexes?: readonly number[],
+): OperatorClient {
+  const addresses = deployment.controlSettings
+    .filter((_, index) => indexes?.includes(index) ?? true)
+    .map(({operatorAddress}) => operatorAddress);
+  return createOperatorClient({addresses, timers: createTimers()});
+}
+
+/** Waits for a leader; gives its index. */
+export async function findLeader(deployment: Deployment): Promise<number> {
+  const client = connectOperator(deployment);
+  let leader = -1;
+  await until('the control group has a leader', limit, async () => {
+    const views = await client.control();
+    leader = views.findIndex(view => view.ok && view.value.role === 'leader');
+    return leader >= 0;
+  });
+  await client.close();
+  return leader;
+}
+
+/** Applies a file of commands and waits until all nodes have them. */
+export async function setUp(
+  deployment: Deployment,
+  file: string,
+): Promise<void> {
+  await findLeader(deployment);
+  const applied = await deployment.operate('apply', `"${resolve(file)}"`);
+  if (applied.code !== 0) throw new Error(applied.errors);
+  const version = /version (\d+)/.exec(applied.output)?.[1] ?? '0';
+  await until('all nodes are known', limit, async () => {
+    const {output} = await deployment.operate('show', 'in', 'force');
+    return output.includes(`of ${deployment.places.length} nodes`);
+  });
+  const waited = await deployment.operate('wait', version, 'within', '30s');
+  if (waited.code !== 0) throw new Error(waited.errors);
+  await until('each service has its keepers', limit, () =>
+    haveKeepers(deployment),
+  );
+}
+
+/** Keyed work is taken once the leader has appointed who keeps the claims. */
+async function haveKeepers(deployment: Deployment): Promise<boolean> {
+  const names = new Set(deployment.places.map(({service}) => service));
+  const client = connectOperator(deployment);
+  const reply = await client.items('service');
+  await client.close();
+  if (!reply.ok) return false;
+  const kept = reply.value.items.filter(
+    ({kind, value}) =>
+      kind === 'service' && names.has(value.name) && value.keepers,
+  );
+  return kept.length === names.size;
+}
--- /dev/null
+++ b/bench/deployment/small.ts
@@ -0,0 +1,102 @@
+/** Settings of a small deployment on free ports, for failure tests. */
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {startDeployment} from './deployment.js';
+import type {Deployment} from './deployment.js';
+import {reservePorts} from './ports.js';
+import type {Ports} from './ports.js';
+
+/** What a small deployment has. */
+export interface SmallOptions {
+  readonly controls: number;
+  /** Instances by service. */
+  readonly services: ReadonlyArray<{
+    readonly name: string;
+    readonly instances: number;
+  }>;
+  /** More settings for each node, such as `claimRetention`. */
+  readonly node?: object;
+  /** More settings for each control process. */
+  readonly control?: object;
+  /** Milliseconds that the upstreams' work takes; default 5. */
+  readonly work?: number;
+}
+
+const defaultWork = 5;
+
+/** Unchecked settings as they go into a file. */
+interface SettingsFile {
+  readonly name: string;
+  readonly [key: string]: unknown;
+}
+
+const failureDomains = ['hall-a', 'hall-b', 'hall-c'];
+
+/** Starts a small deployment; its `stop` gives its ports and files back. */
+export async function startSmall(options: SmallOptions): Promise<Deployment> {
+  const folder = await mkdtemp(join(tmpdir(), 'foxbarrow-settings-'));
+  const ports = await reservePorts();
+  await writeSettings(folder, ports, options);
+  const deployment = await startDeployment({
+    folder,
+    work: options.work ?? defaultWork,
+    upstreamAddress: ports.take,
+  });
+  return {
+    ...deployment,
+    async stop() {
+      const failed = await deployment.stop();
+      ports.release();
+      await rm(folder, {recursive: true, force: true});
+      return failed;
+    },
+  };
+}
+
+async function writeSettings(
+  folder: string,
+  {take}: Ports,
+  options: SmallOptions,
+): Promise<void> {
+  const members = Array.from({length: options.controls}, (_, index) => ({
+    name: `control-${index + 1}`,
+    peerAddress: take(),
+    operatorAddress: take(),
+    distributionAddress: take(),
+    failureDomain: failureDomains[index % failureDomains.length]!,
+  }));
+  const write = async (settings: SettingsFile) => {
+    const file = join(folder, `${settings.name}.json`);
+    await writeFile(file, JSON.stringify(settings, null, 2));
+  };
+  for (const member of members) {
+    await write({
+      role: 'control',
+      ...member,
+      region: 'astana',
+      dataFolder: `data/${member.name}`,
+      adminAddress: take(),
+      batchWindow: 20,
+      members,
+      ...options.control,
+    });
+  }
+  for (const service of options.services) {
+    for (let number = 1; number <= service.instances; number++) {
+      await write({
+        role: 'node',
+        name: `${service.name}-${number}`,
+        region: 'astana',
+        failureDomain: failureDomains[(number - 1) % failureDomains.length]!,
+        callerAddress: take(),
+        gateAddress: take(),
+        announceAddress: take(),
+        adminAddress: take(),
+        keeperAddress: take(),
+        homes: members.map(member => member.distributionAddress),
+        ...options.node,
+      });
+    }
+  }
+}
