--- a/src/consensus/core-state.ts
+++ b/src/consensus/core-state.ts
@@ -29,6 +29,12 @@
   readonly syncBeforeAnswer: boolean;
   /** A read barrier waits for a quorum round. */
   readonly quorumRead: boolean;
+  /** A leader commits by counting copies of entries of its own term only. */
+  readonly ownTermCommit: boolean;
+  /** Members change only after an entry of the leader's own term is committed. */
+  readonly ownTermChange: boolean;
+  /** No message leaves before the vote decided ahead of it is durable. */
+  readonly syncVote: boolean;
   /** Followers get a bounded number of unacknowledged batches. */
   readonly flowControl: boolean;
   /** A failed sync stops the member for good. */
@@ -42,6 +48,9 @@
   storageIdentity: true,
   syncBeforeAnswer: true,
   quorumRead: true,
+  ownTermCommit: true,
+  ownTermChange: true,
+  syncVote: true,
   flowControl: true,
   stopOnSyncFailure: true,
 };
--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -45,6 +45,8 @@
   let stopped: Result<never> | undefined;
   let followed = state.log.membership;
 
+  const mustWait = () => options.safeguards.syncVote && writer.holdsVote;
+
   const isLeader = () => state.role.current === 'leader';
 
   const writer = createWriter(
@@ -119,7 +121,7 @@
     switch (action.kind) {
       case 'send':
         // A vote must be durable before anybody can count on it.
-        if (writer.holdsVote) writer.push(action);
+        if (mustWait()) writer.push(action);
         else links.send(action.to, action.message);
         return;
       case 'save-vote':
--- a/src/consensus/durability.test.ts
+++ b/src/consensus/durability.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import {consensusCodes} from './codes.js';
-import {startTestGroup} from './fakes/group.js';
+import {readIdentity} from './folder.js';
+import type {VoteAnswer} from './messages.js';
+import {createTestGroup, startTestGroup} from './fakes/group.js';
 import type {TestGroup, TestGroupOptions} from './fakes/group.js';
 
 const textsOf = (group: TestGroup, name: string) =>
@@ -124,3 +126,35 @@
   t.true((await syncsFor(true)) <= 20);
   t.true((await syncsFor(false)) >= 100);
 });
+
+/** The term of a voter's first vote, sent and on disk, at the moment it left. */
+async function catchVote(syncVote: boolean) {
+  const safeguards = {syncVote};
+  const diskOptions = {syncTime: 30};
+  const group = createTestGroup(3, {safeguards, diskOptions});
+  let voter: string | undefined;
+  let sent = 0;
+  group.network.decide((source, _target, message) => {
+    const {kind, trial, granted, term} = message as VoteAnswer;
+    const isVote = kind === 'vote-answer' && granted && !trial;
+    if (!isVote || voter !== undefined) return 'deliver';
+    voter = source;
+    sent = term;
+    group.kill(source);
+    return 'drop';
+  });
+  for (const name of group.names) await group.start(name);
+  await group.until(() => voter !== undefined);
+  const identity = await readIdentity(group.member(voter!).disk.open());
+  return {sent, kept: identity!.term};
+}
+
+test('a vote leaves only after it is on disk', async t => {
+  // A voter grants its vote, dies and comes back. Did the vote leave before it
+  // was durable, the voter has forgotten it and votes for another candidate in
+  // the same term: two leaders at once.
+  const safe = await catchVote(true);
+  t.is(safe.kept, safe.sent);
+  const unsafe = await catchVote(false);
+  t.true(unsafe.kept < unsafe.sent);
+});
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -30,14 +30,14 @@
   state: CoreState,
   replication: Replication,
 ): MembershipChanges {
-  const {self, electionTimeout} = state.options;
+  const {self, electionTimeout, safeguards} = state.options;
   const met = new Map<string, Voter>();
 
   const isLeader = () => state.role.current === 'leader';
 
   const mayChange = () =>
     state.log.membershipIndex <= state.commitIndex &&
-    state.commitIndex >= replication.startIndex;
+    (state.commitIndex >= replication.startIndex || !safeguards.ownTermChange);
 
   function propose(membership: Membership): void {
     const index = state.log.lastIndex + 1;
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -168,7 +168,8 @@
     matches.sort((left, right) => right - left);
     const index = matches[majorityOf(state) - 1]!;
     if (index <= state.commitIndex) return;
-    if (state.log.termAt(index) !== state.term) return;
+    const isOwn = state.log.termAt(index) === state.term;
+    if (!isOwn && safeguards.ownTermCommit) return;
     commitTo(state, index);
     for (const progress of members.values()) {
       const isIdle = progress.feed === 'stream' && !feed(progress);
