--- /dev/null
+++ b/bench/consensus/process-group.ts
@@ -0,0 +1,184 @@
+import {fork} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Member} from '../../src/consensus/consensus.js';
+import type {HostOptions, Reply, Request, View} from './messages.js';
+
+/** A control group of real processes on loopback, each with a real folder. */
+export interface ProcessGroup {
+  readonly names: readonly string[];
+  memberOf(name: string): Member;
+  start(name: string): Promise<void>;
+  /** Ends a process with SIGKILL. */
+  kill(name: string): Promise<void>;
+  /** Sends SIGSTOP or SIGCONT. */
+  signal(name: string, signal: 'SIGSTOP' | 'SIGCONT'): void;
+  /** Removes a member's data folder. */
+  wipe(name: string): Promise<void>;
+  isUp(name: string): boolean;
+  ask(name: string, request: Request): Promise<Reply>;
+  view(name: string): Promise<View>;
+  /** The leader that a majority follows; waits for one. */
+  leader(): Promise<string>;
+  /** Waits until `done`, asking again each few milliseconds. */
+  until(done: () => Promise<boolean>): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** How a group of processes is made. */
+export interface ProcessGroupOptions {
+  readonly size: number;
+  /** Members beyond the founders, which join later. */
+  readonly spares?: number;
+  readonly groupCommit?: boolean;
+  readonly snapshotEntries?: number;
+  readonly heartbeat?: number;
+  readonly electionTimeout?: number;
+}
+
+const host = new URL('./host.js', import.meta.url);
+const waitLimit = 30_000;
+const pollPeriod = 5;
+
+interface Child {
+  readonly process: ChildProcess;
+  readonly waiting: Map<number, (reply: Reply) => void>;
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  await new Promise(done => server.close(done));
+  return port;
+}
+
+/** Creates and starts a group of processes; spares are not started. */
+export async function createProcessGroup(
+  options: ProcessGroupOptions,
+): Promise<ProcessGroup> {
+  const {size, spares = 0} = options;
+  const root = await mkdtemp(join(tmpdir(), 'foxbarrow-consensus-'));
+  const all = new Map<string, Member>();
+  const children = new Map<string, Child>();
+  let nextId = 1;
+
+  for (let at = 0; at < size + spares; at++) {
+    const name = `control-${at + 1}`;
+    const address = `127.0.0.1:${await freePort()}`;
+    all.set(name, {name, address, failureDomain: `domain-${at + 1}`});
+  }
+  const founders = [...all.values()].slice(0, size);
+  const folderOf = (name: string) => join(root, name);
+
+  async function start(name: string): Promise<void> {
+    const hostOptions: HostOptions = {
+      self: all.get(name)!,
+      members: founders,
+      folder: folderOf(name),
+      groupCommit: options.groupCommit ?? true,
+      snapshotEntries: options.snapshotEntries ?? 1000,
+      heartbeat: options.heartbeat ?? 50,
+      electionTimeout: options.electionTimeout ?? 500,
+    };
+    const child = fork(host, [JSON.stringify(hostOptions)]);
+    const waiting = new Map<number, (reply: Reply) => void>();
+    children.set(name, {process: child, waiting});
+    await new Promise<void>((resolve, reject) => {
+      waiting.set(0, () => resolve());
+      child.on('message', (reply: Reply) => {
+        waiting.get(reply.id)?.(reply);
+        waiting.delete(reply.id);
+      });
+      child.once('exit', code => {
+        if (children.get(name)?.process === child) children.delete(name);
+        for (const settle of waiting.values()) settle({id: -1});
+        reject(new Error(`${name} ended with ${code}`));
+      });
+    });
+  }
+
+  function ask(name: string, request: Request): Promise<Reply> {
+    const child = children.get(name);
+    if (child === undefined) return Promise.resolve({id: -1});
+    const id = nextId++;
+    return new Promise(resolve => {
+      child.waiting.set(id, resolve);
+      child.process.send({id, request}, error => {
+        if (error) resolve({id: -1});
+      });
+    });
+  }
+
+  async function view(name: string): Promise<View> {
+    const {value} = await ask(name, {kind: 'view'});
+    if (value === undefined) throw new Error(`${name} does not answer`);
+    return value as View;
+  }
+
+  async function kill(name: string): Promise<void> {
+    const child = children.get(name)?.process;
+    if (child === undefined) return;
+    const ended = new Promise(resolve => child.once('exit', resolve));
+    child.kill('SIGKILL');
+    await ended;
+  }
+
+  async function until(done: () => Promise<boolean>): Promise<void> {
+    for (let waited = 0; waited < waitLimit; waited += pollPeriod) {
+      if (await done()) return;
+      await delay(pollPeriod);
+    }
+    throw new Error('it did not come to pass');
+  }
+
+  async function findLeader(): Promise<string | undefined> {
+    for (const name of children.keys()) {
+      const reply = await Promise.race([
+        ask(name, {kind: 'view'}),
+        delay(200).then((): Reply => ({id: -1})),
+      ]);
+      const found = reply.value as View | undefined;
+      if (found?.role === 'leader' && found.commitIndex > 0) return name;
+    }
+    return undefined;
+  }
+
+  const group: ProcessGroup = {
+    names: [...all.keys()],
+    memberOf: name => all.get(name)!,
+    start,
+    kill,
+    signal: (name, signal) => void children.get(name)?.process.kill(signal),
+    wipe: name => rm(folderOf(name), {recursive: true, force: true}),
+    isUp: name => children.has(name),
+    ask,
+    view,
+    async leader() {
+      let found: string | undefined;
+      await until(async () => {
+        found = await findLeader();
+        return found !== undefined;
+      });
+      return found!;
+    },
+    until,
+    async stop() {
+      await Promise.all([...children.keys()].map(kill));
+      await rm(root, {recursive: true, force: true});
+    },
+  };
+
+  try {
+    await Promise.all(founders.map(({name}) => start(name)));
+  } catch (error) {
+    await group.stop();
+    throw error;
+  }
+  return group;
+}
--- /dev/null
+++ b/bench/experiments/consensus-failover.ts
@@ -0,0 +1,92 @@
+import {performance} from 'node:perf_hooks';
+import {build} from 'hdr-histogram-js';
+import {createProcessGroup} from '../consensus/process-group.js';
+import type {ProcessGroup} from '../consensus/process-group.js';
+import {compare} from '../experiment.js';
+import type {Experiment, Outcome, Row, RunOptions} from '../experiment.js';
+
+const baseTimeout = 500;
+
+/** Kills the leader and returns the milliseconds until a change is accepted. */
+async function failOver(group: ProcessGroup, turn: number): Promise<number> {
+  const leader = await group.leader();
+  const from = performance.now();
+  await group.kill(leader);
+  const others = group.names.filter(name => name !== leader);
+  let isAccepted = false;
+  while (!isAccepted) {
+    const replies = await Promise.all(
+      others.map(name =>
+        group.ask(name, {kind: 'propose', name: 'turn', text: `${turn}`}),
+      ),
+    );
+    isAccepted = replies.some(({value}) => value === true);
+  }
+  const gap = performance.now() - from;
+  await group.start(leader);
+  await group.until(async () => {
+    const [view, other] = [
+      await group.view(leader),
+      await group.view(others[0]!),
+    ];
+    return view.appliedIndex >= other.commitIndex;
+  });
+  return gap;
+}
+
+interface Gaps {
+  readonly p50: number;
+  readonly max: number;
+  readonly count: number;
+}
+
+async function measure(
+  electionTimeout: number,
+  milliseconds: number,
+): Promise<Gaps> {
+  const heartbeat = electionTimeout / 10;
+  const group = await createProcessGroup({size: 3, electionTimeout, heartbeat});
+  const histogram = build();
+  const end = performance.now() + milliseconds;
+  try {
+    while (performance.now() < end) {
+      histogram.recordValue(await failOver(group, histogram.totalCount));
+    }
+  } finally {
+    await group.stop();
+  }
+  return {
+    p50: histogram.getValueAtPercentile(50),
+    max: histogram.maxValue,
+    count: histogram.totalCount,
+  };
+}
+
+async function run(options: RunOptions): Promise<Outcome> {
+  const timeouts = [250, baseTimeout, 1000];
+  const part = (options.seconds * 1000) / timeouts.length;
+  const rows: Row[] = [];
+  const counts: Record<string, number> = {};
+  const found = new Map<number, Gaps>();
+  for (const timeout of timeouts) {
+    found.set(timeout, await measure(timeout, part));
+  }
+  const base = found.get(baseTimeout)!;
+  for (const [timeout, gaps] of found) {
+    const label = `election timeout ${timeout} ms`;
+    rows.push(
+      compare(`no accepting, median, ${label}`, 'ms', gaps.p50, base.p50),
+      compare(`no accepting, longest, ${label}`, 'ms', gaps.max, base.max),
+    );
+    counts[`kills at ${timeout} ms`] = gaps.count;
+  }
+  return {rows, counts};
+}
+
+export const experiment: Experiment = {
+  name: 'consensus-failover',
+  about: 'time without an accepted change after kill -9 of the leader',
+  baseline: `an election timeout of ${baseTimeout} ms`,
+  seconds: 40,
+  run,
+};
