Consensus: a member that died during its repair can be replaced

Cause: a silent learner was dropped even when it was a returned voter, which left the group short for good, and replace refused to name a learner. Only a joining member is given up now; a learner may be the leaving one.

--- a/src/consensus/group-links.ts
+++ b/src/consensus/group-links.ts
@@ -149,7 +149,10 @@
     },
     announce: () => peers.announce(),
     follow({voters, learners}) {
-      for (const member of [...voters, ...learners]) peers.keep(member);
+      for (const member of [...voters, ...learners]) {
+        // What a member says of its own address is newer than the log.
+        peers.keep(hellos.get(member.name)?.member ?? member);
+      }
     },
     formAlone() {
       const list = formation.alone();
--- a/src/consensus/membership.test.ts
+++ b/src/consensus/membership.test.ts
@@ -134,3 +134,28 @@
   if (!result.ok) t.is(result.code, consensusCodes.memberUnreachable);
   t.true((await group.settled(replace(group, leaving, 'e'))).ok);
 });
+
+test('a member that died again during its repair can be replaced', async t => {
+  // A voter came back empty, became a learner and died for good. It must not
+  // stand in the way of its own replacement.
+  const group = await startWithSpares();
+  const leader = group.leader()!;
+  const dead = group.names.find(name => name !== leader)!;
+  group.kill(dead);
+  group.member(dead).disk.wipe();
+  await group.start(dead);
+  group.network.decide((source, _target, message) => {
+    const {kind} = message as {kind: string};
+    return source === dead && kind === 'appended' ? 'drop' : 'deliver';
+  });
+  const learnersOf = () => group.member(leader).consensus!.status().learners;
+  await group.until(() => learnersOf().length === 1);
+  group.kill(dead);
+  await group.run(40_000);
+  t.deepEqual(
+    learnersOf().map(({name}) => name),
+    [dead],
+  );
+  t.true((await group.settled(replace(group, dead, 'd'))).ok);
+  t.is(votersOf(group, leader).length, 3);
+});
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -17,7 +17,7 @@
   tick(): void;
 }
 
-/** Election timeouts after which a silent learner is given up. */
+/** Election timeouts after which a silent joining member is given up. */
 const abandonTimeouts = 60;
 
 /**
@@ -95,21 +95,15 @@
     return true;
   }
 
-  /** A learner that stays silent would block every later change. */
+  /** A joining member that stays silent would block every later change. */
   function abandonSilent(): boolean {
     const {voters, learners, replacement} = membershipOf(state);
-    const silent = learners.find(learner => {
-      const progress = replication.progressOf(learner.name);
-      const heardAt = progress?.heardAt ?? state.now;
-      return state.now - heardAt >= abandonTimeouts * electionTimeout;
-    });
-    if (silent === undefined) return false;
-    const isJoining = replacement?.joining === silent.name;
-    propose({
-      voters,
-      learners: without(learners, silent.name),
-      replacement: isJoining ? undefined : replacement,
-    });
+    if (replacement === undefined) return false;
+    const {joining} = replacement;
+    const heardAt = replication.progressOf(joining)?.heardAt ?? state.now;
+    const silence = state.now - heardAt;
+    if (silence < abandonTimeouts * electionTimeout) return false;
+    propose({voters, learners: without(learners, joining)});
     return true;
   }
 
@@ -128,14 +122,17 @@
     replace(leaving, joining) {
       const {voters, learners, replacement} = membershipOf(state);
       if (!isLeader()) return 'not-leader';
-      if (replacement !== undefined || learners.length > 0) return 'busy';
-      if (!mayChange()) return 'busy';
-      if (!voters.some(voter => voter.name === leaving)) return 'unknown';
+      if (replacement !== undefined || !mayChange()) return 'busy';
+      const rest = without(learners, leaving);
+      if (rest.length > 0) return 'busy';
+      if (!isMember(leaving)) return 'unknown';
       if (isMember(joining.name)) return 'present';
+      // A learner, such as a voter that came back empty, leaves at once.
+      const isVoter = rest.length === learners.length;
       propose({
         voters,
         learners: [joining],
-        replacement: {leaving, joining: joining.name},
+        replacement: isVoter ? {leaving, joining: joining.name} : undefined,
       });
       return 'begun';
     },
