Consensus: a leader that stops in order hands over

Cause: a planned restart of the leader's VM cost a whole election timeout without an accepted change. In fake time with a 500 ms timeout: killed at least 500 ms, stopped under 200 ms. The fake group now ends a life by freezing it for good; before, the dead life could still close the new life's listener.

--- a/src/consensus/consensus.ts
+++ b/src/consensus/consensus.ts
@@ -55,5 +55,6 @@
   onApplied(observe: (index: number) => void): void;
   /** Calls `observe` after each change of role or leader. */
   onRole(observe: (status: Status) => void): void;
+  /** Ends the member; a leader first lets another one lead. */
   stop(): Promise<void>;
 }
--- a/src/consensus/core.ts
+++ b/src/consensus/core.ts
@@ -30,6 +30,8 @@
   | {readonly kind: 'parted'; readonly name: string}
   | {readonly kind: 'propose'; readonly proposals: readonly Proposal[]}
   | {readonly kind: 'barrier'; readonly id: number}
+  /** This process will stop: another member should lead. */
+  | {readonly kind: 'hand-over'}
   /** The disk holds all entries up to `index` of that epoch of the log. */
   | {readonly kind: 'synced'; readonly index: number; readonly epoch: number}
   /** A snapshot of the own state is durable; the log may shrink behind it. */
@@ -95,6 +97,8 @@
         return follower.onSnapshotPart(from, message);
       case 'snapshot-taken':
         return replication.onSnapshotTaken(from, message);
+      case 'take-over':
+        return election.onTakeOver(from, message);
       case 'barrier-request':
         return barriers.onRequest(from, message);
       case 'barrier-answer':
@@ -133,6 +137,9 @@
         return propose(event.proposals);
       case 'barrier':
         return barriers.request(event.id);
+      case 'hand-over':
+        if (roleOf(state) === 'leader') replication.handOver();
+        return;
       case 'synced':
         return onSynced(event.index, event.epoch);
       case 'snapshot-saved':
--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -43,6 +43,8 @@
   const due: Action[] = [];
   let isPerforming = false;
   let stopped: Result<never> | undefined;
+  /** Set while a leader that stops waits for another to lead. */
+  let retired: (() => void) | undefined;
   let followed = state.log.membership;
 
   const mustWait = () => options.safeguards.syncVote && writer.holdsVote;
@@ -153,11 +155,15 @@
     const {role, term, leader} = view;
     log.info('role', {role, term, leader: leader ?? null});
     for (const observe of roleObservers) observe(view);
+    if (!isLeader()) retired?.();
   }
 
   function tick(): void {
     handle({kind: 'tick'});
     reads.tick();
+    if (retired !== undefined && proposals.count === 0) {
+      handle({kind: 'hand-over'});
+    }
     // Between changes: lets a damaged last entry be told from a torn one.
     if (writer.isIdle && links.isFormed) writer.push({kind: 'mark'});
   }
@@ -182,7 +188,7 @@
   function refuseProposal(data: Uint8Array): Result<never> | undefined {
     const {entryLimit, openLimit} = options;
     if (stopped !== undefined) return stopped;
-    if (!isLeader()) return notLeader();
+    if (!isLeader() || retired !== undefined) return notLeader();
     if (data.length > entryLimit) {
       return failure(
         consensusCodes.entryTooLarge,
@@ -233,6 +239,20 @@
     };
   }
 
+  /**
+   * A leader that stops lets its open changes end, then has another member lead,
+   * so that a planned stop costs no election timeout. A bound keeps a group
+   * without a fit member from delaying the stop.
+   */
+  async function retire(): Promise<void> {
+    if (stopped !== undefined || !isLeader()) return;
+    if (state.log.membership.voters.length === 1) return;
+    await new Promise<void>(resolve => {
+      retired = resolve;
+      timers.after(electionTimeout, resolve);
+    });
+  }
+
   function fail(problem: Failure): void {
     log.error(problem.message, {code: problem.code.number});
     void halt(failure(problem.code, problem.message));
@@ -264,6 +284,7 @@
     onApplied: observe => applier.observe(observe),
     onRole: observe => void roleObservers.push(observe),
     async stop() {
+      await retire();
       await halt(
         failure(consensusCodes.stopped, 'this control process has stopped'),
       );
--- a/src/consensus/election.test.ts
+++ b/src/consensus/election.test.ts
@@ -126,3 +126,21 @@
   t.is(statusOf(group, old).role, 'follower');
   t.is(group.leader(), next);
 });
+
+/** Milliseconds of fake time until a change is accepted after a leader went. */
+async function timeWithoutLeader(go: 'stop' | 'kill') {
+  const group = await startTestGroup(3);
+  const old = group.leader()!;
+  void group.member(old).consensus!.propose(Buffer.from('open'));
+  const from = group.timers.now();
+  if (go === 'stop') await group.stop(old);
+  else group.kill(old);
+  await group.propose(await group.elect(), 'after');
+  return group.timers.now() - from;
+}
+
+test('a leader that stops in order hands over; one that is killed costs an election', async t => {
+  // A control VM is restarted as planned while a change is on its way.
+  t.true((await timeWithoutLeader('stop')) < 200);
+  t.true((await timeWithoutLeader('kill')) >= 500);
+});
--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -1,4 +1,4 @@
-import type {Peer, VoteAnswer, VoteRequest} from './messages.js';
+import type {Peer, TakeOver, VoteAnswer, VoteRequest} from './messages.js';
 import {
   adoptTerm,
   findVoter,
@@ -17,6 +17,7 @@
   tick(): void;
   onVoteRequest(from: Peer, message: VoteRequest): void;
   onVoteAnswer(from: Peer, message: VoteAnswer): void;
+  onTakeOver(from: Peer, message: TakeOver): void;
   /** Notes a message of the term's leader; false when its term is over. */
   onLeader(from: Peer, term: number): boolean;
 }
@@ -42,19 +43,19 @@
     state.role.send('timeout');
     state.leader = undefined;
     if (safeguards.preVote) ask(true);
-    else stand();
+    else stand(false);
   }
 
   /** Enters a new term as its candidate, with its own vote. */
-  function stand(): void {
+  function stand(isHandover: boolean): void {
     adoptTerm(state, state.term + 1);
     state.role.send('timeout');
     state.votedFor = self.storage;
     saveVote(state);
-    ask(false);
+    ask(false, isHandover);
   }
 
-  function ask(isTrial: boolean): void {
+  function ask(isTrial: boolean, isHandover = false): void {
     trial = isTrial;
     votes = new Set([self.name]);
     for (const voter of membershipOf(state).voters) {
@@ -66,6 +67,7 @@
         lastIndex: state.log.lastIndex,
         lastTerm: state.log.lastTerm,
         voter: voter.storage,
+        isHandover,
       });
     }
     count();
@@ -73,7 +75,7 @@
 
   function count(): void {
     if (votes.size < majorityOf(state)) return;
-    if (trial) stand();
+    if (trial) stand(false);
     else {
       state.role.send('elected');
       state.leader = self.name;
@@ -138,7 +140,8 @@
     onVoteRequest(from, message) {
       const isMeant = message.voter === self.storage;
       if (safeguards.storageIdentity && !isMeant) return;
-      if (hearsLeader()) answer(from.name, message, false);
+      const isRefused = hearsLeader() && !message.isHandover;
+      if (isRefused) answer(from.name, message, false);
       else if (message.trial) decideTrial(from, message);
       else decide(from, message);
     },
@@ -154,6 +157,12 @@
       votes.add(from.name);
       count();
     },
+    onTakeOver(from, message) {
+      if (message.term !== state.term || state.leader !== from.name) return;
+      if (!isCounted(state) || roleOf(state) !== 'follower') return;
+      restart();
+      stand(true);
+    },
     onLeader(from, term) {
       if (term < state.term) return false;
       adoptTerm(state, term);
--- a/src/consensus/fakes/freezable.ts
+++ b/src/consensus/fakes/freezable.ts
@@ -66,14 +66,25 @@
   clock: FreezableTimers,
 ): Network {
   return new (class extends Network {
-    listen(address: Address, accept: (link: Link) => void): Promise<Listener> {
-      return network.listen(address, link =>
+    async listen(
+      address: Address,
+      accept: (link: Link) => void,
+    ): Promise<Listener> {
+      const listener = await network.listen(address, link =>
         clock.whenAwake(() => accept(wrap(link, clock))),
       );
+      return {
+        address: listener.address,
+        close: () =>
+          new Promise(resolve =>
+            clock.whenAwake(() => void listener.close().then(resolve)),
+          ),
+      };
     }
 
     async connect(address: Address): Promise<Link> {
-      return wrap(await network.connect(address), clock);
+      const link = wrap(await network.connect(address), clock);
+      return new Promise(resolve => clock.whenAwake(() => resolve(link)));
     }
   })();
 }
--- a/src/consensus/fakes/group.ts
+++ b/src/consensus/fakes/group.ts
@@ -59,7 +59,7 @@
   journal: Journal;
   failure: Failure | undefined;
   /** Its own view of the timer service. */
-  readonly clock: FreezableTimers;
+  clock: FreezableTimers;
 }
 
 /** A control group in memory. */
@@ -72,6 +72,8 @@
   start(name: string): Promise<void>;
   /** Ends a life at once; unsynced bytes are lost, with `random` some stay. */
   kill(name: string, random?: Random): void;
+  /** Ends a life in order. */
+  stop(name: string): Promise<void>;
   /** Adds a member that is not among the founders. */
   add(name: string): void;
   /** Lets time pass. */
@@ -137,12 +139,13 @@
     const one = all.get(name)!;
     one.journal = createJournal();
     one.failure = undefined;
+    const {clock} = one;
     const starting = createConsensus({
       self: one.member,
       members: founders,
       disk: one.disk.open(),
-      network: createFreezableNetwork(network.from(name), one.clock),
-      timers: one.clock,
+      network: createFreezableNetwork(network.from(name), clock),
+      timers: clock,
       random: createRandom(random.integer(1_000_000)),
       log: createSilentLog(),
       machine: one.journal,
@@ -150,7 +153,7 @@
       electionTimeout,
       snapshotEntries: 1000,
       onFailure(failure) {
-        one.failure = failure;
+        if (one.clock === clock) one.failure = failure;
       },
       ...options,
     });
@@ -159,9 +162,11 @@
 
   function kill(name: string, crash?: Random): void {
     const one = all.get(name)!;
+    // Whatever this life still had to do, it never does.
+    one.clock.freeze();
+    one.clock = createFreezableTimers(timers);
     network.kill(name);
     one.disk.crash(crash);
-    void one.consensus?.stop().catch(() => {});
     one.consensus = undefined;
   }
 
@@ -198,6 +203,12 @@
     },
     start,
     kill,
+    async stop(name) {
+      const one = all.get(name)!;
+      const {consensus} = one;
+      one.consensus = undefined;
+      await settled(consensus!.stop());
+    },
     add,
     run: duration => timers.advanceAsync(duration),
     until,
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -79,6 +79,8 @@
   readonly lastTerm: number;
   /** The data folder that the candidate counts as a voter. */
   readonly voter: string;
+  /** The leader itself asked the candidate to take over. */
+  readonly isHandover: boolean;
 }
 
 /** Answers a vote request of the same term. */
@@ -135,6 +137,12 @@
   readonly round: number;
 }
 
+/** A leader that stops asks a voter that holds its whole log to lead. */
+export interface TakeOver {
+  readonly kind: 'take-over';
+  readonly term: number;
+}
+
 /** A follower asks the leader for a read barrier. */
 export interface BarrierRequest {
   readonly kind: 'barrier-request';
@@ -156,5 +164,6 @@
   | Appended
   | SnapshotPart
   | SnapshotTaken
+  | TakeOver
   | BarrierRequest
   | BarrierAnswer;
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -40,6 +40,8 @@
   /** Whether a majority answered a round. */
   isRoundOver(round: number): boolean;
   progressOf(name: string): Progress | undefined;
+  /** Asks a voter that holds the whole log to lead, if there is one. */
+  handOver(): void;
 }
 
 /** Creates the leader's part. */
@@ -289,5 +291,14 @@
       return answered.length >= majorityOf(state);
     },
     progressOf: name => members.get(name),
+    handOver() {
+      const heir = membershipOf(state).voters.find(({name}) => {
+        const progress = members.get(name);
+        if (progress?.match !== state.log.lastIndex) return false;
+        return state.now - progress.heardAt < electionTimeout;
+      });
+      if (heir === undefined) return;
+      send(state, heir.name, {kind: 'take-over', term: state.term});
+    },
   };
 }
