Consensus: a leaving member that lost its disk still leaves; bounded open changes

The last step now drops it from the learners too; own test, failing before. Changes that wait for a majority are bounded by bytes as well as by count.

--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -186,7 +186,7 @@
   }
 
   function refuseProposal(data: Uint8Array): Result<never> | undefined {
-    const {entryLimit, openLimit} = options;
+    const {entryLimit, openLimit, openBytesLimit} = options;
     if (stopped !== undefined) return stopped;
     if (!isLeader() || retired !== undefined) return notLeader();
     if (data.length > entryLimit) {
@@ -195,10 +195,12 @@
         `${data.length} bytes are more than ${entryLimit}; split the change`,
       );
     }
-    if (proposals.count < openLimit) return undefined;
+    const isFull =
+      proposals.count >= openLimit || proposals.bytes >= openBytesLimit;
+    if (!isFull) return undefined;
     return failure(
       consensusCodes.overloaded,
-      `${openLimit} changes wait for a majority; send it again later`,
+      `${proposals.count} changes wait for a majority; send it again later`,
     );
   }
 
--- a/src/consensus/membership.test.ts
+++ b/src/consensus/membership.test.ts
@@ -158,3 +158,29 @@
   t.true((await group.settled(replace(group, dead, 'd'))).ok);
   t.is(votersOf(group, leader).length, 3);
 });
+
+test('a leaving member that comes back empty meanwhile still leaves', async t => {
+  // It is a learner again when its replacement completes. Left among the
+  // learners it would be counted once more, and the group would stay at four.
+  const group = await startWithSpares();
+  const leader = group.leader()!;
+  const leaving = group.names.find(name => name !== leader)!;
+  const mute = new Set(['d', leaving]);
+  group.network.decide((source, _target, message) => {
+    const {kind} = message as {kind: string};
+    return mute.has(source) && kind === 'appended' ? 'drop' : 'deliver';
+  });
+  const call = replace(group, leaving, 'd');
+  await group.run(200);
+  group.kill(leaving);
+  group.member(leaving).disk.wipe();
+  await group.start(leaving);
+  const view = () => group.member(leader).consensus!.status();
+  await group.until(() => view().learners.length === 2);
+  mute.delete('d');
+  t.true((await group.settled(call)).ok);
+  mute.clear();
+  await group.run(3000);
+  t.false(votersOf(group, leader).includes(leaving));
+  t.deepEqual([view().voters.length, view().learners.length], [3, 0]);
+});
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -91,7 +91,11 @@
     if (replacement === undefined) return false;
     const {leaving, joining} = replacement;
     if (!voters.some(voter => voter.name === joining)) return false;
-    propose({voters: without(voters, leaving), learners});
+    // It may be a learner by now, when it came back on an empty folder.
+    propose({
+      voters: without(voters, leaving),
+      learners: without(learners, leaving),
+    });
     return true;
   }
 
--- a/src/consensus/options.ts
+++ b/src/consensus/options.ts
@@ -29,6 +29,8 @@
   readonly entryLimit?: number;
   /** Most changes that may wait for a majority; default 4096. */
   readonly openLimit?: number;
+  /** Most bytes of changes that may wait for a majority; default 32 MiB. */
+  readonly openBytesLimit?: number;
   /**
    * Called once when the disk fails: the member has stopped and the process
    * should end with the failure's code.
@@ -44,12 +46,14 @@
 export interface ResolvedOptions extends ConsensusOptions {
   readonly entryLimit: number;
   readonly openLimit: number;
+  readonly openBytesLimit: number;
   readonly groupCommit: boolean;
   readonly safeguards: Safeguards;
 }
 
 const defaultEntryLimit = 1024 * 1024;
 const defaultOpenLimit = 4096;
+const defaultOpenBytesLimit = 32 * 1024 * 1024;
 
 /** Completes the options with their defaults. */
 export function resolveOptions(options: ConsensusOptions): ResolvedOptions {
@@ -57,6 +61,7 @@
     ...options,
     entryLimit: options.entryLimit ?? defaultEntryLimit,
     openLimit: options.openLimit ?? defaultOpenLimit,
+    openBytesLimit: options.openBytesLimit ?? defaultOpenBytesLimit,
     groupCommit: options.groupCommit ?? true,
     safeguards: {...allSafeguards, ...options.safeguards},
   };
--- a/src/consensus/proposals.ts
+++ b/src/consensus/proposals.ts
@@ -8,6 +8,8 @@
 export interface Proposals {
   /** How many wait for their answer. */
   readonly count: number;
+  /** Bytes of the changes that wait. */
+  readonly bytes: number;
   /** Registers a change; it leaves with the next `take`. */
   add(data: Uint8Array): Promise<Result<Uint8Array>>;
   /** The changes that were added since the last call. */
@@ -30,6 +32,7 @@
   const handed = new Map<number, Settle>();
   const placed = new Map<number, Settle>();
   let nextId = 1;
+  let bytes = 0;
 
   const unknown = () =>
     failure(
@@ -41,8 +44,16 @@
     get count() {
       return added.size + handed.size + placed.size;
     },
+    get bytes() {
+      return bytes;
+    },
     add(data) {
-      return new Promise(settle => {
+      bytes += data.length;
+      return new Promise(resolve => {
+        const settle = (result: Result<Uint8Array>) => {
+          bytes -= data.length;
+          resolve(result);
+        };
         added.set(nextId++, {data, settle});
       });
     },
--- a/src/consensus/replication.test.ts
+++ b/src/consensus/replication.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {createRandom} from '../random/random.js';
+import {consensusCodes} from './codes.js';
 import {createCore} from './core.js';
 import type {Core} from './core.js';
 import {allSafeguards} from './core-state.js';
@@ -44,6 +45,24 @@
   t.true(unsafe.bytes >= 100 * 40_000);
 });
 
+test('changes beyond the limits are refused as not run instead of piling up', async t => {
+  // The majority is away for a moment while programs go on sending changes.
+  for (const limits of [{openLimit: 10}, {openBytesLimit: 10}]) {
+    const group = await startTestGroup(3, limits);
+    const {consensus} = group.member(group.leader()!);
+    const calls = Array.from({length: 20}, () =>
+      consensus!.propose(Buffer.from('x')),
+    );
+    const results = await group.settled(Promise.all(calls));
+    const refused = results.filter(result => !result.ok);
+    t.is(refused.length, 10);
+    for (const result of refused) {
+      if (!result.ok) t.is(result.code, consensusCodes.overloaded);
+    }
+    t.true((await group.propose(group.leader()!, 'later')).ok);
+  }
+});
+
 const founders: Voter[] = ['a', 'b', 'c'].map((name, at) => ({
   name,
   storage: `folder-${name}`,
