--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -17,7 +17,7 @@
   tick(): void;
 }
 
-/** Election timeouts after which a silent learner is given up. */
+/** Election timeouts after which a silent joining member is given up. */
 const abandonTimeouts = 60;
 
 /**
@@ -30,14 +30,14 @@
   state: CoreState,
   replication: Replication,
 ): MembershipChanges {
-  const {self, electionTimeout} = state.options;
+  const {self, electionTimeout, safeguards} = state.options;
   const met = new Map<string, Voter>();
 
   const isLeader = () => state.role.current === 'leader';
 
   const mayChange = () =>
     state.log.membershipIndex <= state.commitIndex &&
-    state.commitIndex >= replication.startIndex;
+    (state.commitIndex >= replication.startIndex || !safeguards.ownTermChange);
 
   function propose(membership: Membership): void {
     const index = state.log.lastIndex + 1;
@@ -91,25 +91,23 @@
     if (replacement === undefined) return false;
     const {leaving, joining} = replacement;
     if (!voters.some(voter => voter.name === joining)) return false;
-    propose({voters: without(voters, leaving), learners});
+    // It may be a learner by now, when it came back on an empty folder.
+    propose({
+      voters: without(voters, leaving),
+      learners: without(learners, leaving),
+    });
     return true;
   }
 
-  /** A learner that stays silent would block every later change. */
+  /** A joining member that stays silent would block every later change. */
   function abandonSilent(): boolean {
     const {voters, learners, replacement} = membershipOf(state);
-    const silent = learners.find(learner => {
-      const progress = replication.progressOf(learner.name);
-      const heardAt = progress?.heardAt ?? state.now;
-      return state.now - heardAt >= abandonTimeouts * electionTimeout;
-    });
-    if (silent === undefined) return false;
-    const isJoining = replacement?.joining === silent.name;
-    propose({
-      voters,
-      learners: without(learners, silent.name),
-      replacement: isJoining ? undefined : replacement,
-    });
+    if (replacement === undefined) return false;
+    const {joining} = replacement;
+    const heardAt = replication.progressOf(joining)?.heardAt ?? state.now;
+    const silence = state.now - heardAt;
+    if (silence < abandonTimeouts * electionTimeout) return false;
+    propose({voters, learners: without(learners, joining)});
     return true;
   }
 
@@ -128,14 +126,17 @@
     replace(leaving, joining) {
       const {voters, learners, replacement} = membershipOf(state);
       if (!isLeader()) return 'not-leader';
-      if (replacement !== undefined || learners.length > 0) return 'busy';
-      if (!mayChange()) return 'busy';
-      if (!voters.some(voter => voter.name === leaving)) return 'unknown';
+      if (replacement !== undefined || !mayChange()) return 'busy';
+      const rest = without(learners, leaving);
+      if (rest.length > 0) return 'busy';
+      if (!isMember(leaving)) return 'unknown';
       if (isMember(joining.name)) return 'present';
+      // A learner, such as a voter that came back empty, leaves at once.
+      const isVoter = rest.length === learners.length;
       propose({
         voters,
         learners: [joining],
-        replacement: {leaving, joining: joining.name},
+        replacement: isVoter ? {leaving, joining: joining.name} : undefined,
       });
       return 'begun';
     },
