--- a/bench/distribution/harness.ts
+++ b/bench/distribution/harness.ts
@@ -19,6 +19,7 @@
     ask: Extract<Ask, {kind: K}>,
   ): Promise<Extract<Told, {kind: K}>>;
   usage(): Promise<Usage>;
+  memory(): Promise<number>;
   stop(): Promise<void>;
 }
 
@@ -68,6 +69,10 @@
       const {usage} = await one.ask({kind: 'usage'});
       return usage;
     },
+    async memory() {
+      const {memory} = await one.ask({kind: 'memory'});
+      return memory;
+    },
     stop() {
       return new Promise(done => {
         child.once('exit', () => done());
--- a/bench/distribution/home-process.ts
+++ b/bench/distribution/home-process.ts
@@ -24,6 +24,7 @@
 import type {AcceptedChange, Ask, HomeSetup, Told} from './messages.js';
 import {
   countBytes,
+  readMemory,
   readSetup,
   readUsage,
   serveAsks,
@@ -177,6 +178,8 @@
         const counts = distributor.counts();
         return {kind: 'usage', usage: {...usage, counts}};
       }
+      case 'memory':
+        return readMemory();
       case 'synced': {
         const summary = fleet.summary();
         return {
--- a/bench/distribution/messages.ts
+++ b/bench/distribution/messages.ts
@@ -49,8 +49,6 @@
 export interface Usage {
   /** Milliseconds of processor time. */
   readonly processor: number;
-  /** Bytes of heap and of buffers outside it, after a collection. */
-  readonly memory: number;
   /** Bytes over all links, with framing. */
   readonly bytesIn: number;
   readonly bytesOut: number;
@@ -61,15 +59,20 @@
 export type Ask =
   | {readonly kind: 'changes'; readonly count: number; readonly gap: number}
   | {readonly kind: 'usage'}
+  | {readonly kind: 'memory'}
   | {readonly kind: 'synced'}
   | {readonly kind: 'switches'}
-  | {readonly kind: 'drop'};
+  | {readonly kind: 'drop'}
+  | {readonly kind: 'away'; readonly isAway: boolean};
 
 /** What a stand-in process answers; one answer for each ask. */
 export type Told =
   | {readonly kind: 'ready'; readonly address: string}
   | {readonly kind: 'changes'; readonly changes: readonly AcceptedChange[]}
   | {readonly kind: 'usage'; readonly usage: Usage}
+  /** Bytes of heap and of buffers outside it, after a collection. */
+  | {readonly kind: 'memory'; readonly memory: number}
   | {readonly kind: 'synced'; readonly nodes: number; readonly least: number}
   | {readonly kind: 'switches'; readonly switches: readonly Switch[]}
-  | {readonly kind: 'drop'};
+  | {readonly kind: 'drop'}
+  | {readonly kind: 'away'};
--- a/bench/distribution/node-process.ts
+++ b/bench/distribution/node-process.ts
@@ -3,6 +3,8 @@
 import type {Home} from '../../src/distribution/home.js';
 import {createSubscriber} from '../../src/distribution/subscriber.js';
 import type {Subscriber} from '../../src/distribution/subscriber.js';
+import {Network} from '../../src/link/link.js';
+import type {Address, Link, Listener} from '../../src/link/link.js';
 import {createTcpNetwork} from '../../src/link/tcp-network.js';
 import {createLog} from '../../src/log/log.js';
 import {createRandom} from '../../src/random/random.js';
@@ -11,6 +13,7 @@
 import type {Ask, NodesSetup, Switch, Told} from './messages.js';
 import {
   countBytes,
+  readMemory,
   readSetup,
   readUsage,
   serveAsks,
@@ -29,10 +32,32 @@
 const timers = createTimers();
 const random = createRandom(setup.seed);
 const log = createLog(setup.name, 'error');
-const counted = countBytes(createTcpNetwork());
+const counted = countBytes(createAwayNetwork(createTcpNetwork()));
+let isAway = false;
 let switches: Switch[] = [];
 let standIns: StandIn[] = [];
 
+/** A network on which nothing can be reached while the nodes are away. */
+function createAwayNetwork(inner: Network): Network {
+  return new (class extends Network {
+    listen(): Promise<Listener> {
+      throw new Error('stand-in nodes accept no links');
+    }
+
+    connect(address: Address): Promise<Link> {
+      if (isAway) return Promise.reject(new Error('away'));
+      return inner.connect(address);
+    }
+  })();
+}
+
+/** All nodes lose their links, or may reach their homes again. */
+function setAway(next: boolean): void {
+  isAway = next;
+  if (!next) return;
+  for (const {home} of standIns) home.leave('the bench sent it away');
+}
+
 function chooseServices(from: Random): readonly string[] | 'all' {
   if (setup.subscribed === 0) return 'all';
   const names = new Set<string>();
@@ -91,6 +116,8 @@
   switch (ask.kind) {
     case 'usage':
       return {kind: 'usage', usage: readUsage(counted)};
+    case 'memory':
+      return readMemory();
     case 'synced':
       return countSynced();
     case 'switches': {
@@ -101,6 +128,9 @@
     case 'drop':
       drop();
       return {kind: 'drop'};
+    case 'away':
+      setAway(ask.isAway);
+      return {kind: 'away'};
     default:
       throw new Error(`nodes do not know ${ask.kind}`);
   }
--- a/bench/distribution/stand-in.ts
+++ b/bench/distribution/stand-in.ts
@@ -71,8 +71,12 @@
 /** What this process has used. */
 export function readUsage(counted: CountedNetwork): Usage {
   const {user, system} = process.cpuUsage();
-  const processor = (user + system) / 1000;
+  return {processor: (user + system) / 1000, ...counted.bytes()};
+}
+
+/** Bytes of heap and of buffers outside it, after a collection. */
+export function readMemory(): Told {
   global.gc?.();
   const {heapUsed, external} = process.memoryUsage();
-  return {processor, memory: heapUsed + external, ...counted.bytes()};
+  return {kind: 'memory', memory: heapUsed + external};
 }
--- a/bench/experiments/distribution-window.ts
+++ b/bench/experiments/distribution-window.ts
@@ -11,11 +11,28 @@
 import {compare} from '../experiment.js';
 import type {Experiment, Outcome, Row, RunOptions} from '../experiment.js';
 
-/** Batching windows in milliseconds; the first is the baseline. */
-const windows = [0, 10, 20, 50, 100, 250, 500, 1000, 2000];
+/** Batching windows in milliseconds at control and relay. */
+interface Windows {
+  readonly control: number;
+  readonly relay: number;
+}
+
+/** The first is the baseline. */
+const windows: readonly Windows[] = [
+  {control: 0, relay: 0},
+  {control: 20, relay: 0},
+  {control: 50, relay: 0},
+  {control: 100, relay: 0},
+  {control: 250, relay: 0},
+  {control: 500, relay: 0},
+  {control: 1000, relay: 0},
+  {control: 2000, relay: 0},
+  {control: 500, relay: 500},
+  {control: 1000, relay: 1000},
+];
 
 /** A burst of changes, as a script of an operator makes it. */
-const burst = {count: 40, gap: 50};
+const burst = {count: 100, gap: 20};
 
 const relays = 2;
 const processes = 2;
@@ -23,19 +40,25 @@
 const services = 100;
 
 interface Figures {
-  readonly window: number;
+  readonly windows: Windows;
   readonly convergence: Convergence;
   /** Bytes at the source's links, and at the nodes', for each change. */
   readonly source: number;
   readonly node: number;
 }
 
-async function measure(window: number, seed: number): Promise<Figures> {
-  const source = await startHome({batchWindow: window, services, seed});
+async function measure(windows: Windows, seed: number): Promise<Figures> {
+  const batchWindow = windows.control;
+  const source = await startHome({batchWindow, services, seed});
   const sources = [{address: source.address}];
   const homes = await Promise.all(
     Array.from({length: relays}, (_, index) =>
-      startHome({name: `relay-${index}`, sources, batchWindow: window, seed}),
+      startHome({
+        name: `relay-${index}`,
+        sources,
+        batchWindow: windows.relay,
+        seed,
+      }),
     ),
   );
   const nodes = await Promise.all(
@@ -67,7 +90,7 @@
   const [atSource, ...atNodes] = spent;
   const sum = atNodes.reduce((left, right) => left + right, 0);
   return {
-    window,
+    windows,
     convergence: findConvergence(
       changes,
       switches.map(one => one.switches),
@@ -89,8 +112,8 @@
 
 async function run(options: RunOptions): Promise<Outcome> {
   const figures: Figures[] = [];
-  for (const window of windows) {
-    figures.push(await measure(window, options.seed));
+  for (const pair of windows) {
+    figures.push(await measure(pair, options.seed));
   }
   const [baseline, ...others] = figures;
   const rows: Row[] = others.flatMap(one => rowsOf(one, baseline!));
@@ -123,9 +146,9 @@
 }
 
 function rowsOf(one: Figures, baseline: Figures): Row[] {
-  const {window, convergence} = one;
+  const {windows, convergence} = one;
   const base = baseline.convergence;
-  const at = `window ${window} ms:`;
+  const at = `windows ${windows.control} and ${windows.relay} ms:`;
   return [
     compare(`${at} convergence p50`, 'ms', convergence.p50, base.p50),
     compare(`${at} convergence p99`, 'ms', convergence.p99, base.p99),
@@ -135,12 +158,14 @@
   ];
 }
 
+/** The curve of the windows that are at control alone. */
 function curve(
   name: string,
   figures: readonly Figures[],
   pick: (convergence: Convergence) => number,
 ) {
-  const points = figures.map(one => ({x: one.node, y: pick(one.convergence)}));
+  const alone = figures.filter(one => one.windows.relay === 0);
+  const points = alone.map(one => ({x: one.node, y: pick(one.convergence)}));
   return {name, points};
 }
 
