Home: suspicion doubles while no home shows a fresh mark; control mesh test

Cause: in a region without a quorum every home's mark is old, so nodes would go round them for as long as the partition lasts. Also: reports between control processes have their test.

--- a/src/distribution/home.ts
+++ b/src/distribution/home.ts
@@ -99,6 +99,8 @@
   let pingNumber = 0;
   let target = ranked[0]!;
   let attempt = 0;
+  /** Homes left in a row since their marks were old. */
+  let oldMarks = 0;
   let channels: Channels | undefined;
   let timer: Subscription | undefined;
   let attachedAt = 0;
@@ -122,8 +124,14 @@
     );
   }
 
+  /**
+   * Grows while no home shows a fresh mark: in a region without a quorum all
+   * are old, and nodes that went round them would only load them.
+   */
   function suspect(home: HomeAddress): void {
-    suspectUntil.set(home.address, timers.now() + limits.suspicion);
+    const doubled = 2 ** Math.min(oldMarks, limits.suspicionDoublings);
+    const duration = limits.suspicion * doubled * (0.5 + random.fraction());
+    suspectUntil.set(home.address, timers.now() + duration);
   }
 
   function seek(): void {
@@ -194,6 +202,7 @@
     const isOld = now - fresh > freshness;
     const hasOther = ranked.some(home => home !== target && !isSuspect(home));
     if (guarded.freshness && isOld && hasOther) {
+      oldMarks++;
       end(opened, 'the mark of the home is old');
       return;
     }
@@ -218,6 +227,7 @@
     homeAsOf = asOf ?? homeAsOf;
     if (asOf !== undefined && timers.now() - asOf < freshness) {
       attempt = 0;
+      oldMarks = 0;
       suspectUntil.delete(target.address);
     }
     for (const observe of markObservers) observe({asOf, version: pong.version});
--- a/src/distribution/limits.ts
+++ b/src/distribution/limits.ts
@@ -12,6 +12,8 @@
   missedHeartbeats: 3,
   /** How long a home that failed is tried after all others. */
   suspicion: 10_000,
+  /** How often that time may double while no home shows a fresh mark. */
+  suspicionDoublings: 5,
   /** Period, jittered, after which a process looks for a nearer home again. */
   returnPeriod: 30_000,
   /** Delay before a lost link is opened again. */
--- a/src/distribution/prover.ts
+++ b/src/distribution/prover.ts
@@ -27,14 +27,19 @@
 
   async function run(): Promise<void> {
     running = true;
-    while (waiting.length > 0) {
-      const sharing = waiting;
-      waiting = [];
-      rounds++;
-      const result = await barrier();
-      for (const done of sharing) done(result);
+    try {
+      while (waiting.length > 0) await runRound();
+    } finally {
+      running = false;
     }
-    running = false;
+  }
+
+  async function runRound(): Promise<void> {
+    const sharing = waiting;
+    waiting = [];
+    rounds++;
+    const result = await barrier();
+    for (const done of sharing) done(result);
   }
 
   return {
--- a/src/fleet/fleet.test.ts
+++ b/src/fleet/fleet.test.ts
@@ -1,4 +1,7 @@
 import test from 'ava';
+import {createMesh} from '../distribution/mesh.js';
+import {createSilentLog} from '../log/log.js';
+import {createRandom} from '../random/random.js';
 import {createOperator, createStage} from '../distribution/fakes/stage.js';
 import {createRoster} from './roster.js';
 import {joinSummaries} from './summary.js';
@@ -73,6 +76,46 @@
   t.is(joinSummaries(1, [old]).inForce, 0);
 });
 
+// An operator asks one control process while most nodes are at the others. When
+// the mesh between them is cut, what the others said last grows old.
+test('control processes tell each other what is in force at their nodes', async t => {
+  const stage = createStage();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const first = await stage.control('control-1', operator);
+  const second = await stage.control('control-2', operator);
+  const meshes = [first, second].map(control => {
+    const mesh = createMesh({
+      network: stage.network.from(control.name),
+      self: {
+        kind: 'control',
+        name: control.name,
+        failureDomain: 'a',
+        region: 'r',
+      },
+      address: control.address,
+      peers: [first.address, second.address],
+      timers: stage.timers,
+      random: createRandom(1),
+      log: createSilentLog(),
+    });
+    mesh.onChannels(control.fleet.report);
+    mesh.onReport(control.fleet.receive);
+    return mesh;
+  });
+  stage.node('node-1', [first.address]);
+  stage.node('node-2', [second.address]);
+  await stage.timers.advanceAsync(5000);
+  t.like(first.fleet.summary(), {nodes: 2, inForce: 2, unknown: 0});
+  t.like(second.fleet.summary(), {nodes: 2, inForce: 2, unknown: 0});
+  stage.network.cut('control-1', 'control-2');
+  stage.network.cut('control-2', 'control-1');
+  operator.accept({put: ['crewbook']});
+  await stage.timers.advanceAsync(6000);
+  t.like(first.fleet.summary(), {nodes: 2, inForce: 1, unknown: 1});
+  for (const mesh of meshes) mesh.stop();
+});
+
 test('a node lost without a goodbye is unknown, later forgotten', async t => {
   const stage = createStage();
   const operator = createOperator();
