--- /dev/null
+++ b/src/language/random-text.test.ts
@@ -0,0 +1,37 @@
+import test from 'ava';
+import {createRandom} from '../random/random.js';
+import {isOpen, parseCommand, parseEdits} from './parse.js';
+import {renderProblem} from './problem.js';
+import {vocabulary} from './tokens.js';
+
+const words = [
+  ...vocabulary.map(({LABEL}) => LABEL ?? ' '),
+  ...['a', '5s', '99%', '/a', 'GET', 'amina/7', '12', '127.0.0.1:7000'],
+  ...[';', '\n', '"', '"x y"', '#', '\t', '\r\n', '\u0000', 'é', '💧', ''],
+];
+
+// Whatever is typed or piped in ends as a command or as a problem inside the
+// text; an exception would end a session and leave its other commands undone.
+test('any text is a command or a problem with a place in the text', t => {
+  const random = createRandom(11);
+  let commands = 0;
+  for (let turn = 0; turn < 5000; turn++) {
+    const count = random.integer(9);
+    const picked = Array.from({length: count}, () => random.pick(words));
+    const text = picked.join(random.pick([' ', ' ', '']));
+    isOpen(text);
+    for (const parsed of [parseCommand(text), parseEdits(text)]) {
+      if (parsed.ok) {
+        commands++;
+        continue;
+      }
+      const {problem} = parsed;
+      const isInside = problem.offset >= 0 && problem.offset <= text.length;
+      t.true(isInside && problem.length > 0, JSON.stringify({text, problem}));
+      const shown = renderProblem(text, problem).split('\n');
+      t.is(shown.length, 2, JSON.stringify({text, shown}));
+      t.regex(shown[1]!, /^\s*\^+ (line \d+: )?expected /);
+    }
+  }
+  t.true(commands > 5, `${commands}`);
+});
