--- a/src/operator/create-operator-server.ts
+++ b/src/operator/create-operator-server.ts
@@ -1,6 +1,6 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
 import {createServer} from 'node:http';
-import type {IncomingMessage, Server} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {parseAddress} from '../link/address.js';
@@ -21,24 +21,41 @@
   readonly log: Log;
 }
 
+/** Connections at once; operators are few, and the rest must find room too. */
+const connectionLimit = 256;
+
+/** Milliseconds for a client to send its request. */
+const receiveTimeouts = {headersTimeout: 5000, requestTimeout: 10_000} as const;
+
 /** Opens the operators' API; rejects when the port is taken. */
 export async function createOperatorServer(
   options: OperatorServerOptions,
 ): Promise<Listener> {
   const log = options.log.scope('operator');
+  const service = createOperatorService(options);
   const handler = createHTTPHandler({
-    router: createRouter(createOperatorService(options), log),
+    router: createRouter(service, log),
     maxBodySize: options.bodyLimit,
     allowBatching: false,
     createContext: ({req}) => ({authorized: isAuthorized(req, options.token)}),
   });
-  const server = createServer(handler);
+  const answering = new Set<ServerResponse>();
+  const server = createServer(receiveTimeouts, (request, response) => {
+    answering.add(response);
+    response.once('close', () => answering.delete(response));
+    handler(request, response);
+  });
+  server.maxConnections = connectionLimit;
   await listen(server, options.address);
   const {port} = server.address() as AddressInfo;
   const {host} = parseAddress(options.address);
   return {
     address: `${host.includes(':') ? `[${host}]` : host}:${port}`,
-    close: () => close(server),
+    close() {
+      service.stop();
+      answering.forEach(endConnectionAfter);
+      return close(server);
+    },
   };
 }
 
@@ -67,6 +84,14 @@
   });
 }
 
+/**
+ * A connection kept open after its last answer would hold a planned stop up
+ * until the client lets go of it.
+ */
+function endConnectionAfter(response: ServerResponse): void {
+  if (!response.headersSent) response.setHeader('connection', 'close');
+}
+
 function close(server: Server): Promise<void> {
   return new Promise(resolve => {
     server.close(() => resolve());
--- a/src/operator/operator-server.test.ts
+++ b/src/operator/operator-server.test.ts
@@ -66,6 +66,27 @@
   await close();
 });
 
+// An operator waits for a version that will not come while the process is asked
+// to stop. The stop must not sit through the wait, and the wait must still get
+// an answer: a connection cut without one would look like a failure.
+test('a planned stop answers what is under way and ends', async t => {
+  const {addresses, close} = await deploy();
+  const asked = request(
+    `http://${addresses[0]}/wait?input=${encodeURIComponent(
+      JSON.stringify({version: 9, within: 10_000}),
+    )}`,
+  );
+  await request(`http://${addresses[0]}/inForce`).then(({body}) => body.dump());
+  const closing = close();
+  const answer = (await (await asked).body.json()) as {
+    result: {data: {inForce: boolean}};
+  };
+  t.false(answer.result.data.inForce);
+  await closing;
+  const late = await clientOf(addresses).items('service');
+  t.is(late.ok ? 0 : late.refusal.code, 1003);
+});
+
 test('limits are checked before the log', async t => {
   const {group, addresses, close} = await deploy();
   const edits = ['a', 'b', 'c', 'd'].map(name => putService(name));
--- a/src/operator/service.ts
+++ b/src/operator/service.ts
@@ -48,6 +48,8 @@
   replace(leaving: string, joining: Member): Promise<Reply<null>>;
   /** Gives up the claims of a service's stopped keepers. */
   acceptLoss(service: string): Promise<Reply<Answer>>;
+  /** Ends the waits, so that a planned stop need not sit through them. */
+  stop(): void;
 }
 
 /** Milliseconds between two looks at the fleet while someone waits. */
@@ -71,6 +73,7 @@
   options: ServiceOptions,
 ): OperatorService {
   const {consensus, machine, fleet, timers, limits} = options;
+  let isStopping = false;
 
   async function change(command: Command): Promise<Reply<Answer>> {
     const checked = checkLimits(command, limits, timers.wall());
@@ -130,7 +133,7 @@
     return new Promise(resolve => {
       const ticker: Subscription = timers.every(waitPeriod, () => {
         const done = isDone();
-        if (!done && timers.now() < deadline) return;
+        if (!done && !isStopping && timers.now() < deadline) return;
         ticker.cancel();
         resolve(done);
       });
@@ -197,6 +200,9 @@
     control,
     replace,
     acceptLoss,
+    stop: () => {
+      isStopping = true;
+    },
   };
 }
 
