Failure tests of requests with real processes

Cause: gates, entries and control processes killed were shown with fakes only. Ruled out on the way: a run's answers came from programs that an earlier, timed-out run had left on the same ports; the harness now ends its programs with its own process and takes only ranges of ports where nobody listens.

--- a/bench/deployment/ports.ts
+++ b/bench/deployment/ports.ts
@@ -25,6 +25,10 @@
     const start = firstPort + range * rangeLength;
     const lock = await tryListen(start);
     if (lock === undefined) continue;
+    if (!(await areFree(start + 1, start + rangeLength))) {
+      lock.close();
+      continue;
+    }
     let next = start + 1;
     return {
       take: () => `${host}:${next++}`,
@@ -34,6 +38,15 @@
   throw new Error('no range of ports is free; end earlier test processes');
 }
 
+/** Whether nobody, such as a program left behind, listens in a range. */
+async function areFree(from: number, to: number): Promise<boolean> {
+  const tries = [];
+  for (let port = from; port < to; port++) tries.push(tryListen(port));
+  const servers = await Promise.all(tries);
+  for (const server of servers) server?.close();
+  return servers.every(server => server !== undefined);
+}
+
 function tryListen(port: number): Promise<Server | undefined> {
   const server = createServer();
   return new Promise(resolve => {
--- a/bench/deployment/program.ts
+++ b/bench/deployment/program.ts
@@ -2,6 +2,7 @@
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
+import process from 'node:process';
 
 /** How one program is started. */
 export interface ProgramOptions {
@@ -38,6 +39,8 @@
     cwd: options.folder,
     stdio: ['ignore', 'ignore', 'pipe'],
   });
+  running.add(child);
+  child.once('exit', () => running.delete(child));
   let log = '';
   let killed = false;
   child.stderr.on('data', (chunk: Buffer) => {
@@ -60,6 +63,16 @@
   };
 }
 
+const running = new Set<ChildProcess>();
+
+/**
+ * A test run that is cut short must leave nothing behind: its programs would
+ * go on holding their ports and answer the next run's calls.
+ */
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 async function ended(child: ChildProcess): Promise<number> {
   if (child.exitCode === null && child.signalCode === null) {
     await once(child, 'exit');
--- a/scenarios/processes/control.test.ts
+++ b/scenarios/processes/control.test.ts
@@ -1,6 +1,7 @@
 import {rm} from 'node:fs/promises';
 import {join} from 'node:path';
 import test from 'ava';
+import type {ExecutionContext} from 'ava';
 import type {Deployment} from '../../bench/deployment/deployment.js';
 import {connectOperator, findLeader} from '../../bench/deployment/setup.js';
 import {startSmall} from '../../bench/deployment/small.js';
@@ -10,8 +11,10 @@
 
 const limit = 60_000;
 
-function startControls(): Promise<Deployment> {
-  return startSmall({controls: 3, services: []});
+async function startControls(t: ExecutionContext): Promise<Deployment> {
+  const deployment = await startSmall({controls: 3, services: []});
+  t.teardown(deployment.stop);
+  return deployment;
 }
 
 let lastSequence = Date.now() * 1000;
@@ -40,7 +43,7 @@
     // An operator issues changes one after the other; the leader is killed with
     // no warning in their midst and started again later. Each change that was
     // answered as accepted must be there, and each command ran once.
-    const deployment = await startControls();
+    const deployment = await startControls(t);
     const leader = await findLeader(deployment);
     const client = connectOperator(deployment);
     const accepted: string[] = [];
@@ -64,7 +67,6 @@
       return digests[0] !== '' && new Set(digests).size === 1;
     });
     await client.close();
-    await deployment.stop();
     t.pass();
   },
 );
@@ -98,7 +100,7 @@
     // One VM dies with its disk and comes back empty; as soon as it is whole
     // again a second VM dies with its disk for good. What was accepted before
     // and between must be there, and the two that are left accept changes.
-    const deployment = await startControls();
+    const deployment = await startControls(t);
     await findLeader(deployment);
     const client = connectOperator(deployment);
     for (let number = 0; number < 20; number++) {
@@ -116,7 +118,6 @@
     const names = await namesOf(client);
     t.is(names.length, 22);
     await client.close();
-    await deployment.stop();
   },
 );
 
@@ -124,7 +125,7 @@
   // The leader's process is stopped for some seconds; the others elect and
   // accept a change. At its return the old leader is asked alone and at once:
   // it answers with the newer state or not at all, and no election follows.
-  const deployment = await startControls();
+  const deployment = await startControls(t);
   const leader = await findLeader(deployment);
   const others = [0, 1, 2].filter(index => index !== leader);
   const client = connectOperator(deployment, others);
@@ -149,7 +150,6 @@
   t.is(await termOf(client), before);
   await client.close();
   await woken.close();
-  await deployment.stop();
 });
 
 async function termOf(client: OperatorClient): Promise<number> {
@@ -167,7 +167,7 @@
   // The operator's command is under way when the leader dies, so its answer
   // may be lost. The operator resends it under its id until it is answered,
   // and once more later: same answer, and the change is in the history once.
-  const deployment = await startControls();
+  const deployment = await startControls(t);
   const leader = await findLeader(deployment);
   const client = connectOperator(deployment);
   const command = putService('once');
@@ -180,14 +180,13 @@
   const history = await client.history(100);
   t.is(history.ok ? history.value.changes.length : 0, 1);
   await client.close();
-  await deployment.stop();
 });
 
 test.serial('operators race under one expected version', async t => {
   // Two operators saw the same version and send different changes to
   // different processes at once. One is accepted; the other is told the
   // winner's version, and nothing of it is in force.
-  const deployment = await startControls();
+  const deployment = await startControls(t);
   await findLeader(deployment);
   const one = connectOperator(deployment, [0]);
   const two = connectOperator(deployment, [1]);
@@ -208,5 +207,4 @@
   t.is((await namesOf(one)).length, 1);
   await one.close();
   await two.close();
-  await deployment.stop();
 });
--- /dev/null
+++ b/scenarios/processes/requests.test.ts
@@ -0,0 +1,297 @@
+import {createReadStream} from 'node:fs';
+import {mkdtemp, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {PassThrough} from 'node:stream';
+import test from 'ava';
+import type {ExecutionContext} from 'ava';
+import {request} from 'undici';
+import type {Deployment, Place} from '../../bench/deployment/deployment.js';
+import {setUp} from '../../bench/deployment/setup.js';
+import {startSmall} from '../../bench/deployment/small.js';
+import type {SmallOptions} from '../../bench/deployment/small.js';
+import {until} from '../../bench/deployment/until.js';
+import {call, sha256} from '../../bench/demo/calls.js';
+import type {Reply} from '../../bench/demo/calls.js';
+
+const limit = 60_000;
+const chunks = 20;
+const setUpFile = 'examples/agency/setup.fox';
+
+async function start(
+  t: ExecutionContext,
+  options: Partial<SmallOptions> = {},
+): Promise<Deployment> {
+  const deployment = await startSmall({
+    controls: 3,
+    services: [
+      {name: 'crewbook', instances: 3},
+      {name: 'drillvault', instances: 1},
+    ],
+    ...options,
+  });
+  t.teardown(deployment.stop);
+  await setUp(deployment, setUpFile);
+  return deployment;
+}
+
+function crewbooks(deployment: Deployment): Place[] {
+  return deployment.places.filter(({service}) => service === 'crewbook');
+}
+
+interface Counts {
+  readonly runs: Readonly<Record<string, number>>;
+  readonly begun: number;
+  readonly cutUploads: number;
+  readonly uploads: Readonly<Record<string, string>>;
+}
+
+async function countsOf(place: Place): Promise<Counts> {
+  const answer = await request(`http://${place.upstreamAddress}/counts`);
+  return (await answer.body.json()) as Counts;
+}
+
+async function runsOf(deployment: Deployment, key: string): Promise<number> {
+  const all = await Promise.all(crewbooks(deployment).map(countsOf));
+  return all.reduce((sum, counts) => sum + (counts.runs[key] ?? 0), 0);
+}
+
+async function order(place: Place, words: string): Promise<void> {
+  const url = `http://${place.upstreamAddress}/control/${words}`;
+  const answer = await request(url, {method: 'POST'});
+  await answer.body.dump();
+}
+
+function issue(place: Place, key: string): Promise<Reply | undefined> {
+  return call(place.settings.callerAddress, '/certificates', {
+    method: 'POST',
+    key,
+    tag: key,
+    body: Buffer.from('{"crew": 31}'),
+  }).catch(() => undefined);
+}
+
+/** Where a key's work runs now, by the stand-ins' own counts. */
+async function findRunning(
+  deployment: Deployment,
+  key: string,
+): Promise<Place> {
+  let found: Place | undefined;
+  await until(`${key} runs`, limit, async () => {
+    for (const place of crewbooks(deployment)) {
+      if ((await countsOf(place)).runs[key] !== undefined) found = place;
+    }
+    return found !== undefined;
+  });
+  return found!;
+}
+
+test.serial(
+  'an issuance whose gate dies in the run is never run again',
+  async t => {
+    // A scheduler issues a certificate; while the upstream works, the node
+    // beside it is killed and the answer is lost. The resends go through the
+    // other nodes under the same key: each is told unknown or gets the answer.
+    const deployment = await start(t, {work: 1500});
+    const entry = deployment.places.find(
+      ({service}) => service === 'drillvault',
+    )!;
+    const first = issue(entry, 'cert-1');
+    const place = await findRunning(deployment, 'cert-1');
+    place.node.signal('SIGKILL');
+    const reply = await first;
+    t.is(reply?.effect, 'unknown');
+    const others = crewbooks(deployment).filter(one => one !== place);
+    for (const other of others) {
+      const resend = await issue(other, 'cert-1');
+      t.is(resend?.effect, 'unknown', JSON.stringify(resend));
+    }
+    t.is(await runsOf(deployment, 'cert-1'), 1);
+  },
+);
+
+test.serial(
+  'an issuance whose entry dies is answered through another',
+  async t => {
+    // The node that took the scheduler's request is killed while the upstream
+    // works. The scheduler resends through another node and gets the answer of
+    // the one run.
+    const deployment = await start(t, {work: 1500});
+    const entry = deployment.places.find(
+      ({service}) => service === 'drillvault',
+    )!;
+    const first = issue(entry, 'cert-2');
+    await findRunning(deployment, 'cert-2');
+    entry.node.signal('SIGKILL');
+    t.is(await first, undefined);
+    const resend = await issue(crewbooks(deployment)[0]!, 'cert-2');
+    t.is(resend?.status, 200, JSON.stringify(resend));
+    t.is(await runsOf(deployment, 'cert-2'), 1);
+  },
+);
+
+test.serial(
+  'an issuance whose gate dies after the run is not run again',
+  async t => {
+    // The certificate was issued and answered; then the node beside its upstream
+    // is killed. A resend finds the stored answer with the keepers.
+    const deployment = await start(t);
+    const entry = deployment.places.find(
+      ({service}) => service === 'drillvault',
+    )!;
+    const first = await issue(entry, 'cert-3');
+    t.is(first?.status, 200);
+    const place = await findRunning(deployment, 'cert-3');
+    place.node.signal('SIGKILL');
+    await place.node.ended();
+    const resend = await issue(entry, 'cert-3');
+    t.true(resend?.body.equals(first!.body), JSON.stringify(resend));
+    t.is(await runsOf(deployment, 'cert-3'), 1);
+  },
+);
+
+test.serial(
+  'an issuance whose answer is lost at the upstream is told unknown',
+  async t => {
+    // The upstream issues the certificate and its connection breaks before the
+    // answer. The scheduler must hear unknown, and a resend must not run it.
+    const deployment = await start(t);
+    for (const place of crewbooks(deployment)) {
+      await order(place, 'fault?kind=reset-before-head&count=1');
+    }
+    const entry = crewbooks(deployment)[0]!;
+    const first = await issue(entry, 'cert-4');
+    t.is(first?.effect, 'unknown');
+    const resend = await issue(crewbooks(deployment)[1]!, 'cert-4');
+    t.is(resend?.effect, 'unknown');
+    t.is(await runsOf(deployment, 'cert-4'), 1);
+  },
+);
+
+test.serial('a record that is cut on its way is a visible error', async t => {
+  // The upstream's connection ends in the middle of a record. The scheduler's
+  // client fails, or is told unknown where nothing was passed on yet; half a
+  // record must never look like a short success.
+  const deployment = await start(t);
+  const entry = deployment.places.find(
+    ({service}) => service === 'drillvault',
+  )!;
+  for (const kind of ['cut', 'length', 'reset-after-head']) {
+    for (const place of crewbooks(deployment)) {
+      await order(place, `fault?kind=${kind}&count=1`);
+    }
+    const lookup = call(entry.settings.callerAddress, '/records/crew-1');
+    const reply = await lookup.catch(() => undefined);
+    t.true(reply === undefined || reply.effect === 'unknown', kind);
+    for (const place of crewbooks(deployment)) {
+      await order(place, 'fault?kind=cut&count=0');
+    }
+  }
+});
+
+test.serial('a planned stop cuts no request in flight', async t => {
+  // A training centre uploads a long video through a node, and schedulers look
+  // up records all the time over kept connections. The node is stopped in a
+  // planned way: the upload ends whole, no lookup through another node fails,
+  // and the node exits with 0.
+  const deployment = await start(t);
+  const [stopped, other] = crewbooks(deployment);
+  const body = new PassThrough();
+  const chunk = Buffer.alloc(64 * 1024, 'video');
+  const length = String(chunks * chunk.length);
+  const upload = request(
+    `http://${stopped!.settings.callerAddress}/videos/drill-1`,
+    {method: 'PUT', body, headers: {'content-length': length}},
+  );
+  body.write(chunk);
+  const drillvault = deployment.places.find(
+    ({service}) => service === 'drillvault',
+  )!;
+  await until('the upload has begun', limit, async () => {
+    const answer = await request(`http://${drillvault.upstreamAddress}/load`);
+    const {running} = (await answer.body.json()) as {running: number};
+    return running > 0;
+  });
+
+  const ending = stopped!.node.stop();
+  const statuses = new Map<number, number>();
+  for (let written = 1; written < chunks; written++) {
+    for (let number = 0; number < 3; number++) {
+      const path = `/records/${written}-${number}`;
+      const reply = await call(other!.settings.callerAddress, path);
+      statuses.set(reply.status, (statuses.get(reply.status) ?? 0) + 1);
+    }
+    body.write(chunk);
+  }
+  t.deepEqual([...statuses], [[200, 3 * (chunks - 1)]]);
+  body.end();
+  const answer = await upload;
+  t.is(answer.statusCode, 200);
+  const said = (await answer.body.json()) as {received: string};
+  t.is(said.received, sha256(Buffer.concat(Array(chunks).fill(chunk))));
+  t.is(await ending, 0);
+});
+
+test.serial('requests go on with every control process dead', async t => {
+  // All control processes are killed at once. Lookups and issuances go on
+  // through every node; a resend still finds its first answer. A node that
+  // starts now has no state proved fresh and refuses as not run.
+  const deployment = await start(t);
+  for (const control of deployment.controls) control.signal('SIGKILL');
+  await Promise.all(deployment.controls.map(control => control.ended()));
+  for (const place of deployment.places) {
+    const reply = await call(place.settings.callerAddress, '/records/crew-2');
+    t.is(reply.status, 200);
+  }
+  const [one, two] = crewbooks(deployment);
+  const first = await issue(one!, 'cert-5');
+  t.is(first?.status, 200, JSON.stringify(first));
+  const resend = await issue(two!, 'cert-5');
+  t.true(resend?.body.equals(first!.body));
+
+  two!.node.signal('SIGKILL');
+  await two!.node.ended();
+  deployment.restart(two!.settings.name);
+  let fresh: Reply | undefined;
+  await until('the restarted node answers', limit, async () => {
+    fresh = await call(two!.settings.callerAddress, '/records/x').catch(
+      () => undefined,
+    );
+    return fresh !== undefined;
+  });
+  t.is(fresh!.effect, 'not-run');
+  t.is(fresh!.code, 5000);
+});
+
+test.serial(
+  'a file that is uploaded through a node is stored once and whole',
+  async t => {
+    // The upstream's connection breaks in the middle of a large upload once. The
+    // centre is told that it is not known, and its own resend is stored whole.
+    const deployment = await start(t);
+    const folder = await mkdtemp(join(tmpdir(), 'foxbarrow-upload-'));
+    const bytes = Buffer.alloc(4 * 1024 * 1024, 'evacuation');
+    await writeFile(join(folder, 'video'), bytes);
+    const drillvault = deployment.places.find(
+      ({service}) => service === 'drillvault',
+    )!;
+    const put = () =>
+      request(
+        `http://${crewbooks(deployment)[0]!.settings.callerAddress}/videos/v`,
+        {
+          method: 'PUT',
+          body: createReadStream(join(folder, 'video')),
+          headers: {'content-length': String(bytes.length)},
+        },
+      );
+    await order(drillvault, 'fault?kind=reset-before-head&count=1');
+    const first = await put();
+    t.is(first.headers['foxbarrow-effect'], 'unknown');
+    await first.body.dump();
+    const second = await put();
+    t.is(second.statusCode, 200);
+    await second.body.dump();
+    const counts = await countsOf(drillvault);
+    t.is(counts.uploads['/videos/v'], sha256(bytes));
+  },
+);
