Claims: answers kept compactly, handovers in small pages; placement experiment

Cause: a stored answer's body was a view of the chunk of the socket that it came in, so one small answer held up to 64 KB, and its buffer alone cost more than the rest of the claim. Kept as a one-byte string now. A handover was packed in one go, which would hold up the node's other requests; it is taken from the table lazily, 64 records a turn.

--- /dev/null
+++ b/bench/claims/placements.ts
@@ -0,0 +1,249 @@
+/** The three places where claims could live, each as `Claims`. */
+import {mkdtemp, rm} from 'node:fs/promises';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {Packr} from 'msgpackr';
+import {createClaimTable} from '../../src/claims/claim-table.js';
+import type {ClaimTable} from '../../src/claims/claim-table.js';
+import {Claims} from '../../src/claims/claims.js';
+import type {Acquisition, ClaimRequest} from '../../src/claims/claims.js';
+import {claimCodes} from '../../src/claims/codes.js';
+import {createClaims} from '../../src/claims/create-claims.js';
+import {createKeeper} from '../../src/claims/keeper.js';
+import type {ClaimKeeper} from '../../src/claims/keeper.js';
+import type {Acquire, Settle, Vote} from '../../src/claims/messages.js';
+import type {
+  Keeper,
+  KeeperAssignment,
+} from '../../src/configuration/configuration.js';
+import {StateMachine} from '../../src/consensus/consensus.js';
+import type {Consensus, Member} from '../../src/consensus/consensus.js';
+import {createConsensus} from '../../src/consensus/create-consensus.js';
+import {createFolderDisk} from '../../src/disk/folder-disk.js';
+import type {Link, Network} from '../../src/link/link.js';
+import {createSilentLog} from '../../src/log/log.js';
+import {createRandom} from '../../src/random/random.js';
+import type {Timers} from '../../src/time/timers.js';
+
+/** Claims with the processes that hold them. */
+export interface Placement {
+  readonly claims: Claims;
+  /** Claims held by each place, to check that the work was done. */
+  sizes(): number[];
+  stop(): Promise<void>;
+}
+
+const limits = {retention: 900_000, claims: 200_000, watchers: 16};
+const domains = ['rusayl-a', 'rusayl-b', 'seeb-c'];
+const service = 'stock-desk';
+const log = createSilentLog();
+const packr = new Packr({useRecords: false});
+
+/** (a) In the gate's own memory. */
+export function createGatePlacement(timers: Timers): Placement {
+  const table = createClaimTable(timers, limits);
+  let last = 0;
+  const claims = createTableClaims(
+    () => `gate/${++last}`,
+    async acquire => table.vote(acquire),
+    settle => table.settle(settle),
+  );
+  return {claims, sizes: () => [table.size], stop: async () => {}};
+}
+
+/** (b) With three keepers, two of which must vote. */
+export async function createKeeperPlacement(
+  timers: Timers,
+  network: Network,
+): Promise<Placement & {readonly assignment: KeeperAssignment}> {
+  const members: Keeper[] = [];
+  const keepers: ClaimKeeper[] = [];
+  for (const failureDomain of domains) {
+    const self = {
+      instance: `stock-desk-${failureDomain}`,
+      incarnation: members.length + 1,
+      address: await freeAddress(),
+      failureDomain,
+    };
+    members.push(self);
+    keepers.push(await createKeeper({self, network, timers, log, limits}));
+  }
+  const assignment = {epoch: 1, members};
+  for (const keeper of keepers) keeper.assign(service, assignment);
+  const claims = createClaims({
+    self: 'gate/1',
+    network,
+    timers,
+    random: createRandom(1),
+    log,
+    assignment: () => assignment,
+  });
+  return {
+    claims,
+    assignment,
+    sizes: () => keepers.map(keeper => keeper.size),
+    async stop() {
+      claims.stop();
+      for (const keeper of keepers) await keeper.stop();
+    },
+  };
+}
+
+/** (c) In the replicated log of three control processes with disks. */
+export async function createLogPlacement(
+  timers: Timers,
+  network: Network,
+): Promise<Placement> {
+  const folder = await mkdtemp(join(tmpdir(), 'claims-log-'));
+  const members: Member[] = [];
+  for (const failureDomain of domains) {
+    const name = `control-${failureDomain}`;
+    members.push({name, address: await freeAddress(), failureDomain});
+  }
+  const group: Consensus[] = [];
+  const tables: ClaimTable[] = [];
+  for (const [index, self] of members.entries()) {
+    const table = createClaimTable(timers, limits);
+    tables.push(table);
+    group.push(
+      await createConsensus({
+        self,
+        members,
+        disk: await createFolderDisk(join(folder, self.name)),
+        network,
+        timers,
+        random: createRandom(index + 1),
+        log,
+        machine: createClaimMachine(table),
+        heartbeat: 50,
+        electionTimeout: 500,
+        snapshotEntries: 1_000_000,
+      }),
+    );
+  }
+  const leader = await findLeader(group, timers);
+  const address = await freeAddress();
+  const listener = await network.listen(address, link =>
+    serveProposals(link, leader),
+  );
+  const link = await network.connect(address);
+  const ask = createProposer(link);
+  let last = 0;
+  const claims = createTableClaims(
+    () => `gate/${++last}`,
+    acquire => ask(acquire) as Promise<Vote>,
+    settle => void ask(settle),
+  );
+  return {
+    claims,
+    sizes: () => tables.map(table => table.size),
+    async stop() {
+      link.close();
+      await listener.close();
+      for (const member of group) await member.stop();
+      await rm(folder, {recursive: true, force: true});
+    },
+  };
+}
+
+/** Claims on whatever votes once for all. */
+function createTableClaims(
+  nextClaim: () => string,
+  vote: (acquire: Acquire) => Promise<Vote>,
+  settle: (settle: Settle) => void,
+): Claims {
+  return new (class extends Claims {
+    async acquire(request: ClaimRequest): Promise<Acquisition> {
+      const {key, fingerprint} = request;
+      const claim = nextClaim();
+      const work = {service, key, fingerprint, claim};
+      const given = await vote({
+        kind: 'acquire',
+        epoch: 1,
+        lease: 10_000,
+        ...work,
+      });
+      if (given.kind !== 'granted') {
+        const code = claimCodes.outcomeUnknown;
+        return {kind: 'refused', code, message: code.meaning, retryAfter: 1};
+      }
+      const end = (settlement: Settle['settlement']) =>
+        settle({kind: 'settle', ...work, settlement});
+      return {
+        kind: 'granted',
+        claim: {
+          release: () => end({kind: 'released'}),
+          abandon: () => end({kind: 'abandoned'}),
+          complete: answer => end({kind: 'answered', answer}),
+        },
+      };
+    }
+  })();
+}
+
+function createClaimMachine(table: ClaimTable): StateMachine {
+  return new (class extends StateMachine {
+    apply(_index: number, entry: Uint8Array): Uint8Array {
+      const message = packr.unpack(entry) as Acquire | Settle;
+      if (message.kind === 'acquire') return packr.pack(table.vote(message));
+      table.settle(message);
+      return packr.pack({kind: 'settled'});
+    }
+
+    snapshot(): Uint8Array {
+      return packr.pack([...table.records()]);
+    }
+
+    restore(_index: number, snapshot: Uint8Array): void {
+      table.merge(packr.unpack(snapshot));
+      table.sort();
+    }
+  })();
+}
+
+function serveProposals(link: Link, leader: Consensus): void {
+  link.onMessage(message => {
+    const {id, entry} = message as {id: number; entry: object};
+    void leader.propose(packr.pack(entry)).then(result => {
+      const reply = result.ok ? packr.unpack(result.value) : {kind: 'stale'};
+      link.send({id, reply});
+    });
+  });
+}
+
+function createProposer(link: Link): (entry: object) => Promise<unknown> {
+  const asked = new Map<number, (reply: unknown) => void>();
+  let last = 0;
+  link.onMessage(message => {
+    const {id, reply} = message as {id: number; reply: unknown};
+    asked.get(id)?.(reply);
+    asked.delete(id);
+  });
+  return entry =>
+    new Promise(resolve => {
+      asked.set(++last, resolve);
+      link.send({id: last, entry});
+    });
+}
+
+async function findLeader(
+  group: readonly Consensus[],
+  timers: Timers,
+): Promise<Consensus> {
+  for (;;) {
+    const leader = group.find(member => member.status().role === 'leader');
+    if (leader !== undefined) return leader;
+    await new Promise<void>(done => timers.after(20, done));
+  }
+}
+
+/** An address on loopback that was free a moment ago. */
+async function freeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  await new Promise<void>(done => server.close(() => done()));
+  return `127.0.0.1:${port}`;
+}
--- a/bench/upstreams/announcement.ts
+++ b/bench/upstreams/announcement.ts
@@ -11,8 +11,7 @@
   readonly slots: number;
   readonly connections: number;
   readonly healthPath: string;
-  /** The node beside it warms a fresh instance itself. */
-  readonly state: 'serving' | 'draining';
+  readonly state: 'warming' | 'serving' | 'draining';
   /** Differs after each start. */
   readonly started: number;
 }
--- a/bench/upstreams/main.ts
+++ b/bench/upstreams/main.ts
@@ -70,7 +70,7 @@
           slots: Number(values.slots ?? shape.slots),
           connections: Number(values.connections ?? shape.connections),
           healthPath: '/health',
-          state: upstream.state() === 'draining' ? 'draining' : 'serving',
+          state: upstream.state(),
           started,
         }),
         timers,
--- a/src/claims/claim-table.ts
+++ b/src/claims/claim-table.ts
@@ -1,5 +1,6 @@
 /** The claims of one service as one keeper holds them; no network, no epochs. */
 import type {Timers} from '../time/timers.js';
+import type {Header, StoredAnswer} from './claims.js';
 import type {
   Acquire,
   ClaimRecord,
@@ -27,10 +28,12 @@
   /** Votes on a claim; `watcher` is kept when another claim has the key. */
   vote(acquire: Acquire, watcher?: Watcher): Vote;
   settle(settle: Settle): void;
-  /** All claims, for another keeper. */
-  records(): ClaimRecord[];
-  /** Adds another keeper's claims to these. */
+  /** All claims, for another keeper; made one by one as they are taken. */
+  records(): Iterable<ClaimRecord>;
+  /** Adds another keeper's claims to these; `sort` must follow. */
   merge(records: readonly ClaimRecord[]): void;
+  /** Puts claims in order of age again after a merge. */
+  sort(): void;
   /** Drops what is past its retention; tells watchers of expired claims. */
   sweep(): void;
   readonly size: number;
@@ -42,9 +45,28 @@
   readonly expires: number;
 }
 
+/**
+ * An answer as it is kept. Its body is a string of one byte a character: the
+ * bytes that came are a view of the socket's whole chunk, which they would hold
+ * in memory, and a buffer of its own costs more than a small body.
+ */
+interface KeptAnswer {
+  readonly status: number;
+  readonly headers: readonly Header[];
+  readonly body: string;
+}
+
+interface Settled {
+  readonly kind: 'answered' | 'abandoned';
+  readonly fingerprint: string;
+  readonly answer?: KeptAnswer;
+}
+
+const noHolders: readonly Holder[] = [];
+
 interface Entry {
-  holders: Holder[];
-  settled?: SettledRecord;
+  holders: readonly Holder[];
+  settled?: Settled;
   touched: number;
   watchers?: Watcher[];
 }
@@ -98,7 +120,7 @@
       if (settled.fingerprint !== acquire.fingerprint) {
         return {kind: 'key-reused'};
       }
-      return {kind: settled.kind, answer: settled.answer};
+      return toVote(settled);
     }
     const others = holders.filter(holder => holder.claim !== acquire.claim);
     if (others.length === 0) return {kind: 'granted'};
@@ -137,15 +159,15 @@
 
   function settle({key, fingerprint, claim, settlement}: Settle): void {
     if (settlement.kind === 'released') return release(key, claim);
-    const entry = entries.get(key) ?? {holders: [], touched: 0};
+    const entry = entries.get(key) ?? {holders: noHolders, touched: 0};
     const isFinal = entry.settled?.kind === 'answered';
-    if (!isFinal) entry.settled = {...settlement, fingerprint};
-    entry.holders = [];
+    if (!isFinal) entry.settled = keep({...settlement, fingerprint});
+    entry.holders = noHolders;
     touch(key, entry);
     notify(entry, {kind: 'notice', settlement});
   }
 
-  function toRecord([key, entry]: [string, Entry]): ClaimRecord {
+  function toRecord(key: string, entry: Entry): ClaimRecord {
     const now = timers.now();
     return {
       key,
@@ -154,29 +176,36 @@
         fingerprint: holder.fingerprint,
         lease: Math.max(0, holder.expires - now),
       })),
-      settled: entry.settled,
+      settled: entry.settled && giveBack(entry.settled),
       age: now - entry.touched,
     };
   }
 
   function mergeOne(record: ClaimRecord): void {
-    const entry = entries.get(record.key) ?? {holders: [], touched: 0};
+    const entry = entries.get(record.key) ?? {holders: noHolders, touched: 0};
     const now = timers.now();
-    for (const {claim, fingerprint, lease} of record.holders) {
-      const isKnown = entry.holders.some(holder => holder.claim === claim);
-      if (isKnown || released.has(claim)) continue;
-      entry.holders.push({claim, fingerprint, expires: now + lease});
-    }
-    if (entry.settled?.kind !== 'answered') {
-      entry.settled = record.settled ?? entry.settled;
+    const fresh = record.holders.filter(
+      ({claim}) =>
+        !released.has(claim) &&
+        !entry.holders.some(holder => holder.claim === claim),
+    );
+    entry.holders = [
+      ...entry.holders,
+      ...fresh.map(({claim, fingerprint, lease}) => ({
+        claim,
+        fingerprint,
+        expires: now + lease,
+      })),
+    ];
+    if (entry.settled?.kind !== 'answered' && record.settled !== undefined) {
+      entry.settled = keep(record.settled);
     }
-    if (entry.settled !== undefined) entry.holders = [];
+    if (entry.settled !== undefined) entry.holders = noHolders;
     if (entry.holders.length === 0 && entry.settled === undefined) return;
     entry.touched = Math.max(entry.touched, now - record.age);
     entries.set(record.key, entry);
   }
 
-  /** Puts entries in order of age again, which `sweep` relies on. */
   function sort(): void {
     const sorted = [...entries].sort(
       ([, left], [, right]) => left.touched - right.touched,
@@ -194,11 +223,13 @@
   return {
     vote,
     settle,
-    records: () => [...entries].map(toRecord),
+    *records() {
+      for (const [key, entry] of entries) yield toRecord(key, entry);
+    },
     merge(records) {
       for (const record of records) mergeOne(record);
-      sort();
     },
+    sort,
     sweep() {
       const oldest = timers.now() - limits.retention;
       for (const [claim, at] of released) {
@@ -217,3 +248,23 @@
     },
   };
 }
+
+function keep({kind, fingerprint, answer}: SettledRecord): Settled {
+  if (answer === undefined) return {kind, fingerprint};
+  const {status, headers, body} = answer;
+  const view = Buffer.from(body.buffer, body.byteOffset, body.byteLength);
+  const kept = {status, headers, body: view.toString('latin1')};
+  return {kind, fingerprint, answer: kept};
+}
+
+function giveBack({kind, fingerprint, answer}: Settled): SettledRecord {
+  return {kind, fingerprint, answer: answer && toAnswer(answer)};
+}
+
+function toVote({kind, answer}: Settled): Vote {
+  return {kind, answer: answer && toAnswer(answer)};
+}
+
+function toAnswer({status, headers, body}: KeptAnswer): StoredAnswer {
+  return {status, headers, body: Buffer.from(body, 'latin1')};
+}
--- a/src/claims/keeper.ts
+++ b/src/claims/keeper.ts
@@ -5,10 +5,10 @@
 import type {Timers} from '../time/timers.js';
 import {createClaimTable} from './claim-table.js';
 import type {ClaimLimits} from './claim-table.js';
-import type {Envelope, Question, Reply, SealedPage} from './messages.js';
+import type {ClaimRecord, Envelope, Question, Reply} from './messages.js';
 import {createKeeperPeers} from './peers.js';
 import {allKeeperSafeguards, createTenure} from './tenure.js';
-import type {KeeperSafeguards, Tenure} from './tenure.js';
+import type {KeeperSafeguards, Sealed, Tenure} from './tenure.js';
 
 /** What a keeper is made of. */
 export interface KeeperOptions {
@@ -32,7 +32,8 @@
 }
 
 const sweepPeriod = 1000;
-const pageRecords = 256;
+/** Few enough that a page holds up the node's requests for under 1 ms. */
+const pageRecords = 64;
 
 /** Creates a keeper that listens on its address. */
 export async function createKeeper(
@@ -63,15 +64,24 @@
     return tenure;
   }
 
-  function sendPages(page: SealedPage, reply: (reply: Reply) => void): void {
-    const {records} = page;
-    const lastStart = Math.max(0, records.length - pageRecords);
-    for (let start = 0; ; start += pageRecords) {
-      const part = records.slice(start, start + pageRecords);
-      const last = start >= lastStart;
-      reply({...page, records: part, last});
-      if (last) return;
+  function sendPages(sealed: Sealed, reply: (reply: Reply) => void): void {
+    const {active, quarantine} = sealed;
+    const records = sealed.records[Symbol.iterator]();
+
+    function next(): void {
+      const page: ClaimRecord[] = [];
+      let taken = records.next();
+      while (!taken.done) {
+        page.push(taken.value);
+        if (page.length === pageRecords) break;
+        taken = records.next();
+      }
+      const last = taken.done === true;
+      reply({kind: 'sealed', active, quarantine, records: page, last});
+      if (!last) timers.after(0, next);
     }
+
+    next();
   }
 
   function answer(question: Question, reply: (reply: Reply) => void): void {
@@ -82,7 +92,7 @@
       case 'settle':
         return reply({kind: tenure.settle(question) ? 'settled' : 'stale'});
       case 'seal':
-        return sendPages({...tenure.seal(question.epoch), last: true}, reply);
+        return sendPages(tenure.seal(question.epoch), reply);
       case 'inquire':
         return reply(tenure.standing());
     }
--- a/src/claims/tenure.ts
+++ b/src/claims/tenure.ts
@@ -76,7 +76,7 @@
   /** False when the keeper holds no claims of the service. */
   settle(settle: Settle): boolean;
   /** Ends an epoch here and gives its claims. */
-  seal(epoch: number): Omit<SealedPage, 'last'>;
+  seal(epoch: number): Sealed;
   standing(): Standing;
   sweep(): void;
   stop(): void;
@@ -85,10 +85,14 @@
   readonly size: number;
 }
 
+/** What a sealed keeper hands over. */
+export interface Sealed extends Pick<SealedPage, 'active' | 'quarantine'> {
+  readonly records: Iterable<ClaimRecord>;
+}
+
 interface Handover {
   active: boolean;
   quarantine: number;
-  records: ClaimRecord[];
   whole: boolean;
 }
 
@@ -133,7 +137,7 @@
   }
 
   function takeOver(handovers: readonly Handover[]): void {
-    for (const handover of handovers) table.merge(handover.records);
+    table.sort();
     activate(Math.max(...handovers.map(handover => handover.quarantine)));
   }
 
@@ -156,12 +160,11 @@
       if (hearing.kind === 'sealed') {
         handover.active = hearing.active;
         handover.quarantine = hearing.quarantine;
-        handover.records.push(...hearing.records);
+        table.merge(hearing.records);
         handover.whole = hearing.last;
         if (hearing.last) check();
       }
       if (hearing.kind === 'unreachable' || hearing.kind === 'stranger') {
-        handover.records = [];
         asked.push(timers.after(sealRetry, () => ask(member, handover)));
       }
     }
@@ -177,7 +180,6 @@
       const handover: Handover = {
         active: isOwn && activeEpoch >= previous.epoch,
         quarantine: isOwn ? quarantineLeft() : 0,
-        records: [],
         whole: isOwn,
       };
       handovers.push(handover);
@@ -222,7 +224,6 @@
       if (sealedEpoch >= epoch && stage() !== 'syncing') actor.send('seal');
       const active = activeEpoch >= sealed;
       return {
-        kind: 'sealed',
         active,
         quarantine: quarantineLeft(),
         records: active ? table.records() : [],
