--- a/src/claims/tenure.ts
+++ b/src/claims/tenure.ts
@@ -76,19 +76,25 @@
   /** False when the keeper holds no claims of the service. */
   settle(settle: Settle): boolean;
   /** Ends an epoch here and gives its claims. */
-  seal(epoch: number): Omit<SealedPage, 'last'>;
+  seal(epoch: number): Sealed;
   standing(): Standing;
   sweep(): void;
   stop(): void;
+  /** Whether it is, or is becoming, one of the service's keepers. */
+  isMember(): boolean;
   /** Whether it is no member and nothing is lost by forgetting it. */
   isForgettable(): boolean;
   readonly size: number;
 }
 
+/** What a sealed keeper hands over. */
+export interface Sealed extends Pick<SealedPage, 'active' | 'quarantine'> {
+  readonly records: Iterable<ClaimRecord>;
+}
+
 interface Handover {
   active: boolean;
   quarantine: number;
-  records: ClaimRecord[];
   whole: boolean;
 }
 
@@ -133,7 +139,7 @@
   }
 
   function takeOver(handovers: readonly Handover[]): void {
-    for (const handover of handovers) table.merge(handover.records);
+    table.sort();
     activate(Math.max(...handovers.map(handover => handover.quarantine)));
   }
 
@@ -156,12 +162,11 @@
       if (hearing.kind === 'sealed') {
         handover.active = hearing.active;
         handover.quarantine = hearing.quarantine;
-        handover.records.push(...hearing.records);
+        table.merge(hearing.records);
         handover.whole = hearing.last;
         if (hearing.last) check();
       }
       if (hearing.kind === 'unreachable' || hearing.kind === 'stranger') {
-        handover.records = [];
         asked.push(timers.after(sealRetry, () => ask(member, handover)));
       }
     }
@@ -177,7 +182,6 @@
       const handover: Handover = {
         active: isOwn && activeEpoch >= previous.epoch,
         quarantine: isOwn ? quarantineLeft() : 0,
-        records: [],
         whole: isOwn,
       };
       handovers.push(handover);
@@ -222,7 +226,6 @@
       if (sealedEpoch >= epoch && stage() !== 'syncing') actor.send('seal');
       const active = activeEpoch >= sealed;
       return {
-        kind: 'sealed',
         active,
         quarantine: quarantineLeft(),
         records: active ? table.records() : [],
@@ -234,6 +237,7 @@
     },
     sweep: () => table.sweep(),
     stop: cancelAsked,
+    isMember: () => epoch > 0 && leftAt === undefined,
     isForgettable() {
       // A promise not to vote in an epoch that is yet to be learned of must
       // not be forgotten: the keeper would become active in it after all.
