--- a/src/distribution/sync-plan.ts
+++ b/src/distribution/sync-plan.ts
@@ -8,6 +8,9 @@
 /** Bytes of a push besides its sections. */
 const pushBytes = 80;
 
+/** How many times its cost a comparison must be able to save. */
+const comparisonWorth = 2;
+
 /** What a subscriber holds and wants, as far as its distributor knows. */
 export interface Position {
   readonly services: Interest;
@@ -72,9 +75,15 @@
   const snapshot = costOf(state, position.services);
   if (position.version === undefined) return {way: 'snapshot', cost: snapshot};
   const delta = planDelta(state, position, changed);
-  if (delta !== undefined && delta.cost <= snapshot) return delta;
   const compare = costOfComparison(state, position.services);
-  if (compare < snapshot / 2) return {way: 'compare', cost: compare};
+  const isWorthComparing = compare * comparisonWorth < snapshot;
+  // What was seen in one large step, such as a restored snapshot, makes a delta
+  // of nearly everything, though little may differ.
+  const isDear = delta !== undefined && delta.cost > compare * comparisonWorth;
+  if (delta !== undefined && !(isDear && isWorthComparing)) {
+    return delta.cost <= snapshot ? delta : {way: 'snapshot', cost: snapshot};
+  }
+  if (isWorthComparing) return {way: 'compare', cost: compare};
   return {way: 'snapshot', cost: snapshot};
 }
 
--- a/src/distribution/sync.test.ts
+++ b/src/distribution/sync.test.ts
@@ -49,6 +49,31 @@
   t.deepEqual(node.subscriber.current(), operator.current());
 });
 
+test('a home that made up its state in one step compares', async t => {
+  const stage = createStage();
+  const operator = createOperator();
+  const empty = operator.current();
+  operator.accept({put: services});
+  const first = await stage.control('control-1', operator);
+  let isRestarting = true;
+  let notify = () => {};
+  const second = await stage.control('control-2', {
+    ...operator,
+    current: () => (isRestarting ? empty : operator.current()),
+    onChange: observe => (notify = observe),
+  });
+  const homes = [{address: first.address, failureDomain: 'a'}, second.address];
+  const node = stage.node('node-1', homes);
+  await stage.timers.advanceAsync(2000);
+  stage.network.kill('control-1');
+  operator.accept({put: [services[0]!]});
+  isRestarting = false;
+  notify();
+  await stage.timers.advanceAsync(10_000);
+  t.deepEqual(node.subscriber.current(), operator.current());
+  t.like(second.distributor.counts(), {comparisons: 1, snapshots: 0});
+});
+
 test('a node that missed changes without effect gets no section', async t => {
   const {stage, operator, control, node} = await startWith(1024);
   node.subscriber.subscribe(services.slice(10));
