--- a/src/distribution/sync-plan.ts
+++ b/src/distribution/sync-plan.ts
@@ -8,8 +8,8 @@
 /** Bytes of a push besides its sections. */
 const pushBytes = 80;
 
-/** How many times its cost a comparison must be able to save. */
-const comparisonWorth = 2;
+/** How many times its cost a comparison must be able to save: a regret of a quarter. */
+const comparisonWorth = 4;
 
 /** What a subscriber holds and wants, as far as its distributor knows. */
 export interface Position {
