--- a/src/distribution/admission.test.ts
+++ b/src/distribution/admission.test.ts
@@ -65,6 +65,35 @@
   t.true(postponed.every(after => after >= 1000 && after <= 10_000));
 });
 
+// A herd would be out for half as long again as its states take to send. Each
+// node that is told to come back is given a time within what those away will
+// need; one that has come back must no longer count among them.
+function bringBack(isNoted: boolean): number {
+  const {timers, admission} = setUp(1000);
+  let last = 0;
+  const offer = () => {
+    const ticket = admission.offer({
+      need: 1,
+      cost: 20,
+      admit: () => (last = timers.now()),
+      postpone(after) {
+        timers.after(after, () => {
+          if (isNoted) ticket.cancel();
+          offer();
+        });
+      },
+    });
+  };
+  for (let sync = 0; sync < 500; sync++) offer();
+  timers.advance(120_000);
+  return last;
+}
+
+test('a herd takes no longer than its states need', t => {
+  t.true(bringBack(false) > 13_000);
+  t.true(bringBack(true) < 10_200);
+});
+
 test('a cancelled sync is not admitted', t => {
   const {timers, admitted, offer} = setUp(1000);
   offer('opening', 1, 10);
--- a/src/distribution/admission.ts
+++ b/src/distribution/admission.ts
@@ -13,8 +13,9 @@
   postpone(after: number): void;
 }
 
-/** A place in the queue. */
+/** A place in the queue, or the note that a sync was told to come back. */
 export interface Ticket {
+  /** Takes the sync out; to be called also when it has come back. */
   cancel(): void;
 }
 
@@ -45,22 +46,20 @@
  * links and the loop with states, and an accepted change would wait behind
  * them. Who needs the newest state most goes first (those that serve nothing,
  * then the oldest version); what does not fit into the horizon is told when to
- * come back, spread with full jitter over the time that the rest will take.
+ * come back, spread with full jitter over the time that those away will take.
+ * That sum must shrink as they return: counted for good, it spread the herd
+ * over up to twice the time that its states needed.
  */
 export function createAdmission(options: AdmissionOptions): Admission {
   const {timers, random, rate, overhead, horizon, tick} = options;
   const capacity = rate * horizon;
   const burst = Math.max((rate * tick) / 1000, overhead);
-  const queue: Sync[] = [];
-  let queued = 0;
+  const costOf = (sync: Sync) => sync.cost + overhead;
+  const queue = createOrder(costOf);
+  const away = createOrder(costOf);
   let tokens = burst;
   let filled = timers.now();
   let timer: Subscription | undefined;
-  /** Cost that was sent away, and when all of it may be back. */
-  let away = 0;
-  let awayUntil = Number.NEGATIVE_INFINITY;
-
-  const costOf = (sync: Sync) => sync.cost + overhead;
 
   function refill(): void {
     const now = timers.now();
@@ -68,31 +67,15 @@
     filled = now;
   }
 
-  function place(sync: Sync): void {
-    let at = queue.length;
-    while (at > 0 && goesFirst(sync, queue[at - 1]!)) at--;
-    queue.splice(at, 0, sync);
-    queued += costOf(sync);
-  }
-
-  function drop(sync: Sync): boolean {
-    const at = queue.indexOf(sync);
-    if (at < 0) return false;
-    queue.splice(at, 1);
-    queued -= costOf(sync);
-    return true;
-  }
-
   /** A sync may overdraw the bucket, so that a large one is never starved. */
   function admitDue(): void {
     refill();
-    while (queue.length > 0 && tokens > 0) {
-      const sync = queue[0]!;
-      drop(sync);
+    for (let sync = queue.first(); sync && tokens > 0; sync = queue.first()) {
+      queue.remove(sync);
       tokens -= costOf(sync);
       sync.admit();
     }
-    if (queue.length > 0) timer ??= timers.every(tick, admitDue);
+    if (queue.size() > 0) timer ??= timers.every(tick, admitDue);
     else stopTimer();
   }
 
@@ -102,29 +85,65 @@
   }
 
   function postponeLast(): void {
-    const last = queue[queue.length - 1]!;
-    drop(last);
-    const now = timers.now();
-    if (now > awayUntil) away = 0;
-    away += costOf(last);
-    const spread = (away / rate) * 1000;
-    const after = horizon * 1000 + random.fraction() * spread;
-    awayUntil = Math.max(awayUntil, now + horizon * 1000 + spread);
-    last.postpone(Math.ceil(after));
+    const sync = queue.last()!;
+    queue.remove(sync);
+    away.add(sync);
+    const spread = away.cost() / rate;
+    const after = (horizon + random.fraction() * spread) * 1000;
+    sync.postpone(Math.ceil(after));
   }
 
   return {
     offer(sync) {
-      place(sync);
+      queue.add(sync);
       admitDue();
-      while (queued > capacity && queue.length > 1) postponeLast();
-      return {cancel: () => void drop(sync)};
+      while (queue.cost() > capacity && queue.size() > 1) postponeLast();
+      return {
+        cancel() {
+          queue.remove(sync);
+          away.remove(sync);
+        },
+      };
     },
-    waiting: () => queue.length,
+    waiting: () => queue.size(),
     stop: stopTimer,
   };
 }
 
+/** Syncs in the order in which they are to be admitted. */
+interface Order {
+  add(sync: Sync): void;
+  remove(sync: Sync): void;
+  first(): Sync | undefined;
+  last(): Sync | undefined;
+  size(): number;
+  /** The sum of all costs. */
+  cost(): number;
+}
+
+function createOrder(costOf: (sync: Sync) => number): Order {
+  const syncs: Sync[] = [];
+  let cost = 0;
+  return {
+    add(sync) {
+      let at = syncs.length;
+      while (at > 0 && goesFirst(sync, syncs[at - 1]!)) at--;
+      syncs.splice(at, 0, sync);
+      cost += costOf(sync);
+    },
+    remove(sync) {
+      const at = syncs.indexOf(sync);
+      if (at < 0) return;
+      syncs.splice(at, 1);
+      cost -= costOf(sync);
+    },
+    first: () => syncs[0],
+    last: () => syncs[syncs.length - 1],
+    size: () => syncs.length,
+    cost: () => cost,
+  };
+}
+
 function goesFirst(left: Sync, right: Sync): boolean {
   if (left.need !== right.need) return left.need > right.need;
   return left.cost < right.cost;
