--- a/bench/distribution/harness.ts
+++ b/bench/distribution/harness.ts
@@ -43,6 +43,11 @@
   return start('node-process.js', setup);
 }
 
+/** Starts a process of nodes that drop the states they get. */
+export function startHerd(setup: NodesSetup): Promise<StandInProcess> {
+  return start('herd-process.js', setup);
+}
+
 async function start(file: string, setup: unknown): Promise<StandInProcess> {
   const path = fileURLToPath(new URL(file, import.meta.url));
   const child = fork(path, [JSON.stringify(setup)], {
--- a/bench/distribution/messages.ts
+++ b/bench/distribution/messages.ts
@@ -49,6 +49,8 @@
 export interface Usage {
   /** Milliseconds of processor time. */
   readonly processor: number;
+  /** Most bytes that the process ever had in memory. */
+  readonly peak: number;
   /** Bytes over all links, with framing. */
   readonly bytesIn: number;
   readonly bytesOut: number;
--- a/bench/distribution/stand-in.ts
+++ b/bench/distribution/stand-in.ts
@@ -71,7 +71,8 @@
 /** What this process has used. */
 export function readUsage(counted: CountedNetwork): Usage {
   const {user, system} = process.cpuUsage();
-  return {processor: (user + system) / 1000, ...counted.bytes()};
+  const peak = process.resourceUsage().maxRSS * 1024;
+  return {processor: (user + system) / 1000, peak, ...counted.bytes()};
 }
 
 /** Bytes of heap and of buffers outside it, after a collection. */
--- a/bench/experiments/distribution-herd.ts
+++ b/bench/experiments/distribution-herd.ts
@@ -2,6 +2,7 @@
 import {
   awaitSynced,
   findConvergence,
+  startHerd,
   startHome,
   startNodes,
   stopAll,
@@ -16,7 +17,7 @@
 /** Nodes that stay in step all the while, and those that return at once. */
 const steadyNodes = 240;
 const herdProcesses = 4;
-const nodesPerProcess = 60;
+const nodesPerProcess = 120;
 
 /** Changes accepted while the herd returns. */
 const changes = {count: 20, gap: 100};
@@ -32,7 +33,7 @@
 
 const variants: readonly Variant[] = [
   {name: 'no admission', isAdmitting: false, hasHerd: true},
-  ...[4, 16, 64].map(rate => ({
+  ...[16, 32].map(rate => ({
     name: `admission at ${rate} MiB/s`,
     isAdmitting: true,
     syncBytesPerSecond: rate * mebibyte,
@@ -49,6 +50,8 @@
   readonly herd: number;
   readonly isHerdSynced: boolean;
   readonly postponed: number;
+  /** Most bytes that the relay ever had in memory. */
+  readonly peak: number;
 }
 
 async function measure(variant: Variant, seed: number): Promise<Figures> {
@@ -76,7 +79,7 @@
   const start = Date.now();
   const herd = await Promise.all(
     Array.from({length: count}, (_, index) =>
-      startNodes({
+      startHerd({
         name: `herd-${index}`,
         nodes: nodesPerProcess,
         subscribed: 0,
@@ -90,7 +93,7 @@
   const took = Date.now() - start;
   await awaitSynced([steady], steadyNodes, last);
   const {switches} = await steady.ask({kind: 'switches'});
-  const {counts} = await relay.usage();
+  const {counts, peak} = await relay.usage();
   await stopAll([...herd, steady, relay, source]);
   return {
     name: variant.name,
@@ -98,6 +101,7 @@
     herd: took,
     isHerdSynced,
     postponed: counts!.postponed,
+    peak,
   };
 }
 
@@ -131,7 +135,7 @@
     rows: others.flatMap(one => rowsOf(one, baseline!)),
     counts,
     notes: [
-      'the herd subscribes to all services, as a node without `calls` does',
+      'the herd subscribes to all services, as a node without `calls` does, and drops the states that it gets',
       'times of the herd include the start of its processes',
     ],
   };
@@ -146,7 +150,16 @@
     compare(`${name}: steady last`, 'ms', convergence.lastMost, base.lastMost),
   ];
   if (name === 'no herd') return rows;
-  return [...rows, compare(`${name}: herd`, 'ms', one.herd, baseline.herd)];
+  return [
+    ...rows,
+    compare(`${name}: herd`, 'ms', one.herd, baseline.herd),
+    compare(
+      `${name}: peak memory of the relay`,
+      'MiB',
+      one.peak / mebibyte,
+      baseline.peak / mebibyte,
+    ),
+  ];
 }
 
 /** What a returning herd costs an accepted change, with and without admission. */
