--- a/src/claims/interleavings.test.ts
+++ b/src/claims/interleavings.test.ts
@@ -168,5 +168,9 @@
     keeperSafeguards: {incarnation: false},
   });
   t.true(incarnation.doubled > 0, 'a new life that answers for the old');
-  t.log({majority, handover, incarnation});
+  const seal = await runMany(150, {keeperSafeguards: {seal: false}});
+  t.true(seal.doubled > 0, 'epochs that are copied but not ended');
+  const active = await runMany(20, {keeperSafeguards: {active: false}});
+  t.true(active.doubled > 0, 'claims taken from keepers that had none');
+  t.log({majority, handover, incarnation, seal, active});
 });
--- a/src/claims/tenure.test.ts
+++ b/src/claims/tenure.test.ts
@@ -169,3 +169,73 @@
   await cluster.timers.advanceAsync(500);
   t.is(cluster.keepers.get('k4')!.part.size, 600);
 });
+
+/**
+ * The set moves from k1, k2, k3 to k4, k2, k3. Gate a and k1 have not heard of
+ * it, as its links to the others are cut, and a can't reach k3; gate b has, and
+ * can't reach k2. Both book.
+ */
+async function bookInTwoEpochs(options: ClusterOptions): Promise<number> {
+  const cluster = await startSet(options);
+  const {network, timers} = cluster;
+  const [a, b] = [cluster.startGate('a'), cluster.startGate('b')];
+  const fresh = await cluster.startKeeper('k4');
+  const second = replaceMember(cluster.first, 'k1', fresh);
+  for (const other of ['k2', 'k3', 'k4']) network.cut(other, 'k1');
+  cluster.assign(second, ['k2', 'k3', 'k4', 'b']);
+  await timers.advanceAsync(100);
+  network.cut('a', 'k3');
+  network.cut('b', 'k2');
+  void cluster.submit(a, 'key', 'lose-answer');
+  void cluster.submit(b, 'key', 'lose-answer');
+  await timers.advanceAsync(3000);
+  return cluster.runs.get('key') ?? 0;
+}
+
+// What the caller sees: two bookings for one key, through two gates. Order: a
+// move races the claims; gate a counts k1's vote of the old set with k2's of
+// the new one, gate b has k3 and k4. Votes of one epoch only make a majority.
+test('without epochs in votes a move that races a claim books twice', async t => {
+  t.is(await bookInTwoEpochs({keeperSafeguards: {epoch: false}}), 2);
+  t.is(await bookInTwoEpochs({}), 1);
+});
+
+/**
+ * Epoch 2 is k4, k2, k3; k4 is cut off while it syncs. Epoch 3 is k4, k2, k5,
+ * of which k5 and k2 hear: they seal k4 but can't reach k3. Then k4 reaches k1 and k3 and
+ * finishes its sync of epoch 2, of which gate a still is; gate b is ahead.
+ */
+async function bookBehindSeal(options: ClusterOptions): Promise<number> {
+  const cluster = await startSet(options);
+  const {network, timers} = cluster;
+  const [a, b] = [cluster.startGate('a'), cluster.startGate('b')];
+  const fourth = await cluster.startKeeper('k4');
+  const second = replaceMember(cluster.first, 'k1', fourth);
+  for (const other of ['k1', 'k2', 'k3']) network.cut('k4', other);
+  cluster.assign(second, ['k2', 'k3', 'k4', 'a']);
+  await timers.advanceAsync(200);
+  const fifth = await cluster.startKeeper('k5');
+  const third = replaceMember(second, 'k3', fifth);
+  for (const ahead of ['k2', 'k5']) network.cut(ahead, 'k3');
+  cluster.assign(third, ['k5', 'k2', 'b']);
+  await timers.advanceAsync(200);
+  network.heal();
+  for (const ahead of ['k2', 'k5', 'b']) network.cut(ahead, 'k3');
+  network.cut('a', 'k2');
+  await timers.advanceAsync(3000);
+  void cluster.submit(a, 'key', 'lose-answer');
+  await timers.advanceAsync(100);
+  network.cut('b', 'k4');
+  void cluster.submit(b, 'key', 'lose-answer');
+  await timers.advanceAsync(3000);
+  return cluster.runs.get('key') ?? 0;
+}
+
+// What the caller sees: two bookings for one key. Order: k4 is sealed in an
+// epoch in which it is not yet active, then becomes active in it and votes for
+// a gate that is behind, while the next set already votes. The seal is a
+// promise that a late sync must keep.
+test('without the promise of a seal a late keeper lets work run twice', async t => {
+  t.is(await bookBehindSeal({keeperSafeguards: {seal: false}}), 2);
+  t.is(await bookBehindSeal({}), 1);
+});
--- a/src/claims/tenure.ts
+++ b/src/claims/tenure.ts
@@ -50,11 +50,20 @@
   readonly incarnation: boolean;
   /** The predecessor's claims are sealed and copied before the first vote. */
   readonly handover: boolean;
+  /** A sealed keeper votes no more in the epoch, nor becomes active in it. */
+  readonly seal: boolean;
+  /** One of the sealed keepers was active in the epoch. */
+  readonly active: boolean;
+  /** A keeper votes only for gates that ask in its own epoch. */
+  readonly epoch: boolean;
 }
 
 export const allKeeperSafeguards: KeeperSafeguards = {
   incarnation: true,
   handover: true,
+  seal: true,
+  active: true,
+  epoch: true,
 };
 
 /** What a tenure is made of. */
@@ -130,7 +139,7 @@
 
   function activate(quarantine: number): void {
     cancelAsked();
-    if (sealedEpoch >= epoch) return actor.send('seal');
+    if (safeguards.seal && sealedEpoch >= epoch) return actor.send('seal');
     activeEpoch = epoch;
     openAt = timers.now() + quarantine;
     if (quarantine === 0) return actor.send('activate');
@@ -153,7 +162,8 @@
       if (whole.length < majority) return;
       // A keeper that was never active in the epoch has none of the claims
       // that the epoch took over, so it can't stand for them alone.
-      if (!whole.some(handover => handover.active)) return;
+      const isKnown = whole.some(handover => handover.active);
+      if (safeguards.active && !isKnown) return;
       takeOver(whole);
     }
 
@@ -211,7 +221,8 @@
   return {
     adopt,
     vote(acquire, watcher) {
-      if (acquire.epoch !== epoch) return {kind: 'stale'};
+      const isOther = acquire.epoch !== epoch;
+      if (safeguards.epoch && isOther) return {kind: 'stale'};
       if (stage() === 'active') return table.vote(acquire, watcher);
       if (stage() !== 'quarantined') return {kind: 'stale'};
       return {kind: 'quarantined', left: quarantineLeft()};
@@ -223,7 +234,8 @@
     },
     seal(sealed) {
       sealedEpoch = Math.max(sealedEpoch, sealed);
-      if (sealedEpoch >= epoch && stage() !== 'syncing') actor.send('seal');
+      const ends = sealedEpoch >= epoch && stage() !== 'syncing';
+      if (safeguards.seal && ends) actor.send('seal');
       const active = activeEpoch >= sealed;
       return {
         active,
