Failure tests of endpoints with real processes

Cause: drains and dying VMs were shown with fakes only. Ruled out: waiting until each instance takes work through one entry (its own failure domain goes first; that wait cannot end).

--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -74,6 +74,21 @@
     return program;
   }
 
+  const upstreams = new Map<string, readonly string[]>();
+
+  function startUpstream(name: string, command: readonly string[]): Program {
+    const program = startProgram({name, command, folder: data});
+    upstreams.set(name, command);
+    started.set(name, program);
+    return program;
+  }
+
+  function restart(name: string): Program {
+    const command = upstreams.get(name);
+    if (command !== undefined) return startUpstream(name, command);
+    return start(settings.find(one => one.name === name)!);
+  }
+
   function startPlace(one: NodeSettings): Place {
     const service = one.name.replace(/-\d+$/, '');
     const upstreamAddress = options.upstreamAddress?.() ?? besides(one);
@@ -85,9 +100,7 @@
       ...['--announce', one.announceAddress!, '--instance', one.name],
       ...['--work', String(options.work)],
     ];
-    const name = `upstream of ${one.name}`;
-    const upstream = startProgram({name, command, folder: data});
-    started.set(name, upstream);
+    const upstream = startUpstream(`upstream of ${one.name}`, command);
     return {settings: one, service, node, upstream, upstreamAddress};
   }
 
@@ -112,7 +125,7 @@
         ],
         folder: process.cwd(),
       }),
-    restart: name => start(settings.find(one => one.name === name)!),
+    restart,
     async stop() {
       const failed: string[] = [];
       const stopOne = async (program: Program) => {
