Failure tests of claims with real processes: two keepers at once, a rolling upgrade

Two keepers killed and started empty: the resend is refused as keepers-lost, one run. All nodes of a service stopped in a planned way one after the other: the resend gets the first answer.

--- /dev/null
+++ b/scenarios/processes/claims.test.ts
@@ -0,0 +1,119 @@
+import test from 'ava';
+import type {ExecutionContext} from 'ava';
+import {request} from 'undici';
+import type {Deployment, Place} from '../../bench/deployment/deployment.js';
+import {setUp} from '../../bench/deployment/setup.js';
+import {startSmall} from '../../bench/deployment/small.js';
+import {until} from '../../bench/deployment/until.js';
+import {call} from '../../bench/demo/calls.js';
+import type {Reply} from '../../bench/demo/calls.js';
+import {claimCodes} from '../../src/claims/codes.js';
+
+const limit = 60_000;
+
+async function start(
+  t: ExecutionContext,
+  instances: number,
+  claimRetention: number,
+): Promise<Deployment> {
+  const deployment = await startSmall({
+    controls: 3,
+    services: [
+      {name: 'crewbook', instances},
+      {name: 'drillvault', instances: 1},
+    ],
+    node: {claimRetention},
+    control: {claimRetention},
+  });
+  t.teardown(deployment.stop);
+  await setUp(deployment, 'examples/agency/setup.fox');
+  return deployment;
+}
+
+function crewbooks(deployment: Deployment): Place[] {
+  return deployment.places.filter(({service}) => service === 'crewbook');
+}
+
+/** A node that is no keeper of crewbook. */
+function entryOf(deployment: Deployment): Place {
+  return deployment.places.find(({service}) => service === 'drillvault')!;
+}
+
+async function issue(place: Place, key: string): Promise<Reply | undefined> {
+  try {
+    return await call(place.settings.callerAddress, '/certificates', {
+      method: 'POST',
+      key,
+      tag: key,
+      body: Buffer.from('{"crew": 31}'),
+    });
+  } catch {
+    return undefined;
+  }
+}
+
+async function runsOf(deployment: Deployment, key: string): Promise<number> {
+  let sum = 0;
+  for (const place of crewbooks(deployment)) {
+    const answer = await request(`http://${place.upstreamAddress}/counts`);
+    const {runs} = (await answer.body.json()) as {runs: Record<string, number>};
+    sum += runs[key] ?? 0;
+  }
+  return sum;
+}
+
+function issueUntil(
+  deployment: Deployment,
+  key: string,
+  isLast: (reply: Reply) => boolean,
+): Promise<void> {
+  const entry = entryOf(deployment);
+  return until(`${key} ends so`, limit, async () => {
+    const reply = await issue(entry, key);
+    return reply !== undefined && isLast(reply);
+  });
+}
+
+test.serial(
+  'two keepers that die at once never let an issuance run again',
+  async t => {
+    // A certificate is issued. Two of the three nodes that keep its claim are
+    // killed and start again, empty. The resend is refused as keepers-lost; no
+    // new issuance runs either, until the retention time has passed.
+    const deployment = await start(t, 3, 8000);
+    t.is((await issue(entryOf(deployment), 'cert-1'))?.status, 200);
+    const [one, two] = crewbooks(deployment);
+    for (const place of [one!, two!]) {
+      place.node.signal('SIGKILL');
+      await place.node.ended();
+      deployment.restart(place.settings.name);
+    }
+    const lost = claimCodes.keepersLost.number;
+    await issueUntil(deployment, 'cert-1', reply => reply.code === lost);
+    t.is(await runsOf(deployment, 'cert-1'), 1);
+    await issueUntil(deployment, 'cert-2', reply => reply.status === 200);
+    t.is(await runsOf(deployment, 'cert-2'), 1);
+  },
+);
+
+test.serial('an upgrade that stops node after node loses no claim', async t => {
+  // A certificate is issued. All nodes of its service are stopped in a planned
+  // way and started again, each as soon as the one before is back. Every
+  // memory of the claim has begun anew; the resend still gets the answer.
+  const deployment = await start(t, 4, 900_000);
+  const first = await issue(entryOf(deployment), 'cert-3');
+  t.is(first?.status, 200);
+  for (const place of crewbooks(deployment)) {
+    t.is(await place.node.stop(), 0);
+    deployment.restart(place.settings.name);
+    await until('the node is back', limit, async () => {
+      const address = place.settings.callerAddress;
+      const reply = await call(address, '/records/x').catch(() => undefined);
+      return reply?.status === 200;
+    });
+  }
+  const resend = await issue(entryOf(deployment), 'cert-3');
+  t.is(resend?.status, 200, JSON.stringify(resend));
+  t.true(resend!.body.equals(first!.body));
+  t.is(await runsOf(deployment, 'cert-3'), 1);
+});
