--- a/src/keepers/appointer.ts
+++ b/src/keepers/appointer.ts
@@ -11,7 +11,7 @@
 import {decodeAnswer} from '../configuration/entry.js';
 import type {Answer, Edit} from '../configuration/messages.js';
 import type {Consensus} from '../consensus/consensus.js';
-import type {EndpointView} from '../endpoints/messages.js';
+import type {EndpointView, KnownInstance} from '../endpoints/messages.js';
 import type {Network} from '../link/link.js';
 import type {Log} from '../log/log.js';
 import {failure, success} from '../result/failure.js';
@@ -78,12 +78,13 @@
     return lastSequence;
   }
 
-  function noteMissing(service: string, member: string): boolean {
+  function noteMissing(
+    service: string,
+    member: string,
+    instances: readonly KnownInstance[],
+  ): boolean {
     const key = `${service} ${member}`;
-    const isKnown = endpoints
-      .instances(service)
-      .some(({instance}) => instance === member);
-    if (isKnown) {
+    if (instances.some(({instance}) => instance === member)) {
       missingSince.delete(key);
       return false;
     }
@@ -92,8 +93,8 @@
     return timers.now() - since >= missingGrace;
   }
 
-  function noteFirst(service: string): boolean {
-    if (endpoints.instances(service).length === 0) return false;
+  function noteFirst(service: string, count: number): boolean {
+    if (count === 0) return false;
     const since = firstSeen.get(service) ?? timers.now();
     firstSeen.set(service, since);
     return timers.now() - since >= firstGrace;
@@ -103,18 +104,19 @@
     const {services, version} = machine.current();
     const current = services.get(service)?.keepers;
     const members = current?.members ?? [];
+    const instances = endpoints.instances(service);
     const missing = members
       .map(({instance}) => instance)
-      .filter(instance => noteMissing(service, instance));
+      .filter(instance => noteMissing(service, instance, instances));
     return {
       service,
       current,
-      instances: endpoints.instances(service),
+      instances,
       missing: new Set(missing),
       retention: options.retention,
       // Above every epoch of an earlier service of that name, too.
       nextEpoch: Math.max(version, current?.epoch ?? 0) + 1,
-      isSettled: noteFirst(service),
+      isSettled: noteFirst(service, instances.length),
     };
   }
 
--- a/src/keepers/plan.ts
+++ b/src/keepers/plan.ts
@@ -86,15 +86,17 @@
   current: KeeperAssignment,
   bad: readonly Keeper[],
 ): Plan {
-  const candidates = candidatesOf(view);
   const leaving = bad[0] ?? findLeaving(view, current);
+  const isFull = current.members.length >= fullSet;
+  // Nearly all services are here at nearly every look: no more work for them.
+  if (leaving === undefined && isFull) return {kind: 'none'};
+  const candidates = candidatesOf(view);
   const staying = current.members.filter(member => member !== leaving);
   const fresh = candidates.filter(
     candidate => !staying.some(member => isSameLife(member, candidate)),
   );
-  const isFull = current.members.length >= fullSet;
   const canFill = staying.length + fresh.length >= fullSet;
-  if (leaving === undefined && (isFull || !canFill)) return {kind: 'none'};
+  if (leaving === undefined && !canFill) return {kind: 'none'};
   const size = isFull || canFill ? fullSet : current.members.length;
   const members = choose(staying, fresh, size);
   if (members.length < size) return {kind: 'none'};
@@ -117,10 +119,11 @@
   );
   if (draining !== undefined) return draining;
   const domains = new Set(members.map(({failureDomain}) => failureDomain));
-  const isFree = candidatesOf(view).some(
-    ({failureDomain}) => !domains.has(failureDomain),
+  if (domains.size === members.length) return undefined;
+  const isFree = view.instances.some(
+    one => isCandidate(one) && !domains.has(one.failureDomain),
   );
-  if (domains.size === members.length || !isFree) return undefined;
+  if (!isFree) return undefined;
   return members.find((member, index) =>
     members
       .slice(0, index)
@@ -147,8 +150,7 @@
 /** Instances that can hold claims, in an order of the service's own. */
 function candidatesOf({service, instances}: ServiceView): Keeper[] {
   return instances
-    .filter(one => one.state === 'serving' || one.state === 'warming')
-    .filter(one => one.keeper !== undefined && one.suspect !== true)
+    .filter(isCandidate)
     .map(({instance, failureDomain, keeper}) => ({
       instance,
       incarnation: keeper!.incarnation,
@@ -162,6 +164,11 @@
     );
 }
 
+function isCandidate({state, keeper, suspect}: KnownInstance): boolean {
+  if (keeper === undefined || suspect === true) return false;
+  return state === 'serving' || state === 'warming';
+}
+
 /** Its node has begun another life: what it held is certainly lost. */
 function isLost(
   member: Keeper,
