--- a/src/admin/metric-names.ts
+++ b/src/admin/metric-names.ts
@@ -4,6 +4,7 @@
   latency: 'foxbarrow_request_seconds',
   retries: 'foxbarrow_retries_total',
   gate: 'foxbarrow_gate_requests',
+  claims: 'foxbarrow_claims',
   version: 'foxbarrow_configuration_version',
   convergence: 'foxbarrow_convergence_seconds',
   bytes: 'foxbarrow_control_bytes_total',
--- a/src/admin/metrics.ts
+++ b/src/admin/metrics.ts
@@ -3,6 +3,7 @@
 import {Metrics} from '../metrics/metrics.js';
 import type {
   AnsweredRequest,
+  ClaimLoad,
   ControlState,
   GateLoad,
   Traffic,
@@ -72,6 +73,7 @@
     'service',
   ]);
   const work = gauge(metricNames.gate, 'Requests queued, running, and slots.');
+  const claims = gauge(metricNames.claims, 'Claims held here, and the limit.');
   const version = gauge(metricNames.version, 'Configuration in force here.');
   const convergence = histogram(
     metricNames.convergence,
@@ -114,6 +116,11 @@
       work.set({kind: 'slots'}, load.slots);
     }
 
+    claims(load: ClaimLoad): void {
+      claims.set({kind: 'held'}, load.held);
+      claims.set({kind: 'limit'}, load.limit);
+    }
+
     inForce(number: number): void {
       version.set({kind: 'in-force'}, number);
     }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -28,6 +28,13 @@
   readonly slots: number;
 }
 
+/** Claims that one node holds as a keeper. */
+export interface ClaimLoad {
+  readonly held: number;
+  /** New keys are refused at it. */
+  readonly limit: number;
+}
+
 /** The state of one control process. */
 export interface ControlState {
   readonly term: number;
@@ -45,6 +52,8 @@
   abstract retried(service: string, attempts: number): void;
   /** Gate: work that waits and runs, from time to time. */
   abstract load(load: GateLoad): void;
+  /** Keeper: claims that it holds, from time to time. */
+  abstract claims(load: ClaimLoad): void;
   /** Node, relay: a version came into force here. */
   abstract inForce(version: number): void;
   /**
@@ -66,6 +75,7 @@
     answered(): void {}
     retried(): void {}
     load(): void {}
+    claims(): void {}
     inForce(): void {}
     converged(): void {}
     traffic(): void {}
--- a/src/node/claims.ts
+++ b/src/node/claims.ts
@@ -8,6 +8,7 @@
   KeeperAssignment,
 } from '../configuration/configuration.js';
 import type {KeeperOffer} from '../endpoints/messages.js';
+import type {Metrics} from '../metrics/metrics.js';
 import type {Process} from '../process/process.js';
 import type {NodeSettings} from '../settings/schema.js';
 
@@ -15,6 +16,7 @@
 export interface NodeClaimsOptions {
   readonly settings: NodeSettings;
   readonly process: Process;
+  readonly metrics: Metrics;
   /** The configuration in force, undefined until one is proved fresh. */
   readonly configuration: () => Configuration | undefined;
 }
@@ -35,7 +37,7 @@
 export async function createNodeClaims(
   options: NodeClaimsOptions,
 ): Promise<NodeClaims> {
-  const {settings, process, configuration} = options;
+  const {settings, process, metrics, configuration} = options;
   const offer = offerOf(settings, process.timers.wall());
   const claims = createClaims({
     ...process,
@@ -44,6 +46,10 @@
     answerLimit: settings.claimAnswerLimit,
   });
   const keeper = await startKeeper(options, offer);
+  const reporting = process.timers.every(reportEvery, () => {
+    if (keeper === undefined) return;
+    metrics.claims({held: keeper.size, limit: settings.claimLimit});
+  });
   const seen = new Map<string, KeeperAssignment>();
 
   return {
@@ -60,6 +66,7 @@
       await keeper?.leave(Math.min(limit, leaveLimit));
     },
     async stop() {
+      reporting.cancel();
       claims.stop();
       await keeper?.stop();
     },
@@ -94,6 +101,9 @@
   });
 }
 
+/** Milliseconds between two reports of claims held. */
+const reportEvery = 1000;
+
 /** Milliseconds for which a planned stop waits for other keepers. */
 const leaveLimit = 5000;
 
--- a/src/node/run.ts
+++ b/src/node/run.ts
@@ -57,6 +57,7 @@
   const configuration = () => subscriber.current();
   const claims = await createNodeClaims({
     settings,
+    metrics,
     process: {
       ...process,
       network: createMeteredNetwork(process.network, 'claims', metrics, timers),
