--- a/src/consensus/group-links.ts
+++ b/src/consensus/group-links.ts
@@ -10,10 +10,11 @@
 import type {Identity} from './folder.js';
 import type {Job} from './writer.js';
 
+/** Election timeouts without a sign of life that end a link. */
+const silenceTimeouts = 20;
+
 /** The group that this member belongs to, and its links to the others. */
 export interface GroupLinks {
-  /** Whether the folder belongs to a group yet. */
-  readonly isFormed: boolean;
   readonly bytesOut: number;
   send(to: string, message: Message): void;
   /** The member of that name, when it has introduced itself on an open link. */
@@ -113,6 +114,7 @@
     random,
     log,
     reconnect: options.heartbeat,
+    silence: options.electionTimeout * silenceTimeouts,
     hello: () => ({
       kind: 'hello',
       member: self,
@@ -129,9 +131,6 @@
   for (const member of members) peers.keep(member);
 
   return {
-    get isFormed() {
-      return group !== undefined;
-    },
     get bytesOut() {
       return peers.bytesOut;
     },
