Relay: no batching window of its own

Cause: control has gathered the changes of a burst already; a second window at the relay only delays them.

--- a/src/settings/defaults.ts
+++ b/src/settings/defaults.ts
@@ -4,6 +4,7 @@
   heartbeat: 50,
   electionTimeout: 500,
   batchWindow: 50,
+  relayBatchWindow: 0,
   batchIdle: 200,
   snapshotEntries: 1000,
   lease: 10_000,
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -136,8 +136,8 @@
     sources: z.array(home).min(1),
     /** Distribution addresses of the other relays. */
     relays: z.array(address).default([]),
-    /** How long changes are gathered before they are sent to nodes. */
-    batchWindow: milliseconds.default(defaults.batchWindow),
+    /** How long changes are gathered again; control has done so already. */
+    batchWindow: milliseconds.default(defaults.relayBatchWindow),
     /** How long an instance is kept without a renewal. */
     lease: period.default(defaults.lease),
   })
