--- /dev/null
+++ b/bench/endpoints/deployment.ts
@@ -0,0 +1,123 @@
+import {fork} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import type {
+  Event,
+  FleetCommand,
+  FleetPlan,
+  FleetReport,
+  HomeCommand,
+  HomeKind,
+  HomeReport,
+  Sample,
+} from './messages.js';
+
+/** Homes and a fleet of stand-in nodes, as processes. */
+
+/** What all processes spent in some time. */
+export interface Spending {
+  readonly seconds: number;
+  /** Microseconds of processor time, all homes together. */
+  readonly homeCpu: number;
+  /** The same of the fleet. */
+  readonly fleetCpu: number;
+  /** Bytes between nodes and homes. */
+  readonly nodeBytes: number;
+  /** Bytes between homes, as sent and as received. */
+  readonly peerBytes: number;
+  /** Bytes of resident memory of the greatest home, at the end. */
+  readonly homeMemory: number;
+}
+
+/** What an event took. */
+export interface Played {
+  readonly times: readonly number[];
+  readonly missed: number;
+}
+
+/** Processes of one variant. */
+export interface Deployment {
+  /** Measures what is spent while `work` runs. */
+  spend(work: () => Promise<void>): Promise<Spending>;
+  play(event: Event, share?: number): Promise<Played>;
+  close(): void;
+}
+
+/** Size of a deployment. */
+export interface Size {
+  readonly kind: HomeKind;
+  readonly homes: number;
+  readonly nodes: number;
+  readonly services: number;
+  readonly calls: number;
+  readonly seed: number;
+}
+
+const module = (name: string) => new URL(name, import.meta.url);
+
+async function next<T>(child: ChildProcess): Promise<T> {
+  const [message] = (await once(child, 'message')) as [T];
+  return message;
+}
+
+/** Starts homes, links them, and starts the fleet. */
+export async function startDeployment(size: Size): Promise<Deployment> {
+  const homes: ChildProcess[] = [];
+  const nodeAddresses: string[] = [];
+  const peerAddresses: string[] = [];
+  for (let index = 0; index < size.homes; index++) {
+    const home = fork(module('home.js'), [`home-${index}`, size.kind]);
+    const ready = await next<HomeReport & {kind: 'ready'}>(home);
+    const link: HomeCommand = {kind: 'link', peers: [...peerAddresses]};
+    home.send(link);
+    homes.push(home);
+    nodeAddresses.push(ready.nodes);
+    peerAddresses.push(ready.peers);
+  }
+  const fleet = fork(module('fleet.js'), []);
+  const ask = (command: FleetCommand) => {
+    const answer = next<FleetReport>(fleet);
+    fleet.send(command);
+    return answer;
+  };
+  const plan: FleetPlan = {...size, homes: nodeAddresses};
+  await ask({kind: 'start', plan});
+
+  async function sample(child: ChildProcess): Promise<Sample> {
+    const answer = next<{kind: 'sample'; sample: Sample}>(child);
+    child.send({kind: 'sample'});
+    return (await answer).sample;
+  }
+
+  const sampleAll = async () => ({
+    at: Date.now(),
+    homes: await Promise.all(homes.map(sample)),
+    fleet: await sample(fleet),
+  });
+
+  return {
+    async spend(work) {
+      const before = await sampleAll();
+      await work();
+      const after = await sampleAll();
+      const total = (key: keyof Sample) =>
+        after.homes.reduce((sum, one) => sum + one[key], 0) -
+        before.homes.reduce((sum, one) => sum + one[key], 0);
+      return {
+        seconds: (after.at - before.at) / 1000,
+        homeCpu: total('cpu'),
+        fleetCpu: after.fleet.cpu - before.fleet.cpu,
+        nodeBytes: after.fleet.nodeBytes - before.fleet.nodeBytes,
+        peerBytes: total('peerBytes'),
+        homeMemory: Math.max(...after.homes.map(one => one.memory)),
+      };
+    },
+    async play(event, share = 0) {
+      const answer = await ask({kind: 'play', event, share});
+      return answer as FleetReport & {kind: 'played'};
+    },
+    close() {
+      for (const child of [...homes, fleet]) child.disconnect();
+    },
+  };
+}
--- a/src/endpoints/node-sessions.ts
+++ b/src/endpoints/node-sessions.ts
@@ -51,6 +51,7 @@
   /** Instances that changed since the last delta. */
   readonly pending: Set<string>;
   flush: Subscription | undefined;
+  flushedAt: number;
 }
 
 /** Creates a home's links to its nodes. */
@@ -223,12 +224,16 @@
       .filter(entry => entry !== undefined)
       .map(onWire);
     session.pending.clear();
+    session.flushedAt = timers.now();
     send(session, {kind: 'delta', instances});
   }
 
   function mark(session: Session, instance: string): void {
     session.pending.add(instance);
-    session.flush ??= timers.after(options.window, () => flush(session));
+    if (session.flush !== undefined) return;
+    // The first change after a quiet time leaves at once, more are gathered.
+    const due = session.flushedAt + options.window - timers.now();
+    session.flush = timers.after(Math.max(0, due), () => flush(session));
   }
 
   function spread(entry: Entry, before: Entry | undefined): void {
@@ -306,6 +311,7 @@
         services: new Set(),
         pending: new Set(),
         flush: undefined,
+        flushedAt: -Infinity,
       };
       sessions.add(session);
       channel.onMessage(body => {
--- a/src/endpoints/registry.ts
+++ b/src/endpoints/registry.ts
@@ -28,7 +28,7 @@
   readonly expiryWindow?: number;
   /** Nodes whose report clears an instance that is held back; default 2. */
   readonly witnesses?: number;
-  /** How long changes are gathered before they go to nodes; default 50. */
+  /** How long changes that follow another are gathered for a node; default 50. */
   readonly window?: number;
   /** Time between two comparisons with each other home; default 1000. */
   readonly comparison?: number;
