Endpoints: a contest is judged where the lease is renewed; subscriptions apart

Cause: a home without a link to the holder saw no renewal in a contest over an address and declared the living instance gone (found by reading, with relays and control not all linked to each other). It now waits for the homes that still hear the holder, as for orphans. Test: a contest is judged where the lease is renewed. What nodes are told has its own module; no change of behaviour.

--- a/src/endpoints/leases.test.ts
+++ b/src/endpoints/leases.test.ts
@@ -278,6 +278,36 @@
   t.deepEqual(await replacedAddress(true), ['crewbook-2:serving']);
 });
 
+/** A home judges a contest over an instance whose holder it cannot reach. */
+async function unreachableHolder(vouching: boolean): Promise<number> {
+  const mesh = createFakeMesh(0, {safeguards: {vouching}});
+  for (const name of ['home-a', 'home-b', 'home-c']) await mesh.home(name);
+  mesh.network.cut('home-a', 'home-b');
+  mesh.network.cut('home-b', 'home-a');
+  await mesh.advance(8 * second);
+  const gate = '10.0.0.1:7000';
+  const caller = await mesh.join('home-b', 'caller');
+  await mesh.join('home-a', 'crewbook-1', upstream(), {gate});
+  const rival = await mesh.join('home-c', 'crewbook-2', upstream(), {gate});
+  await mesh.advance(3 * second);
+  rival.kill();
+  let gone = 0;
+  caller.table.onChange(() => {
+    if (!caller.view().some(one => one.startsWith('crewbook-1'))) gone++;
+  });
+  await mesh.advance(20 * second);
+  return gone;
+}
+
+test('a contest is judged where the lease is renewed', async t => {
+  // Two instances claim one address; the one that lives renews at a home to
+  // which the caller's home has no link. Judging by itself, the caller's home
+  // sees no renewal and declares it gone. It asks the third home, which still
+  // hears the holder, and leaves the judgement there.
+  t.true((await unreachableHolder(false)) > 0);
+  t.is(await unreachableHolder(true), 0);
+});
+
 test('two live processes under one id do not fight for it', async t => {
   const mesh = createFakeMesh();
   await mesh.home('home-a');
--- a/src/endpoints/leases.ts
+++ b/src/endpoints/leases.ts
@@ -67,8 +67,9 @@
       contested.delete(instance);
       return false;
     }
-    if (isContestOver(instance)) return true;
-    return peers.absence(entry.home) >= options.orphanLease;
+    const absence = peers.absence(entry.home);
+    if (isContestOver(instance)) return absence >= options.contestLease;
+    return absence >= options.orphanLease;
   }
 
   /**
@@ -216,7 +217,7 @@
   const suspect = (entry: Entry) =>
     store.setSuspect(entry.announcement.instance, true);
 
-  /** Whether more than a lost renewal speaks against the instance. */
+  /** Whether more than lost renewals speak against an instance that is due. */
   function isProved(entry: Entry): boolean {
     const {instance} = entry.announcement;
     return isContestOver(instance) || isWitnessed(entry);
--- a/src/endpoints/node-sessions.ts
+++ b/src/endpoints/node-sessions.ts
@@ -1,20 +1,14 @@
 import type {Channel, Channels} from '../link/channel.js';
 import type {Log} from '../log/log.js';
-import type {Subscription, Timers} from '../time/timers.js';
+import type {Timers} from '../time/timers.js';
 import {endpointCodes} from './codes.js';
-import {emptyDigest, equalDigests, toggle} from './digest.js';
-import type {Digest} from './digest.js';
 import type {Leases} from './leases.js';
-import type {
-  Announcement,
-  HomeMessage,
-  NodeMessage,
-  ServiceDigest,
-} from './messages.js';
+import type {Announcement, HomeMessage, NodeMessage} from './messages.js';
 import {compareAnnouncements} from './order.js';
 import type {Peers} from './peers.js';
-import {toKnown} from './record-store.js';
 import type {Entry, RecordStore} from './record-store.js';
+import {createSubscriptions} from './subscriptions.js';
+import type {Subscriber} from './subscriptions.js';
 import {turnSince} from './transit.js';
 
 /** Settings of a home's links to its nodes; times in milliseconds. */
@@ -47,31 +41,28 @@
   lastHeard: number;
   /** The one instance that this node announces. */
   instance: string | undefined;
-  services: ReadonlySet<string> | 'all';
-  /** Instances that changed since the last delta. */
-  readonly pending: Set<string>;
-  flush: Subscription | undefined;
-  flushedAt: number;
+  readonly subscriber: Subscriber;
 }
 
 /** Creates a home's links to its nodes. */
 export function createNodeSessions(options: NodeSessionsOptions): NodeSessions {
   const {name, region, timers, log, store, peers, leases} = options;
   const sessions = new Set<Session>();
-  const takers = new Map<string, Set<Session>>();
-  const takersOfAll = new Set<Session>();
+  const isComplete = () => timers.now() >= options.completeAt;
+  const subscriptions = createSubscriptions({
+    timers,
+    store,
+    window: options.window,
+    isComplete,
+  });
 
   const send = (session: Session, message: HomeMessage) =>
     session.channel.send(message);
 
-  const onWire = (entry: Entry) => turnSince(toKnown(entry), timers.wall());
-
   function refute(session: Session, known: Announcement): void {
     send(session, {kind: 'refuted', known: turnSince(known, timers.wall())});
   }
 
-  const isComplete = () => timers.now() >= options.completeAt;
-
   function announce(session: Session, announcement: Announcement): void {
     const {instance} = announcement;
     if (!isUsable(session, announcement)) return;
@@ -137,11 +128,11 @@
   ): void {
     const {instance} = message;
     if (instance !== undefined) renewLease(session, instance, message);
-    flush(session);
+    session.subscriber.flush();
     send(session, {
       kind: 'renewed',
       complete: isComplete(),
-      digest: digestFor(session),
+      digest: session.subscriber.digest(),
     });
   }
 
@@ -163,88 +154,6 @@
     else if (entry!.expired) refute(session, known!);
   }
 
-  function digestFor(session: Session): Digest {
-    if (session.services === 'all') return store.viewDigest();
-    let sum = emptyDigest;
-    for (const service of session.services) {
-      sum = toggle(sum, store.serviceDigest(service));
-    }
-    return sum;
-  }
-
-  function subscribe(
-    session: Session,
-    all: boolean,
-    listed: readonly ServiceDigest[],
-  ): void {
-    unsubscribe(session);
-    session.services = all ? 'all' : new Set(listed.map(one => one.service));
-    if (all) takersOfAll.add(session);
-    else for (const {service} of listed) takersOf(service).add(session);
-    session.pending.clear();
-    const digests = new Map(listed.map(one => [one.service, one.digest]));
-    const services = all
-      ? new Set([...store.services(), ...digests.keys()])
-      : digests.keys();
-    for (const service of services) {
-      const theirs = digests.get(service) ?? emptyDigest;
-      if (equalDigests(theirs, store.serviceDigest(service))) continue;
-      sendSection(session, service);
-    }
-  }
-
-  function sendSection(session: Session, service: string): void {
-    const instances = [...store.ofService(service)].map(onWire);
-    const complete = isComplete();
-    send(session, {kind: 'section', service, complete, instances});
-  }
-
-  function takersOf(service: string): Set<Session> {
-    const set = takers.get(service) ?? new Set();
-    takers.set(service, set);
-    return set;
-  }
-
-  function unsubscribe(session: Session): void {
-    takersOfAll.delete(session);
-    if (session.services === 'all') return;
-    for (const service of session.services) {
-      const set = takersOf(service);
-      set.delete(session);
-      if (set.size === 0) takers.delete(service);
-    }
-  }
-
-  function flush(session: Session): void {
-    session.flush?.cancel();
-    session.flush = undefined;
-    if (session.pending.size === 0) return;
-    const instances = [...session.pending]
-      .map(instance => store.get(instance))
-      .filter(entry => entry !== undefined)
-      .map(onWire);
-    session.pending.clear();
-    session.flushedAt = timers.now();
-    send(session, {kind: 'delta', instances});
-  }
-
-  function mark(session: Session, instance: string): void {
-    session.pending.add(instance);
-    if (session.flush !== undefined) return;
-    // The first change after a quiet time leaves at once, more are gathered.
-    const due = session.flushedAt + options.window - timers.now();
-    session.flush = timers.after(Math.max(0, due), () => flush(session));
-  }
-
-  function spread(entry: Entry, before: Entry | undefined): void {
-    const {instance, service} = entry.announcement;
-    const left = before?.announcement.service ?? service;
-    for (const session of takersOfAll) mark(session, instance);
-    for (const session of takers.get(service) ?? []) mark(session, instance);
-    if (left === service) return;
-    for (const session of takers.get(left) ?? []) mark(session, instance);
-  }
-
   /**
    * Another home's record of an instance whose node is linked here: the node
    * alone may answer it, and does so by rising above it.
@@ -269,7 +178,7 @@
       case 'renew':
         return renew(session, message);
       case 'subscribe':
-        return subscribe(session, message.all, message.services);
+        return session.subscriber.subscribe(message.all, message.services);
       case 'unreachable':
         return leases.witness({
           instance: message.instance,
@@ -281,8 +190,7 @@
 
   function remove(session: Session): void {
     if (!sessions.delete(session)) return;
-    unsubscribe(session);
-    session.flush?.cancel();
+    session.subscriber.end();
     const {instance} = session;
     if (instance === undefined || isLinked(instance)) return;
     leases.closed(instance);
@@ -295,10 +203,7 @@
     return false;
   }
 
-  store.onChange((entry, before) => {
-    spread(entry, before);
-    answerStranger(entry);
-  });
+  store.onChange(answerStranger);
 
   return {
     accept(channels) {
@@ -308,10 +213,7 @@
         channel,
         lastHeard: timers.now(),
         instance: undefined,
-        services: new Set(),
-        pending: new Set(),
-        flush: undefined,
-        flushedAt: -Infinity,
+        subscriber: subscriptions.add(message => channel.send(message)),
       };
       sessions.add(session);
       channel.onMessage(body => {
