--- a/src/endpoints/announcer.test.ts
+++ b/src/endpoints/announcer.test.ts
@@ -64,11 +64,12 @@
 
 test("an operator's drain holds whatever the upstream says", t => {
   const {announcer} = start();
+  announcer.setDrains(new Set(['crewbook-1']));
   announcer.announce(upstream());
-  announcer.setDrained(true);
+  t.is(announcer.current()!.state, 'draining');
   announcer.announce(upstream());
   t.is(announcer.current()!.state, 'draining');
-  announcer.setDrained(false);
+  announcer.setDrains(new Set(['crewbook-2']));
   t.is(announcer.current()!.state, 'serving');
 });
 
--- a/src/endpoints/announcer.ts
+++ b/src/endpoints/announcer.ts
@@ -27,6 +27,11 @@
   readonly started?: number;
 }
 
+/** The instances that operators have drained. */
+export interface Drains {
+  has(instance: string): boolean;
+}
+
 /** Settings of an announcer. */
 export interface AnnouncerOptions {
   /** The node's name, the id of an upstream that gives none. */
@@ -52,8 +57,8 @@
   announce(upstream: Upstream): Result<Announcement>;
   /** Takes the upstream back; what it says next begins a new incarnation. */
   withdraw(): Result<Announcement>;
-  /** An operator's drain, which holds whatever the upstream says. */
-  setDrained(drained: boolean): void;
+  /** Operators' drains by instance; they hold whatever the upstream says. */
+  setDrains(drains: Drains): void;
   /** Whether connections to the upstream work; gone while they do not. */
   setReachable(reachable: boolean): void;
   /** Announces the same again under a higher sequence, for a new home. */
@@ -76,7 +81,7 @@
   const warmUp = options.warmUp ?? defaultWarmUp;
   const observers: Array<(announcement: Announcement) => void> = [];
   let said: Upstream | undefined;
-  let drained = false;
+  let drains: Drains = new Set();
   let reachable = true;
   let life: Lifecycle | undefined;
   let current: Announcement | undefined;
@@ -130,7 +135,7 @@
   }
 
   const isDraining = (upstream: Upstream) =>
-    drained || upstream.state === 'draining';
+    upstream.state === 'draining' || drains.has(describe(upstream).instance);
 
   /** Publishes what is so now under the next sequence. */
   function step(): Announcement {
@@ -230,8 +235,8 @@
     announce,
     withdraw,
     rise,
-    setDrained(next) {
-      drained = next;
+    setDrains(next) {
+      drains = next;
       if (said !== undefined) update(said, said);
     },
     setReachable(next) {
--- a/src/node/run.ts
+++ b/src/node/run.ts
@@ -102,6 +102,7 @@
     services,
   });
   home.onChannels(channels => membership.attach(channels));
+  subscriber.onSwitch(({drains}) => announcer.setDrains(drains));
 
   const gateServer = createGateServer({
     address: settings.gateAddress,
@@ -124,6 +125,10 @@
     timers,
     random,
     log,
+    peers: {
+      onUnreachable: ({instance, incarnation}) =>
+        membership.reportUnreachable(instance, incarnation),
+    },
     onOutcome: outcome => reportOutcome(metrics, configuration(), outcome),
   });
   await gateServer.listen();
--- a/src/request/entry.ts
+++ b/src/request/entry.ts
@@ -61,7 +61,12 @@
   /** Choices about instances, with their own defaults. */
   readonly peers?: Pick<
     PeersOptions,
-    'localLimit' | 'loadAge' | 'leavingPause' | 'ejection' | 'retryBudget'
+    | 'localLimit'
+    | 'loadAge'
+    | 'leavingPause'
+    | 'ejection'
+    | 'retryBudget'
+    | 'onUnreachable'
   >;
   /** Test only. */
   readonly safeguards?: Partial<Safeguards>;
--- a/src/request/peers.ts
+++ b/src/request/peers.ts
@@ -26,6 +26,8 @@
   readonly leavingPause?: number;
   readonly ejection?: Omit<EjectionOptions, 'clock'>;
   readonly retryBudget?: RetryBudgetOptions;
+  /** Hears of each instance whose gate took no connection. */
+  readonly onUnreachable?: (announcement: Announcement) => void;
 }
 
 /** An instance chosen for one attempt. */
@@ -153,6 +155,9 @@
       return;
     }
     if (faults.has(code)) ejection.failed(instance);
+    if (code === requestCodes.gateUnreachable) {
+      options.onUnreachable?.(known.announcement);
+    }
     if (leaving.has(code)) {
       // Its announcement is on its way; until then its own word counts.
       known.pausedUntil = timers.now() + limits.leavingPause;
