Burn report: codes for an upstream's error and a cut answer, readable figures

Looking at it as an operator: '1000 ok' as what spent the budget said nothing, so cut answers and upstream errors have codes of their own; budgets overspent a thousandfold were unreadable percentages; thresholds far below the curve lay on each other.

--- a/src/admin/codes.ts
+++ b/src/admin/codes.ts
@@ -30,4 +30,18 @@
     400,
     'No policy with an objective was found. Name control or an objectives file.',
   ),
+  upstreamError: defineCode(
+    8005,
+    'upstream-error',
+    'unknown',
+    500,
+    "The upstream's own answer was an error of its side (5xx). Counted in metrics; look at the upstream.",
+  ),
+  answerCut: defineCode(
+    8006,
+    'answer-cut',
+    'unknown',
+    502,
+    'The answer had begun and ended visibly short. Counted in metrics; look at the upstream and the links to it.',
+  ),
 } as const;
--- a/src/admin/report-outcome.ts
+++ b/src/admin/report-outcome.ts
@@ -1,7 +1,9 @@
 import type {Configuration} from '../configuration/configuration.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {Outcome} from '../request/messages.js';
+import type {Code} from '../result/code.js';
 import {commonCodes} from '../result/codes.js';
+import {adminCodes} from './codes.js';
 
 /** Label of requests that matched no route. */
 const noRoute = 'none';
@@ -17,7 +19,7 @@
     route: outcome.route || noRoute,
     service: outcome.service || noRoute,
     policy: outcome.policy || noRoute,
-    code: outcome.code ?? commonCodes.ok,
+    code: outcome.code ?? codeOf(outcome),
     status: outcome.status,
     whole: outcome.whole,
     duration: outcome.duration,
@@ -27,3 +29,9 @@
     metrics.retried(outcome.service, outcome.attempts - 1);
   }
 }
+
+/** The code of an upstream's own answer; a reader of the report acts by it. */
+function codeOf({status, whole}: Outcome): Code {
+  if (status >= 500) return adminCodes.upstreamError;
+  return whole ? commonCodes.ok : adminCodes.answerCut;
+}
--- a/src/admin/reports.test.ts
+++ b/src/admin/reports.test.ts
@@ -38,6 +38,10 @@
   reportOutcome(metrics, undefined, {...outcome, route: '', service: ''});
   t.is(answered[1]!.route, 'none');
   t.is(answered[1]!.objective, Infinity);
+  reportOutcome(metrics, undefined, {...outcome, whole: false});
+  reportOutcome(metrics, undefined, {...outcome, status: 500});
+  t.is(answered[2]!.code.name, 'answer-cut');
+  t.is(answered[3]!.code.name, 'upstream-error');
 });
 
 test('a change has converged once every node has it, and not before', t => {
--- a/src/burn/format.ts
+++ b/src/burn/format.ts
@@ -3,9 +3,14 @@
 
 /** Wording that the table and the page share. */
 
+/** What is left of a budget, or how many times over it was spent. */
+export function formatBudget(left: number): string {
+  if (left >= 0) return formatShare(left);
+  return `spent ${formatNumber(1 - left)} times`;
+}
+
 /** A share as a percentage. */
 export function formatShare(share: number): string {
-  if (!Number.isFinite(share)) return 'overspent';
   return `${Number((share * 100).toFixed(2))}%`;
 }
 
@@ -13,8 +18,13 @@
 export function formatRate(window: WindowBurn): string {
   if (window.covered === 0) return 'no samples';
   if (window.answers === 0) return 'no answers';
-  if (!Number.isFinite(window.rate)) return 'infinite';
-  return Number(window.rate.toFixed(2)).toString();
+  return formatNumber(window.rate);
+}
+
+/** Small numbers with their decimals, large ones without. */
+function formatNumber(value: number): string {
+  if (!Number.isFinite(value)) return 'infinitely many';
+  return Number(value.toFixed(value < 100 ? 2 : 0)).toString();
 }
 
 /** What answers ended with, for a line of what spent the budget. */
--- a/src/burn/page.ts
+++ b/src/burn/page.ts
@@ -6,6 +6,7 @@
 import {
   describeAlert,
   describeSpending,
+  formatBudget,
   formatRate,
   formatShare,
 } from './format.js';
@@ -66,7 +67,7 @@
 function renderBudget(left: number): string {
   const share = Math.max(0, Math.min(1, left));
   const colour = left <= 0 ? '#d55e00' : '#009e73';
-  return `<svg class="bar" viewBox="0 0 100 10" role="img"><rect width="100" height="10" fill="#e5e5e5"/><rect width="${share * 100}" height="10" fill="${colour}"/></svg> ${formatShare(left)}`;
+  return `<svg class="bar" viewBox="0 0 100 10" role="img"><rect width="100" height="10" fill="#e5e5e5"/><rect width="${share * 100}" height="10" fill="${colour}"/></svg> ${formatBudget(left)}`;
 }
 
 /** A rate is marked when it has reached a rule that reads its window. */
@@ -119,11 +120,16 @@
       },
     ],
     guides: alertRules
-      .filter(rule => rule.rate <= highest * 2)
+      .filter(rule => isVisible(rule.rate, highest))
       .map(rule => ({label: `${rule.name} ${rule.rate}`, y: rule.rate})),
   };
 }
 
+/** Thresholds far above the curve flatten it; far below they lie on the axis. */
+function isVisible(rate: number, highest: number): boolean {
+  return rate <= highest * 2 && rate >= highest / 25;
+}
+
 function renderUnjudged(report: BurnReport): string {
   if (report.unjudged.length === 0) return '';
   const rows = report.unjudged.map(
--- a/src/burn/table.ts
+++ b/src/burn/table.ts
@@ -3,6 +3,7 @@
 import {
   describeAlert,
   describeSpending,
+  formatBudget,
   formatRate,
   formatShare,
 } from './format.js';
@@ -41,7 +42,7 @@
     burn.policy,
     `${formatShare(burn.target)} in ${formatDuration(burn.latency)}`,
     burn.answers.toString(),
-    formatShare(burn.budgetLeft),
+    formatBudget(burn.budgetLeft),
     ...burn.windows.map(formatRate),
     describeAlert(burn),
   ]);
--- a/src/cli/help.ts
+++ b/src/cli/help.ts
@@ -15,5 +15,6 @@
 ends, and the process exits 0. A second signal ends it at once.
 
 Exit codes: 0 done; 1 tried and failed; 2 the command line or the settings are
-not usable; 130 or 143 ended by a second SIGINT or SIGTERM.
+not usable; 130 or 143 ended by a second SIGINT or SIGTERM. A control process
+whose disk failed exits 3; operator commands have more, see 'foxbarrow help'.
 `;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import {resolveSettings} from '../settings/resolve.js';
 import type {Settings} from '../settings/schema.js';
 import {exitCodes} from './exit-codes.js';
+import {keepYoungGenerationSmall} from './heap.js';
 import {help} from './help.js';
 import type {Loaders, RunRole} from './loaders.js';
 import {handleStopSignals} from './stop-signals.js';
@@ -94,6 +95,7 @@
   if (settings.role !== role) {
     return usage(output, `${args[0]} has the settings of a ${settings.role}`);
   }
+  if (role === 'node') keepYoungGenerationSmall();
   return runRole(settings, await loaders[role]());
 }
 
