--- /dev/null
+++ b/scripts/promises.test.ts
@@ -0,0 +1,47 @@
+import {existsSync, readFileSync} from 'node:fs';
+import test from 'ava';
+
+interface Named {
+  readonly file: string;
+  readonly title: string;
+}
+
+const page = readFileSync('docs/PROMISES.md', 'utf8');
+
+/** Lines such as: - `src/slice/part.test.ts` the title of a test */
+function readNamed(): Named[] {
+  return page
+    .split('\n')
+    .map(line => /^- `([^`]+)` (.+)$/.exec(line))
+    .filter(match => match !== null)
+    .map(([, file, title]) => ({file: file!, title: title!}));
+}
+
+/** Titles in a source file, as written there. */
+function titlesIn(file: string): string[] {
+  const text = readFileSync(file, 'utf8');
+  const calls = text.matchAll(
+    /\btest(?:\.serial)?\(\s*(?:'((?:\\.|[^'\\])*)'|"([^"]*)"|`([^`]*)`)/g,
+  );
+  return [...calls].map(([, single, double, template]) =>
+    (single ?? double ?? template ?? '').replaceAll("\\'", "'"),
+  );
+}
+
+test('every test that the page of promises names exists', t => {
+  const named = readNamed();
+  t.true(named.length > 80);
+  for (const {file, title} of named) {
+    t.true(existsSync(file), file);
+    if (!existsSync(file)) continue;
+    t.true(titlesIn(file).includes(title), `${file}: ${title}`);
+  }
+});
+
+test('every promise names a test', t => {
+  const sections = page.split(/^### /m).slice(1);
+  t.true(sections.length >= 18);
+  for (const section of sections) {
+    t.regex(section, /^- `/m, section.split('\n')[0]);
+  }
+});
