--- a/bench/endpoints/deployment.ts
+++ b/bench/endpoints/deployment.ts
@@ -25,8 +25,8 @@
   readonly nodeBytes: number;
   /** Bytes between homes, as sent and as received. */
   readonly peerBytes: number;
-  /** Bytes of resident memory of the greatest home, at the end. */
-  readonly homeMemory: number;
+  /** Of the first home alone: processor time, bytes to homes, memory. */
+  readonly first: Sample;
 }
 
 /** What an event took. */
@@ -40,6 +40,8 @@
   /** Measures what is spent while `work` runs. */
   spend(work: () => Promise<void>): Promise<Spending>;
   play(event: Event, share?: number): Promise<Played>;
+  /** Restarts instances of the crowd, evenly spread over the time. */
+  churn(restarts: number, milliseconds: number): Promise<void>;
   close(): void;
 }
 
@@ -51,6 +53,10 @@
   readonly services: number;
   readonly calls: number;
   readonly seed: number;
+  /** Homes that take nodes; the others have peers only. All by default. */
+  readonly nodeHomes?: number;
+  /** Instances that the last home makes up. */
+  readonly crowd?: number;
 }
 
 const module = (name: string) => new URL(name, import.meta.url);
@@ -80,7 +86,19 @@
     fleet.send(command);
     return answer;
   };
-  const plan: FleetPlan = {...size, homes: nodeAddresses};
+  const plan: FleetPlan = {
+    ...size,
+    homes: nodeAddresses.slice(0, size.nodeHomes ?? size.homes),
+  };
+  const last = homes.at(-1)!;
+  if (size.crowd !== undefined && size.crowd > 0) {
+    const {services} = size;
+    const command: HomeCommand = {
+      kind: 'crowd',
+      crowd: {instances: size.crowd, services},
+    };
+    last.send(command);
+  }
   await ask({kind: 'start', plan});
 
   async function sample(child: ChildProcess): Promise<Sample> {
@@ -109,15 +127,30 @@
         fleetCpu: after.fleet.cpu - before.fleet.cpu,
         nodeBytes: after.fleet.nodeBytes - before.fleet.nodeBytes,
         peerBytes: total('peerBytes'),
-        homeMemory: Math.max(...after.homes.map(one => one.memory)),
+        first: subtract(after.homes[0]!, before.homes[0]!),
       };
     },
     async play(event, share = 0) {
       const answer = await ask({kind: 'play', event, share});
       return answer as FleetReport & {kind: 'played'};
     },
+    async churn(restarts, milliseconds) {
+      const answer = next(last);
+      const command: HomeCommand = {kind: 'churn', restarts, milliseconds};
+      last.send(command);
+      await answer;
+    },
     close() {
       for (const child of [...homes, fleet]) child.disconnect();
     },
   };
 }
+
+function subtract(after: Sample, before: Sample): Sample {
+  return {
+    cpu: after.cpu - before.cpu,
+    nodeBytes: after.nodeBytes - before.nodeBytes,
+    peerBytes: after.peerBytes - before.peerBytes,
+    memory: after.memory,
+  };
+}
--- a/bench/endpoints/home.ts
+++ b/bench/endpoints/home.ts
@@ -6,6 +6,8 @@
 import {createTcpNetwork} from '../../src/link/tcp-network.js';
 import {createSilentLog} from '../../src/log/log.js';
 import {createTimers} from '../../src/time/timers.js';
+import {createCrowd} from './crowd.js';
+import type {CrowdNodes} from './crowd.js';
 import type {HomeCommand, HomeKind, HomeReport} from './messages.js';
 import {createNaiveRegistry} from './naive-registry.js';
 
@@ -44,7 +46,18 @@
   home.peer(track(peerLinks, link)),
 );
 
+let crowd: CrowdNodes | undefined;
+
 process.on('message', async (command: HomeCommand) => {
+  if (command.kind === 'crowd') {
+    crowd = createCrowd(home, timers, command.crowd);
+    return;
+  }
+  if (command.kind === 'churn') {
+    await crowd!.churn(command.restarts, command.milliseconds);
+    report({kind: 'churned'});
+    return;
+  }
   if (command.kind === 'link') {
     for (const address of command.peers) {
       home.peer(track(peerLinks, await network.connect(address)));
--- a/bench/endpoints/messages.ts
+++ b/bench/endpoints/messages.ts
@@ -5,6 +5,14 @@
 /** How a home is built. */
 export type HomeKind = 'registry' | 'naive';
 
+/** Instances that a home of the bench makes up, without processes or links. */
+export interface Crowd {
+  readonly instances: number;
+  readonly services: number;
+  /** Number of the first instance; 0 by default. */
+  readonly first?: number;
+}
+
 /** What a process has spent since it started. */
 export interface Sample {
   /** Microseconds of processor time. */
@@ -31,11 +39,20 @@
 /** Commands to a home. */
 export type HomeCommand =
   | {readonly kind: 'link'; readonly peers: readonly Address[]}
+  /** Fills the home with a crowd. */
+  | {readonly kind: 'crowd'; readonly crowd: Crowd}
+  /** Restarts instances of the crowd, evenly spread over the time. */
+  | {
+      readonly kind: 'churn';
+      readonly restarts: number;
+      readonly milliseconds: number;
+    }
   | {readonly kind: 'sample'};
 
 /** Answers of a home. */
 export type HomeReport =
   | {readonly kind: 'ready'; readonly nodes: Address; readonly peers: Address}
+  | {readonly kind: 'churned'}
   | {readonly kind: 'sample'; readonly sample: Sample};
 
 /** How a fleet of stand-in nodes is made. */
--- a/src/endpoints/codes.ts
+++ b/src/endpoints/codes.ts
@@ -35,7 +35,7 @@
     'registry-full',
     'not-run',
     503,
-    'The home keeps as many instances as it may. Raise its limit or find what announces so many.',
+    'The home keeps as many instances as it may. Find what announces so many.',
   ),
   announcementTooLarge: defineCode(
     7005,
