Operators' client: a refusal after a lost answer is unknown, clocks that differ don't bar

Cause: after an outcome-unknown the client asked another process; its refusal (other limits, another token) was passed on as not run though the first sending had been committed. And a VM whose clock is behind another's gave sequences at or under the floor, so fresh commands were refused as expired resends. Now: a refusal after a lost answer is unknown; a fresh command whose first sending was told expired or taken gets a sequence above the highest, which those two answers carry (floor + 1 was tried and met kept sequences).

--- a/src/configuration/answer-table.ts
+++ b/src/configuration/answer-table.ts
@@ -83,13 +83,18 @@
     if (first === undefined) return checkFloor(command, version);
     if (!safeguards.fingerprint) return first.answer;
     if (first.fingerprint === takeFingerprint(command)) return first.answer;
-    return answerReused(command, version);
+    return answerReused(command, version, highestOf(command.operator));
   }
 
   function checkFloor(command: Command, version: number): Answer | undefined {
     const floor = operators.get(command.operator)?.floor ?? sharedFloor;
     if (!safeguards.floor || command.sequence > floor) return undefined;
-    return answerExpired(command, version, floor);
+    return answerExpired(command, version, highestOf(command.operator));
+  }
+
+  function highestOf(operator: string): number {
+    const newest = operators.get(operator)?.recorded.at(-1);
+    return newest?.sequence ?? sharedFloor;
   }
 
   function record(command: Command, answer: Answer, bounds: Bounds): void {
@@ -147,17 +152,21 @@
 function answerExpired(
   {operator, sequence}: Command,
   version: number,
-  floor: number,
+  highest: number,
 ): Answer {
   const message =
     `the answer to ${operator}/${sequence} is no longer kept and it was not ` +
-    `run again; see history, and use sequences above ${floor}`;
-  return {code: codes.answerExpired.number, message, version};
+    `run again; see history, and use sequences above ${highest}`;
+  return {code: codes.answerExpired.number, message, version, highest};
 }
 
-function answerReused({operator, sequence}: Command, version: number): Answer {
+function answerReused(
+  {operator, sequence}: Command,
+  version: number,
+  highest: number,
+): Answer {
   const message =
     `${operator}/${sequence} names a different command that was answered ` +
-    'before; send this one under a new sequence';
-  return {code: codes.sequenceReused.number, message, version};
+    `before; use sequences above ${highest}`;
+  return {code: codes.sequenceReused.number, message, version, highest};
 }
--- a/src/configuration/messages.ts
+++ b/src/configuration/messages.ts
@@ -25,4 +25,6 @@
   readonly message: string;
   /** The version it made, or the one in force when it was refused. */
   readonly version: number;
+  /** When the sequence can't be used: the highest one taken; use those above. */
+  readonly highest?: number;
 }
--- a/src/operator/create-operator-client.ts
+++ b/src/operator/create-operator-client.ts
@@ -35,10 +35,16 @@
   readonly timeout?: number;
 }
 
+/** An answer and how it came. */
+export interface SentAnswer extends Answer {
+  /** Whether an earlier sending may have run, its answer lost. */
+  readonly isResent: boolean;
+}
+
 /** Asks the control group; each call goes on until answered or timed out. */
 export interface OperatorClient {
   /** Resent under its id until it has an answer. */
-  change(command: Command): Promise<Reply<Answer>>;
+  change(command: Command): Promise<Reply<SentAnswer>>;
   items(kind: Kind, name?: string): Promise<Reply<Items>>;
   history(count: number): Promise<Reply<History>>;
   inForce(): Promise<Reply<InForce>>;
@@ -63,6 +69,8 @@
   readonly resend: 'always' | 'not-run';
   /** What is left behind when no answer ever came. */
   readonly effect: Effect;
+  /** Called when a sending may have run and its answer is lost. */
+  readonly onLost?: () => void;
   /** Milliseconds for one attempt, if not the client's own. */
   readonly limit?: number;
 }
@@ -133,8 +141,12 @@
         call,
         Math.min(limit + extra, left),
       );
-      if (reply.ok || !isPassing(reply.refusal)) return reply;
-      if (reply.refusal.effect === 'unknown') effect = call.effect;
+      if (reply.ok) return reply;
+      if (!isPassing(reply.refusal)) return settle(reply.refusal, effect);
+      if (reply.refusal.effect === 'unknown') {
+        effect = call.effect;
+        call.onLost?.();
+      }
       if (effect === 'unknown' && call.resend === 'not-run') return reply;
       if (timers.now() >= deadline) return giveUp(reply.refusal, effect);
       preferred = reply.refusal.leader ?? after(preferred);
@@ -181,13 +193,22 @@
     );
   }
 
+  async function change(command: Command): Promise<Reply<SentAnswer>> {
+    let isResent = false;
+    const reply = await ask<Answer>({
+      run: (api, signal) => api.change.mutate(command, {signal}),
+      resend: 'always',
+      effect: 'unknown',
+      onLost: () => {
+        isResent = true;
+      },
+    });
+    if (!reply.ok) return reply;
+    return {ok: true, value: {...reply.value, isResent}};
+  }
+
   return {
-    change: command =>
-      ask({
-        run: (api, signal) => api.change.mutate(command, {signal}),
-        resend: 'always',
-        effect: 'unknown',
-      }),
+    change,
     items: (kind, name) =>
       query((api, signal) => api.items.query({kind, name}, {signal})),
     history: count =>
@@ -239,6 +260,16 @@
   return code === commonCodes.unreachable.number || passing.includes(name);
 }
 
+/**
+ * The last process refused. An earlier sending may have run all the same, and
+ * then the refusal must not say that nothing did.
+ */
+function settle(last: Refusal, effect: Effect): Reply<never> {
+  if (effect !== 'unknown') return {ok: false, refusal: last};
+  const message = `an earlier sending may have run; then: ${last.message}`;
+  return {ok: false, refusal: {...last, message, effect}};
+}
+
 function giveUp(last: Refusal, effect: Effect): Reply<never> {
   const {unreachable} = commonCodes;
   if (effect !== 'unknown') return {ok: false, refusal: {...last, effect}};
--- a/src/operator/run-operator-command.ts
+++ b/src/operator/run-operator-command.ts
@@ -78,7 +78,7 @@
   const nextSequence = createSequence(timers);
   return {
     client,
-    nextId: () => ({operator, sequence: nextSequence()}),
+    nextId: above => ({operator, sequence: nextSequence(above)}),
     announce: id => streams.error(`command ${id.operator}/${id.sequence}\n`),
   };
 }
--- a/src/operator/run-statement.ts
+++ b/src/operator/run-statement.ts
@@ -32,8 +32,8 @@
 /** What running a command needs. */
 export interface Session {
   readonly client: OperatorClient;
-  /** Gives a fresh id to a change that names none. */
-  nextId(): CommandId;
+  /** Gives a fresh id, with a sequence above `above`. */
+  nextId(above?: number): CommandId;
   /** Tells the id before the change is sent, should no answer ever come. */
   announce(id: CommandId): void;
 }
@@ -101,16 +101,37 @@
   prefix: Prefix,
   edits: readonly Edit[],
 ): Promise<Outcome> {
-  const id = prefix.id ?? session.nextId();
-  const {expectedVersion} = prefix;
-  const command: Command =
-    expectedVersion === undefined
-      ? {...id, edits}
-      : {...id, expectedVersion, edits};
-  session.announce(id);
+  const {id, expectedVersion} = prefix;
+  const change =
+    expectedVersion === undefined ? {edits} : {expectedVersion, edits};
+  if (id !== undefined) return sendChange(session, {...id, ...change});
+  const command = {...session.nextId(), ...change};
+  return sendChange(session, command, renewals);
+}
+
+/** How often a fresh command may take a higher sequence. */
+const renewals = 5;
+
+/**
+ * Sends a command. Two VMs of one operator have clocks that differ or meet in
+ * one microsecond, so a fresh sequence may be taken or expired. When the first
+ * sending is told so, the command has certainly not run, and it is sent under a
+ * higher sequence, `renewals` times at most.
+ */
+async function sendChange(
+  session: Session,
+  command: Command,
+  renewals = 0,
+): Promise<Outcome> {
+  session.announce(command);
   const reply = await session.client.change(command);
-  const name = `${id.operator}/${id.sequence}`;
-  return reply.ok ? presentAnswer(name, reply.value) : unanswered(name, reply);
+  const id = `${command.operator}/${command.sequence}`;
+  if (!reply.ok) return unanswered(id, reply);
+  const {isResent, highest, ...answer} = reply.value;
+  const isBarred = highest !== undefined && !isResent;
+  if (!isBarred || renewals === 0) return presentAnswer(id, answer);
+  const renewed = {...command, ...session.nextId(highest)};
+  return sendChange(session, renewed, renewals - 1);
 }
 
 function presentAnswer(id: string, answer: Answer): Outcome {
--- a/src/operator/sequence.ts
+++ b/src/operator/sequence.ts
@@ -5,13 +5,15 @@
  * microseconds since the epoch. Two invocations of one operator that meet in
  * one microsecond are told apart by the answer table, which refuses the second
  * command unless it is the same.
+ *
+ * The function gives a sequence higher than those before and than `above`.
  */
-export function createSequence(timers: Timers): () => number {
+export function createSequence(timers: Timers): (above?: number) => number {
   let last = 0;
-  return () => {
+  return (above = 0) => {
     const started = Math.floor(timers.wall()) * 1000;
     const fraction = Math.floor((timers.now() * 1000) % 1000);
-    last = Math.max(last + 1, started + fraction);
+    last = Math.max(last + 1, above + 1, started + fraction);
     return last;
   };
 }
