Keepers: only a later life at the same address proves a loss

Found by reading: a set under quarantine does not seal the one before, so that one's members must be certainly dead. A registry that lags shows a former life, and a VM that took the name of one that is cut off shows another address; both counted as a loss, and two sets would have voted. They are out of sight now, which waits for an operator when there are two. The quarantine also covers votes that dead keepers had given just before.

Own tests changed with the view: members are missing by address, not by instance; the quarantine is compared to quarantineFor, as exact as before.

--- a/src/keepers/appointer.test.ts
+++ b/src/keepers/appointer.test.ts
@@ -11,6 +11,7 @@
 import {createRandom} from '../random/random.js';
 import {createFakeTimers} from '../time/fakes/fake-timers.js';
 import {createAppointer} from './appointer.js';
+import {quarantineFor} from './plan.js';
 
 const service = 'stock-desk';
 const retention = 60_000;
@@ -213,7 +214,7 @@
   await stage.timers.advanceAsync(3000);
   t.is(await stage.book('key'), 'keepers-lost');
   t.is(stage.runs.count, 1);
-  await stage.timers.advanceAsync(retention);
+  await stage.timers.advanceAsync(quarantineFor(retention));
   t.is(await stage.book('later'), 'granted');
 });
 
--- a/src/keepers/appointer.ts
+++ b/src/keepers/appointer.ts
@@ -4,6 +4,7 @@
 import {majorityOf} from '../claims/verdict.js';
 import {appointerName} from '../configuration/appointer-name.js';
 import type {
+  Keeper,
   KeeperAssignment,
   KeeperSet,
 } from '../configuration/configuration.js';
@@ -17,7 +18,7 @@
 import {failure, success} from '../result/failure.js';
 import type {Result} from '../result/failure.js';
 import type {Subscription, Timers} from '../time/timers.js';
-import {planAccepted, planKeepers} from './plan.js';
+import {isSeen, planAccepted, planKeepers} from './plan.js';
 import type {ServiceView} from './plan.js';
 
 /** What an appointer is made of. */
@@ -80,11 +81,11 @@
 
   function noteMissing(
     service: string,
-    member: string,
+    member: Keeper,
     instances: readonly KnownInstance[],
   ): boolean {
-    const key = `${service} ${member}`;
-    if (instances.some(({instance}) => instance === member)) {
+    const key = `${service} ${member.address} ${member.incarnation}`;
+    if (isSeen(member, instances)) {
       missingSince.delete(key);
       return false;
     }
@@ -106,8 +107,8 @@
     const members = current?.members ?? [];
     const instances = endpoints.instances(service);
     const missing = members
-      .map(({instance}) => instance)
-      .filter(instance => noteMissing(service, instance, instances));
+      .filter(member => noteMissing(service, member, instances))
+      .map(({address}) => address);
     return {
       service,
       current,
--- a/src/keepers/plan.test.ts
+++ b/src/keepers/plan.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import type {KeeperAssignment} from '../configuration/configuration.js';
 import type {KnownInstance} from '../endpoints/messages.js';
-import {planAccepted, planKeepers} from './plan.js';
+import {planAccepted, planKeepers, quarantineFor} from './plan.js';
 import type {Plan, ServiceView} from './plan.js';
 
 const retention = 60_000;
@@ -124,7 +124,7 @@
   const name = current.members[2]!.instance;
   const instances = without([name]);
   t.is(planKeepers(view({current, instances})).kind, 'none');
-  const missing = new Set([name]);
+  const missing = new Set([`${name}:2`]);
   const next = expectSet(planKeepers(view({current, instances, missing})));
   t.false(next.members.some(member => member.instance === name));
 });
@@ -143,7 +143,7 @@
   const [one, two] = current.members.map(member => member.instance);
   const instances = restarted(two!, restarted(one!));
   const next = expectSet(planKeepers(view({current, instances})));
-  t.is(next.quarantine, retention);
+  t.is(next.quarantine, quarantineFor(retention));
   t.is(next.previous, undefined);
 });
 
@@ -156,7 +156,7 @@
   const stuck = view({
     current,
     instances: without(names),
-    missing: new Set(names),
+    missing: new Set(names.map(name => `${name}:2`)),
   });
   t.deepEqual(planKeepers(stuck), {kind: 'stuck', missing: names});
   const accepted = planAccepted(stuck)!;
@@ -186,3 +186,36 @@
     ['s3'],
   );
 });
+
+/** Two members' nodes, announced with other keepers than the set names. */
+function announceOthers(
+  address: (name: string) => string,
+  incarnation: number,
+): Plan {
+  const current = expectSet(planKeepers(view({instances: livesOfFive})));
+  let instances: KnownInstance[] = [...livesOfFive];
+  for (const {instance: name} of current.members.slice(0, 2)) {
+    const keeper = {address: address(name), incarnation};
+    instances = changed(name, {keeper}, instances);
+  }
+  const missing = new Set(current.members.slice(0, 2).map(one => one.address));
+  return planKeepers(view({current, instances, missing}));
+}
+
+const livesOfFive = seven.map(one => ({
+  ...one,
+  keeper: {address: `${one.instance}:2`, incarnation: 5},
+}));
+
+// A set that is followed under quarantine is not sealed first, so its members
+// must be certainly dead. A registry that lags shows former lives, and a VM
+// that took the name of one that is cut off shows a later life elsewhere: in
+// both cases the members may be voting, and two sets would.
+test('only a later life at the same address proves a loss', t => {
+  const same = (name: string) => `${name}:2`;
+  const other = (name: string) => `${name}:9`;
+  t.is(announceOthers(same, 4).kind, 'stuck');
+  t.is(announceOthers(other, 6).kind, 'stuck');
+  const {quarantine} = expectSet(announceOthers(same, 6));
+  t.is(quarantine, quarantineFor(retention));
+});
--- a/src/keepers/plan.ts
+++ b/src/keepers/plan.ts
@@ -8,12 +8,23 @@
 /** Keepers of a full set: one may fail without anyone noticing. */
 const fullSet = 3;
 
+/**
+ * Milliseconds for which a vote of a keeper that died may still count at a gate
+ * that waits for a second one; gates give votes up after 1 s.
+ */
+const lateVotes = 5000;
+
+/** Milliseconds that a set waits after most of the one before was lost. */
+export function quarantineFor(retention: number): number {
+  return retention + lateVotes;
+}
+
 /** What the leader sees of one service. */
 export interface ServiceView {
   readonly service: string;
   readonly current: KeeperAssignment | undefined;
   readonly instances: readonly KnownInstance[];
-  /** Members that have been missing for long enough to be replaced. */
+  /** Addresses of members whose lives have been unseen for long enough. */
   readonly missing: ReadonlySet<string>;
   /** Milliseconds for which claims are kept. */
   readonly retention: number;
@@ -37,10 +48,10 @@
 export function planKeepers(view: ServiceView): Plan {
   if (view.current === undefined) return planFirst(view);
   const {current, instances} = view;
-  const known = new Map(instances.map(one => [one.instance, one]));
+  const known = new Map(instances.map(one => [one.keeper?.address, one]));
   const lost = current.members.filter(member => isLost(member, known));
   const gone = current.members.filter(
-    member => !lost.includes(member) && isGone(member, known, view.missing),
+    member => !lost.includes(member) && view.missing.has(member.address),
   );
   const size = current.members.length;
   const spare = size - majorityOf(size);
@@ -76,7 +87,8 @@
   const members = choose([], candidates, fullSet);
   const isWorse = members.length < Math.min(fullSet, current.members.length);
   if (members.length === 0 || isWorse) return {kind: 'none'};
-  const {nextEpoch: epoch, retention: quarantine} = view;
+  const {nextEpoch: epoch} = view;
+  const quarantine = quarantineFor(view.retention);
   return {kind: 'appoint', next: {epoch, members, quarantine}};
 }
 
@@ -114,7 +126,7 @@
 ): Keeper | undefined {
   const draining = members.find(member =>
     view.instances.some(
-      one => one.instance === member.instance && one.state === 'draining',
+      one => one.keeper?.address === member.address && one.state === 'draining',
     ),
   );
   if (draining !== undefined) return draining;
@@ -169,22 +181,30 @@
   return state === 'serving' || state === 'warming';
 }
 
-/** Its node has begun another life: what it held is certainly lost. */
+/**
+ * Its node has begun a later life at the same address: what the member held is
+ * certainly lost. Nothing else proves it. An announcement of an earlier life is
+ * only late, and one from another address may be of a VM that took the place of
+ * one that is cut off and goes on voting.
+ */
 function isLost(
   member: Keeper,
-  known: ReadonlyMap<string, KnownInstance>,
+  known: ReadonlyMap<string | undefined, KnownInstance>,
 ): boolean {
-  const incarnation = known.get(member.instance)?.keeper?.incarnation;
-  return incarnation !== undefined && incarnation !== member.incarnation;
+  const keeper = known.get(member.address)?.keeper;
+  return keeper !== undefined && keeper.incarnation > member.incarnation;
 }
 
-/** It is not announced any more; it may be dead or only out of sight. */
-function isGone(
+/** Whether an announcement is of the member's own life. */
+export function isSeen(
   member: Keeper,
-  known: ReadonlyMap<string, KnownInstance>,
-  missing: ReadonlySet<string>,
+  instances: readonly KnownInstance[],
 ): boolean {
-  return !known.has(member.instance) && missing.has(member.instance);
+  return instances.some(
+    ({keeper}) =>
+      keeper?.address === member.address &&
+      keeper.incarnation === member.incarnation,
+  );
 }
 
 function nameOf({instance}: Keeper): string {
