Claims: seals and stale votes carry the newer set

Cause: a move of keepers waited until the configuration had reached each keeper and gate, and those cut off from control could not go on. A seal carries the successor, a stale vote the set that the keeper knows. A gate waits for the last vote before it calls the keepers unavailable, since that vote may name them.

--- a/src/claims/create-claims.ts
+++ b/src/claims/create-claims.ts
@@ -61,8 +61,24 @@
   const answerLimit = options.answerLimit ?? defaultAnswerLimit;
   const votesNeeded = options.votesNeeded ?? majorityOf;
   const peers = createKeeperPeers(options.network, timers);
+  /** Sets that keepers told of before the configuration did. */
+  const learned = new Map<string, KeeperAssignment>();
   let lastClaim = 0;
 
+  function learn(service: string, set: KeeperAssignment): void {
+    const known = learned.get(service)?.epoch ?? 0;
+    if (set.epoch > known) learned.set(service, set);
+  }
+
+  function assignmentOf(service: string): KeeperAssignment | undefined {
+    const configured = options.assignment(service);
+    const told = learned.get(service);
+    if (configured === undefined || told === undefined) return configured;
+    if (told.epoch > configured.epoch) return told;
+    learned.delete(service);
+    return configured;
+  }
+
   /** Tells each keeper until it took it, whatever set is in force by then. */
   function settleAll(settle: Settle, asked: readonly Keeper[]): void {
     const done = new Set<string>();
@@ -79,7 +95,7 @@
     }
 
     function round(pause: number): void {
-      const current = options.assignment(settle.service)?.members ?? [];
+      const current = assignmentOf(settle.service)?.members ?? [];
       const all = new Map<string, Keeper>();
       for (const keeper of [...asked, ...current]) {
         if (!done.has(nameOf(keeper))) all.set(nameOf(keeper), keeper);
@@ -182,6 +198,9 @@
       function hear(index: number, hearing: Hearing): void {
         if (isDone) return;
         if (hearing.kind === 'notice') return hearNotice(hearing);
+        if (hearing.kind === 'stale' && hearing.newer !== undefined) {
+          learn(service, hearing.newer);
+        }
         ballots[index] = toBallot(hearing);
         act(judge(ballots, votesNeeded(members.length)));
       }
@@ -222,7 +241,7 @@
   async function acquire(request: ClaimRequest): Promise<Acquisition> {
     const {service, deadline} = request;
     for (;;) {
-      const assignment = options.assignment(service);
+      const assignment = assignmentOf(service);
       if (assignment === undefined || timers.now() >= deadline) {
         return refuse(claimCodes.keepersUnavailable).acquisition;
       }
--- a/src/claims/keeper.ts
+++ b/src/claims/keeper.ts
@@ -101,7 +101,10 @@
       case 'settle':
         return reply({kind: tenure.settle(question) ? 'settled' : 'stale'});
       case 'seal':
-        return sendPages(tenure.seal(question.epoch), reply);
+        return sendPages(
+          tenure.seal(question.epoch, question.successor),
+          reply,
+        );
       case 'inquire':
         return reply(tenure.standing());
     }
--- a/src/claims/messages.ts
+++ b/src/claims/messages.ts
@@ -1,4 +1,5 @@
 /** Messages between gates, keepers and, while keepers change, other keepers. */
+import type {KeeperAssignment} from '../configuration/configuration.js';
 import type {StoredAnswer} from './claims.js';
 
 /** How a claim ended. */
@@ -35,6 +36,8 @@
   readonly kind: 'seal';
   readonly service: string;
   readonly epoch: number;
+  /** The set that follows, in case it has not come here yet. */
+  readonly successor: KeeperAssignment;
 }
 
 /** The leader asks how far a keeper is, before it names another set. */
@@ -61,7 +64,8 @@
  * - `expired`: another claim has it and its gate's deadline passed.
  * - `answered`, `abandoned`: another claim ran and ended so.
  * - `key-reused`: the key stands for another request.
- * - `stale`: the keeper is not active in the epoch asked for.
+ * - `stale`: the keeper is not active in the epoch asked for; `newer` is the
+ *   set that it knows, for a gate that is behind.
  * - `quarantined`: it waits until lost claims are past their retention.
  * - `full`: it can't hold more claims.
  */
@@ -72,7 +76,7 @@
   | {readonly kind: 'answered'; readonly answer?: StoredAnswer}
   | {readonly kind: 'abandoned'}
   | {readonly kind: 'key-reused'}
-  | {readonly kind: 'stale'}
+  | {readonly kind: 'stale'; readonly newer?: KeeperAssignment}
   | {readonly kind: 'quarantined'; readonly left: number}
   | {readonly kind: 'full'};
 
--- a/src/claims/tenure.ts
+++ b/src/claims/tenure.ts
@@ -85,7 +85,7 @@
   /** False when the keeper holds no claims of the service. */
   settle(settle: Settle): boolean;
   /** Ends an epoch here and gives its claims. */
-  seal(epoch: number): Sealed;
+  seal(epoch: number, successor: KeeperAssignment): Sealed;
   standing(): Standing;
   sweep(): void;
   stop(): void;
@@ -116,6 +116,8 @@
   const actor = interpret(machine, () => {});
   let table = options.createTable();
   let epoch = 0;
+  /** The newest set that it knows. */
+  let latest: KeeperAssignment | undefined;
   /** The last epoch in which it held claims. */
   let activeEpoch = 0;
   /** The last epoch that it promised not to vote in any more. */
@@ -153,7 +155,7 @@
   }
 
   /** Seals the previous set and takes its claims over. */
-  function succeed(previous: KeeperSet): void {
+  function succeed(previous: KeeperSet, successor: KeeperAssignment): void {
     const handovers: Handover[] = [];
     const majority = Math.floor(previous.members.length / 2) + 1;
 
@@ -182,7 +184,13 @@
     }
 
     function ask(member: Keeper, handover: Handover): void {
-      const question = {kind: 'seal', service, epoch: previous.epoch} as const;
+      const {epoch: sealed} = previous;
+      const question = {
+        kind: 'seal',
+        service,
+        epoch: sealed,
+        successor,
+      } as const;
       const receive = (hearing: Hearing) => hear(member, handover, hearing);
       asked.push(peers.ask(member, question, receive));
     }
@@ -204,6 +212,7 @@
     if (assignment.epoch <= epoch) return;
     cancelAsked();
     epoch = assignment.epoch;
+    latest = assignment;
     if (!assignment.members.some(isSelf)) {
       leftAt = timers.now();
       return actor.send('seal');
@@ -214,15 +223,20 @@
     if (!isCurrent) table = options.createTable();
     actor.send('adopt');
     if (previous === undefined) return activate(assignment.quarantine ?? 0);
-    if (safeguards.handover) succeed(previous);
+    if (safeguards.handover) succeed(previous, assignment);
     else activate(0);
   }
 
+  function toStale(acquire: Acquire): Vote {
+    const isBehind = latest !== undefined && acquire.epoch < epoch;
+    return isBehind ? {kind: 'stale', newer: latest!} : {kind: 'stale'};
+  }
+
   return {
     adopt,
     vote(acquire, watcher) {
       const isOther = acquire.epoch !== epoch;
-      if (safeguards.epoch && isOther) return {kind: 'stale'};
+      if (safeguards.epoch && isOther) return toStale(acquire);
       if (stage() === 'active') return table.vote(acquire, watcher);
       if (stage() !== 'quarantined') return {kind: 'stale'};
       return {kind: 'quarantined', left: quarantineLeft()};
@@ -232,16 +246,19 @@
       table.settle(settle);
       return true;
     },
-    seal(sealed) {
+    seal(sealed, successor) {
       sealedEpoch = Math.max(sealedEpoch, sealed);
       const ends = sealedEpoch >= epoch && stage() !== 'syncing';
       if (safeguards.seal && ends) actor.send('seal');
       const active = activeEpoch >= sealed;
-      return {
+      const given = {
         active,
         quarantine: quarantineLeft(),
         records: active ? table.records() : [],
       };
+      // It may be cut off from control; its part in the next set needs no wait.
+      if (safeguards.seal) adopt(successor);
+      return given;
     },
     standing() {
       const isHolding = stage() === 'active' || stage() === 'quarantined';
--- a/src/claims/verdict.ts
+++ b/src/claims/verdict.ts
@@ -45,7 +45,8 @@
   }
   if (count('full') > 0) return {kind: 'full'};
   if (count('stale') > 0) return {kind: 'stale'};
-  return {kind: 'unavailable'};
+  // The keeper that is still to answer may know of a newer set.
+  return {kind: missing > 0 ? 'pending' : 'unavailable'};
 }
 
 /** Only the gate that ran a claim settles it, so one keeper's word is enough. */
