Consensus: silent links are opened anew, absent members are tried less often

Cause: after a long silent cut TCP retransmits minutes apart, so a member that can be reached again would stay alone; and a member that is gone for good was dialled each 50 to 100 ms for ever. A sign of life is asked for on each link; without any for 20 election timeouts the link is opened anew.

--- a/src/consensus/group-links.ts
+++ b/src/consensus/group-links.ts
@@ -10,6 +10,9 @@
 import type {Identity} from './folder.js';
 import type {Job} from './writer.js';
 
+/** Election timeouts without a sign of life that end a link. */
+const silenceTimeouts = 20;
+
 /** The group that this member belongs to, and its links to the others. */
 export interface GroupLinks {
   /** Whether the folder belongs to a group yet. */
@@ -113,6 +116,7 @@
     random,
     log,
     reconnect: options.heartbeat,
+    silence: options.electionTimeout * silenceTimeouts,
     hello: () => ({
       kind: 'hello',
       member: self,
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -70,6 +70,11 @@
   readonly founders?: readonly Voter[];
 }
 
+/** Asks the other end of a link for a sign of life; it comes back as it is. */
+export interface Ping {
+  readonly kind: 'ping';
+}
+
 /** Asks for a vote, or with `trial` whether a vote would be given. */
 export interface VoteRequest {
   readonly kind: 'vote-request';
--- /dev/null
+++ b/src/consensus/peers.test.ts
@@ -0,0 +1,55 @@
+import test from 'ava';
+import {createFakeNetwork} from '../link/fakes/fake-network.js';
+import type {Link} from '../link/link.js';
+import {createSilentLog} from '../log/log.js';
+import {createRandom} from '../random/random.js';
+import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import {createPeers} from './peers.js';
+
+const self = {name: 'a', address: '10.0.0.1:7000', failureDomain: 'x'};
+const other = {name: 'b', address: '10.0.0.2:7000', failureDomain: 'y'};
+
+/** Links to a member that takes links as \`accept\` does; returns how many. */
+async function countLinks(accept: (link: Link) => void): Promise<number> {
+  const timers = createFakeTimers();
+  const network = createFakeNetwork(timers);
+  let links = 0;
+  await network.from('b').listen(other.address, link => {
+    links++;
+    accept(link);
+  });
+  const peers = await createPeers({
+    self,
+    network: network.from('a'),
+    timers,
+    random: createRandom(1),
+    log: createSilentLog(),
+    reconnect: 50,
+    silence: 10_000,
+    hello: () => ({kind: 'hello', member: self, storage: 's'}),
+    onHello: () => {},
+    onMessage: () => {},
+    onParted: () => {},
+  });
+  peers.keep(other);
+  await timers.advanceAsync(30_000);
+  return links;
+}
+
+test('a link that gives no sign of life is opened anew', async t => {
+  // After a silent cut of many minutes the system retransmits only each two
+  // minutes; a member that is reachable again would stay alone that long.
+  t.true((await countLinks(() => {})) >= 2);
+});
+
+test('a quiet link whose other end answers stays open', async t => {
+  const links = await countLinks(link => {
+    link.onMessage(message => link.send(message));
+  });
+  t.is(links, 1);
+});
+
+test('a member that refuses links is tried less and less often', async t => {
+  const links = await countLinks(link => link.close());
+  t.true(links > 5 && links < 100, `${links} links`);
+});
--- a/src/consensus/peers.ts
+++ b/src/consensus/peers.ts
@@ -3,7 +3,7 @@
 import type {Random} from '../random/random.js';
 import type {Subscription, Timers} from '../time/timers.js';
 import type {Member} from './consensus.js';
-import type {Hello, Message} from './messages.js';
+import type {Hello, Message, Ping} from './messages.js';
 
 /** What the links between members need. */
 export interface PeersOptions {
@@ -14,6 +14,8 @@
   readonly log: Log;
   /** Milliseconds before a lost link is tried again, at least. */
   readonly reconnect: number;
+  /** Milliseconds without a sign of life after which a link is opened anew. */
+  readonly silence: number;
   /** The hello that is current. */
   readonly hello: () => Hello;
   /** A member introduced itself, perhaps again. */
@@ -27,8 +29,6 @@
 export interface Peers {
   /** Keeps a link to a member from now on. */
   keep(member: Member): void;
-  /** Drops the links to members that `names` does not list. */
-  retain(names: ReadonlySet<string>): void;
   /** Sends if there is a link that takes it; else drops the message. */
   send(name: string, message: Message): void;
   /** Sends the current hello again on all links. */
@@ -40,11 +40,19 @@
 
 /** Bytes that may wait for the wire on one link before messages are dropped. */
 const pendingLimit = 8 * 1024 * 1024;
+/** Signs of life that are asked for within the time of silence. */
+const pingsPerSilence = 5;
+/** A member that stays away is tried less often, up to this many times. */
+const longestBackoff = 20;
 
 interface Outgoing {
   member: Member;
   link: Link | undefined;
   retry: Subscription | undefined;
+  /** Attempts since the last sign of life. */
+  attempts: number;
+  /** When the other end last gave a sign of life. */
+  heardAt: number;
   isKept: boolean;
 }
 
@@ -73,8 +81,45 @@
   }
 
   function redial(target: Outgoing): void {
-    const delay = reconnect * (1 + random.fraction());
-    target.retry = timers.after(delay, () => dial(target));
+    const backoff = Math.min(2 ** target.attempts++, longestBackoff);
+    const delay = reconnect * backoff * (1 + random.fraction());
+    target.retry = timers.after(delay, () => {
+      target.retry = undefined;
+      dial(target);
+    });
+  }
+
+  /** Tries a member at once that was heard of while its link is down. */
+  function hurry(target: Outgoing): void {
+    if (target.retry === undefined) return;
+    target.retry.cancel();
+    target.retry = undefined;
+    target.attempts = 0;
+    dial(target);
+  }
+
+  /**
+   * After a long silent cut the system's own retransmissions come minutes
+   * apart, and a member that could be reached again would stay alone so long.
+   * A link without signs of life is therefore opened anew.
+   */
+  function checkLink(target: Outgoing): void {
+    const {link} = target;
+    if (link === undefined) return;
+    if (timers.now() - target.heardAt < options.silence) {
+      link.send({kind: 'ping'});
+      return;
+    }
+    log.warn('silent link to member', {member: target.member.name});
+    lose(target, link);
+    link.close();
+  }
+
+  function lose(target: Outgoing, link: Link): void {
+    if (target.link !== link) return;
+    target.link = undefined;
+    closedBytes += link.bytesOut;
+    if (target.isKept) redial(target);
   }
 
   function opened(target: Outgoing, link: Link): void {
@@ -83,12 +128,12 @@
       return;
     }
     target.link = link;
-    link.onMessage(() => {});
-    link.onClose(() => {
-      closedBytes += link.bytesOut;
-      if (target.link === link) target.link = undefined;
-      redial(target);
+    target.heardAt = timers.now();
+    link.onMessage(() => {
+      target.attempts = 0;
+      target.heardAt = timers.now();
     });
+    link.onClose(() => lose(target, link));
     link.send(options.hello());
   }
 
@@ -101,8 +146,10 @@
     accepted.add(link);
     link.onMessage(body => {
       if (isStopped) return;
-      const message = body as Hello | Message;
-      if (message.kind === 'hello') {
+      const message = body as Hello | Ping | Message;
+      if (message.kind === 'ping') {
+        link.send(message);
+      } else if (message.kind === 'hello') {
         hello = message;
         options.onHello(hello);
       } else if (hello !== undefined) {
@@ -125,29 +172,30 @@
   }
 
   const listener: Listener = await network.listen(self.address, accept);
+  const checking = timers.every(options.silence / pingsPerSilence, () => {
+    for (const target of outgoing.values()) checkLink(target);
+  });
 
   return {
     keep(member) {
       if (member.name === self.name) return;
       const known = outgoing.get(member.name);
-      if (known?.member.address === member.address) return;
+      if (known?.member.address === member.address) {
+        hurry(known);
+        return;
+      }
       if (known !== undefined) drop(known);
       const target: Outgoing = {
         member,
         link: undefined,
         retry: undefined,
+        attempts: 0,
+        heardAt: timers.now(),
         isKept: true,
       };
       outgoing.set(member.name, target);
       dial(target);
     },
-    retain(names) {
-      for (const [name, target] of outgoing) {
-        if (names.has(name)) continue;
-        outgoing.delete(name);
-        drop(target);
-      }
-    },
     send(name, message) {
       const link = outgoing.get(name)?.link;
       if (link === undefined || link.pending > pendingLimit) return;
@@ -163,6 +211,7 @@
     },
     async stop() {
       isStopped = true;
+      checking.cancel();
       for (const target of outgoing.values()) drop(target);
       for (const link of accepted) link.close();
       await listener.close();
