--- a/bench/consensus/host.ts
+++ b/bench/consensus/host.ts
@@ -97,6 +97,10 @@
       return {value: register.get(request.name) ?? null};
     case 'view':
       return {value: view()};
+    case 'stop':
+      await consensus.stop();
+      setImmediate(() => process.exit(0));
+      return {value: true};
     case 'replace':
       return fromResult(
         await consensus.replace(request.leaving, request.joining),
--- a/bench/consensus/messages.ts
+++ b/bench/consensus/messages.ts
@@ -15,6 +15,8 @@
   | {readonly kind: 'read'}
   | {readonly kind: 'get'; readonly name: string}
   | {readonly kind: 'view'}
+  /** Ends the process in order. */
+  | {readonly kind: 'stop'}
   | {
       readonly kind: 'replace';
       readonly leaving: string;
--- a/bench/consensus/process-group.ts
+++ b/bench/consensus/process-group.ts
@@ -16,6 +16,8 @@
   start(name: string): Promise<void>;
   /** Ends a process with SIGKILL. */
   kill(name: string): Promise<void>;
+  /** Ends a process in order. */
+  stopOne(name: string): Promise<void>;
   /** Sends SIGSTOP or SIGCONT. */
   signal(name: string, signal: 'SIGSTOP' | 'SIGCONT'): void;
   /** Removes a member's data folder. */
@@ -129,6 +131,14 @@
     await ended;
   }
 
+  async function stopOne(name: string): Promise<void> {
+    const child = children.get(name)?.process;
+    if (child === undefined) return;
+    const ended = new Promise(resolve => child.once('exit', resolve));
+    await ask(name, {kind: 'stop'});
+    await ended;
+  }
+
   async function until(done: () => Promise<boolean>): Promise<void> {
     for (let waited = 0; waited < waitLimit; waited += pollPeriod) {
       if (await done()) return;
@@ -154,6 +164,7 @@
     memberOf: name => all.get(name)!,
     start,
     kill,
+    stopOne,
     signal: (name, signal) => void children.get(name)?.process.kill(signal),
     wipe: name => rm(folderOf(name), {recursive: true, force: true}),
     isUp: name => children.has(name),
--- a/bench/experiments/consensus-failover.ts
+++ b/bench/experiments/consensus-failover.ts
@@ -7,11 +7,18 @@
 
 const baseTimeout = 500;
 
-/** Kills the leader and returns the milliseconds until a change is accepted. */
-async function failOver(group: ProcessGroup, turn: number): Promise<number> {
+/** How the leader's process ends. */
+type End = 'kill' | 'stop';
+
+/** Ends the leader and returns the milliseconds until a change is accepted. */
+async function failOver(
+  group: ProcessGroup,
+  turn: number,
+  end: End,
+): Promise<number> {
   const leader = await group.leader();
   const from = performance.now();
-  await group.kill(leader);
+  const ended = end === 'kill' ? group.kill(leader) : group.stopOne(leader);
   const others = group.names.filter(name => name !== leader);
   let isAccepted = false;
   while (!isAccepted) {
@@ -23,6 +30,7 @@
     isAccepted = replies.some(({value}) => value === true);
   }
   const gap = performance.now() - from;
+  await ended;
   await group.start(leader);
   await group.until(async () => {
     const [view, other] = [
@@ -43,14 +51,16 @@
 async function measure(
   electionTimeout: number,
   milliseconds: number,
+  end: End,
 ): Promise<Gaps> {
   const heartbeat = electionTimeout / 10;
   const group = await createProcessGroup({size: 3, electionTimeout, heartbeat});
   const histogram = build();
-  const end = performance.now() + milliseconds;
+  const until = performance.now() + milliseconds;
   try {
-    while (performance.now() < end) {
-      histogram.recordValue(await failOver(group, histogram.totalCount));
+    while (performance.now() < until) {
+      const gap = await failOver(group, histogram.totalCount, end);
+      histogram.recordValue(Math.max(1, gap));
     }
   } finally {
     await group.stop();
@@ -64,12 +74,12 @@
 
 async function run(options: RunOptions): Promise<Outcome> {
   const timeouts = [250, baseTimeout, 1000];
-  const part = (options.seconds * 1000) / timeouts.length;
+  const part = (options.seconds * 1000) / (timeouts.length + 1);
   const rows: Row[] = [];
   const counts: Record<string, number> = {};
   const found = new Map<number, Gaps>();
   for (const timeout of timeouts) {
-    found.set(timeout, await measure(timeout, part));
+    found.set(timeout, await measure(timeout, part, 'kill'));
   }
   const base = found.get(baseTimeout)!;
   for (const [timeout, gaps] of found) {
@@ -80,13 +90,19 @@
     );
     counts[`kills at ${timeout} ms`] = gaps.count;
   }
+  const stops = await measure(baseTimeout, part, 'stop');
+  rows.push(
+    compare('no accepting, median, planned stop', 'ms', stops.p50, base.p50),
+    compare('no accepting, longest, planned stop', 'ms', stops.max, base.max),
+  );
+  counts['planned stops'] = stops.count;
   return {rows, counts};
 }
 
 export const experiment: Experiment = {
   name: 'consensus-failover',
-  about: 'time without an accepted change after kill -9 of the leader',
-  baseline: `an election timeout of ${baseTimeout} ms`,
+  about: 'time without an accepted change after the leader has gone',
+  baseline: `kill -9 with an election timeout of ${baseTimeout} ms`,
   seconds: 40,
   run,
 };
