--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -165,7 +165,7 @@
       handle({kind: 'hand-over'});
     }
     // Between changes: lets a damaged last entry be told from a torn one.
-    if (writer.isIdle && links.isFormed) writer.push({kind: 'mark'});
+    if (writer.isIdle && !storage.isMarked) writer.push({kind: 'mark'});
   }
 
   /** Hands over the changes of one turn of the loop together. */
--- a/src/consensus/group-links.ts
+++ b/src/consensus/group-links.ts
@@ -15,8 +15,6 @@
 
 /** The group that this member belongs to, and its links to the others. */
 export interface GroupLinks {
-  /** Whether the folder belongs to a group yet. */
-  readonly isFormed: boolean;
   readonly bytesOut: number;
   send(to: string, message: Message): void;
   /** The member of that name, when it has introduced itself on an open link. */
@@ -133,9 +131,6 @@
   for (const member of members) peers.keep(member);
 
   return {
-    get isFormed() {
-      return group !== undefined;
-    },
     get bytesOut() {
       return peers.bytesOut;
     },
--- a/src/consensus/storage-log.ts
+++ b/src/consensus/storage-log.ts
@@ -18,6 +18,8 @@
   readonly lastIndex: number;
   /** Size of the file in bytes. */
   readonly size: number;
+  /** Whether the file itself tells up to where it was synced. */
+  readonly isMarked: boolean;
   /** Writes entries; durable only after `sync`. */
   append(entries: readonly Entry[]): Promise<void>;
   sync(): Promise<void>;
@@ -168,6 +170,9 @@
     get size() {
       return size;
     },
+    get isMarked() {
+      return marked === synced;
+    },
     async append(entries) {
       const mark = encode({kind: 'synced', index: synced});
       const parts = [mark];
--- a/src/consensus/storage.ts
+++ b/src/consensus/storage.ts
@@ -21,6 +21,8 @@
   readonly stored: Stored;
   /** Size of the log file in bytes. */
   readonly logBytes: number;
+  /** Whether the log itself tells up to where it was synced. */
+  readonly isMarked: boolean;
   saveVote(vote: Vote): Promise<void>;
   append(entries: readonly Entry[]): Promise<void>;
   sync(): Promise<void>;
@@ -155,6 +157,9 @@
     get logBytes() {
       return log?.size ?? 0;
     },
+    get isMarked() {
+      return log?.isMarked ?? true;
+    },
     async saveVote(vote) {
       identity = {...identity, ...vote};
       await writeIdentity(disk, identity);
