--- a/src/consensus/faults.test.ts
+++ b/src/consensus/faults.test.ts
@@ -76,7 +76,7 @@
     safeguards,
     diskOptions: {syncTime: 4},
   });
-  group.add('d');
+  group.add('spare');
   const witness = createWitness(group);
   const accepted: string[] = [];
   const frozen = new Set<string>();
--- a/src/consensus/group-links.ts
+++ b/src/consensus/group-links.ts
@@ -103,7 +103,10 @@
     if (!isOfGroup(hello)) return;
     // Two folders without a group have nothing to say to each other.
     if (group === undefined && hello.group === undefined) return;
-    const from = {name: hello.member.name, storage: hello.storage};
+    const {name} = hello.member;
+    // A newer link of the same member may have come and gone meanwhile.
+    if (!hellos.has(name)) hellos.set(name, hello);
+    const from = {name, storage: hello.storage};
     handle({kind: 'receive', from, message});
   }
 
