Consensus: members of another protocol version are not heard (3011)

Cause: during a rolling release two versions of the messages meet; read as if they were the same, they could break the group without a trace.

--- a/src/consensus/codes.ts
+++ b/src/consensus/codes.ts
@@ -72,6 +72,13 @@
     503,
     'This control process takes no more work. Use another one.',
   ),
+  protocolMismatch: defineCode(
+    3011,
+    'protocol-mismatch',
+    'not-run',
+    503,
+    'A member speaks another version of the group protocol and is not heard. Bring both to the same release.',
+  ),
   logDamaged: defineCode(
     3020,
     'log-damaged',
--- a/src/consensus/create-consensus.test.ts
+++ b/src/consensus/create-consensus.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {consensusCodes} from './codes.js';
 import {startTestGroup} from './fakes/group.js';
+import {protocolVersion} from './messages.js';
 
 test('a group of three elects one leader that all know', async t => {
   const group = await startTestGroup(3);
@@ -70,3 +71,30 @@
   const read = await group.settled(group.member('a').consensus!.readBarrier());
   t.true(read.ok);
 });
+
+test('a member that speaks another protocol version is not heard', async t => {
+  // Half of the VMs run a newer release whose messages mean something else.
+  const group = await startTestGroup(3);
+  const [first] = group.names;
+  const {member, consensus} = group.member(first!);
+  const other = {name: 'b', address: '10.0.0.9:7000', failureDomain: 'x'};
+  const {storage} = consensus!
+    .status()
+    .voters.find(({name}) => name === 'b') as unknown as {storage: string};
+  const network = group.network.from('newer');
+  for (const protocol of [protocolVersion + 1, protocolVersion]) {
+    const before = consensus!.status().term;
+    const link = await group.settled(network.connect(member.address));
+    link.send({kind: 'hello', protocol, member: other, storage});
+    link.send({
+      kind: 'snapshot-taken',
+      term: 90,
+      index: 0,
+      offset: 0,
+      round: 0,
+    });
+    await group.run(20);
+    const isHeard = consensus!.status().term > before;
+    t.is(isHeard, protocol === protocolVersion);
+  }
+});
--- a/src/consensus/group-links.ts
+++ b/src/consensus/group-links.ts
@@ -3,6 +3,7 @@
 import type {Action} from './core-state.js';
 import type {Event} from './core.js';
 import {createFormation} from './formation.js';
+import {protocolVersion} from './messages.js';
 import type {Hello, Membership, Message, Snapshot, Voter} from './messages.js';
 import type {ResolvedOptions} from './options.js';
 import {createPeers} from './peers.js';
@@ -72,8 +73,18 @@
   const isOfGroup = (hello: Hello) =>
     hello.group === undefined || group === undefined || hello.group === group;
 
+  const isUnderstood = (hello: Hello) => hello.protocol === protocolVersion;
+
   function onHello(hello: Hello): void {
-    const {member, storage} = hello;
+    const {member, storage, protocol} = hello;
+    if (!isUnderstood(hello)) {
+      log.error('a member speaks another version of the protocol', {
+        code: consensusCodes.protocolMismatch.number,
+        member: member.name,
+        protocol,
+      });
+      return;
+    }
     hellos.set(member.name, hello);
     if (group === undefined) {
       const list = formation.onHello(hello);
@@ -100,7 +111,7 @@
   }
 
   function onMessage(hello: Hello, message: Message): void {
-    if (!isOfGroup(hello)) return;
+    if (!isUnderstood(hello) || !isOfGroup(hello)) return;
     // Two folders without a group have nothing to say to each other.
     if (group === undefined && hello.group === undefined) return;
     const {name} = hello.member;
@@ -120,6 +131,7 @@
     silence: options.electionTimeout * silenceTimeouts,
     hello: () => ({
       kind: 'hello',
+      protocol: protocolVersion,
       member: self,
       storage: me.storage,
       // Only what is durable: others found a group on it.
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -59,9 +59,14 @@
   readonly storage: string;
 }
 
+/** Rises with each change of these messages that older code misreads. */
+export const protocolVersion = 1;
+
 /** The first message on each link, sent again when the group is formed. */
 export interface Hello {
   readonly kind: 'hello';
+  /** The sender's `protocolVersion`. */
+  readonly protocol: number;
   readonly member: Member;
   readonly storage: string;
   /** Identity of the group; absent while the folder belongs to none. */
--- a/src/consensus/peers.test.ts
+++ b/src/consensus/peers.test.ts
@@ -26,7 +26,7 @@
     log: createSilentLog(),
     reconnect: 50,
     silence: 10_000,
-    hello: () => ({kind: 'hello', member: self, storage: 's'}),
+    hello: () => ({kind: 'hello', protocol: 1, member: self, storage: 's'}),
     onHello: () => {},
     onMessage: () => {},
     onParted: () => {},
