--- a/bench/experiments/configuration-apply.ts
+++ b/bench/experiments/configuration-apply.ts
@@ -1,5 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import {
   createSampleMachine,
   putPolicy,
@@ -130,7 +132,24 @@
   };
 }
 
+/** Bytes of heap that a machine with its answers, history and a copy holds. */
+function measureHeap(services: number, seed: number): number {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  collect();
+  const before = process.memoryUsage().heapUsed;
+  const load = createLoad(services, seed);
+  for (let turn = 0; turn < 2000; turn++) load.step();
+  load.machine.current();
+  collect();
+  const held = process.memoryUsage().heapUsed - before;
+  load.step();
+  return held;
+}
+
 async function run(options: RunOptions): Promise<Outcome> {
+  const heapSmall = measureHeap(designServices / 10, options.seed);
+  const heap = measureHeap(designServices, options.seed);
   const slice = (options.seconds * 1000) / 6;
   const small = createLoad(designServices / 10, options.seed);
   const design = createLoad(designServices, options.seed);
@@ -166,6 +185,7 @@
     compare('snapshot at 710', 'ms', whole.snapshot, wholeSmall.snapshot),
     compare('digest at 710', 'ms', whole.digest, wholeSmall.digest),
     compare('restore at 710', 'ms', whole.restore, wholeSmall.restore),
+    compare('heap at 710', 'B', heap, heapSmall),
     compare('frozen copy at 710', 'ms', whole.current, wholeSmall.current),
   ];
   const costs = [atSmall, atDesign, atLarge, unchecked, copied];
