--- /dev/null
+++ b/src/claims/attempt.ts
@@ -0,0 +1,194 @@
+/** One claim's votes, until they decide or another claim is settled. */
+import type {Keeper, KeeperAssignment} from '../configuration/configuration.js';
+import type {Random} from '../random/random.js';
+import type {Subscription, Timers} from '../time/timers.js';
+import type {ClaimRequest} from './claims.js';
+import {claimCodes} from './codes.js';
+import type {Notice, Settlement} from './messages.js';
+import type {Hearing, KeeperPeers} from './peers.js';
+import type {Settler} from './settler.js';
+import {endByVote, grant, refuse, refuseUnknown} from './step.js';
+import type {Step} from './step.js';
+import {judge} from './verdict.js';
+import type {Ballot, Verdict} from './verdict.js';
+
+/** What attempts are made of. */
+export interface AttemptOptions {
+  readonly peers: KeeperPeers;
+  readonly settler: Settler;
+  readonly timers: Timers;
+  readonly random: Random;
+  /** Milliseconds to wait for votes. */
+  readonly voteTimeout: number;
+  /** Largest answer body kept for resends, in bytes. */
+  readonly answerLimit: number;
+  readonly votesNeeded: (keepers: number) => number;
+  /** A keeper told of a set that follows the one asked. */
+  readonly learn: (service: string, set: KeeperAssignment) => void;
+}
+
+/** Milliseconds after a gate's deadline until its claim counts as expired. */
+const leaseGrace = 2000;
+/** Milliseconds over which gates that met spread their next tries. */
+const contestSpread = 20;
+/** Seconds after which a full keeper may have forgotten some claims. */
+const fullRetryAfter = 5;
+
+/** Asks the keepers of one set for one claim; `claim` is never used again. */
+export function runAttempt(
+  options: AttemptOptions,
+  request: ClaimRequest,
+  assignment: KeeperAssignment,
+  claim: string,
+): Promise<Step> {
+  const {peers, settler, timers, random} = options;
+  const {service, key, fingerprint, deadline} = request;
+  const {members, epoch} = assignment;
+  const ballots: Array<Ballot | undefined> = members.map(() => undefined);
+  const subscriptions: Subscription[] = [];
+  let end: (step: Step) => void = () => {};
+  let isWaiting = false;
+  let isDone = false;
+
+  function settle(settlement: Settlement, asked: readonly Keeper[]): void {
+    const work = {service, key, fingerprint, claim};
+    settler.tell({kind: 'settle', settlement, ...work}, asked);
+  }
+
+  /** Gives back the votes that it has or may have. */
+  function release(): void {
+    const asked = members.filter((_, index) => mayHoldVote(ballots[index]));
+    if (asked.length > 0) settle({kind: 'released'}, asked);
+  }
+
+  function finish(step: Step): void {
+    isDone = true;
+    for (const subscription of subscriptions) subscription.cancel();
+    end(step);
+  }
+
+  function lose(step: Step): void {
+    if (!isWaiting) release();
+    finish(step);
+  }
+
+  function win(): void {
+    // Votes may lie in the socket while the process stands still. Past the
+    // deadline the caller is gone and the claim may count as expired.
+    if (timers.now() >= deadline) {
+      return lose(refuse(claimCodes.keepersUnavailable));
+    }
+    finish(grant(end => settle(end, members), options.answerLimit));
+  }
+
+  /** Gives its votes back, so that two that met do not block each other. */
+  function waitForOther(): void {
+    release();
+    isWaiting = true;
+  }
+
+  function act(verdict: Verdict): void {
+    if (isDone || (isWaiting && verdict.kind !== 'found')) return;
+    switch (verdict.kind) {
+      case 'pending':
+        return;
+      case 'won':
+        return win();
+      case 'found':
+        return lose(endByVote(verdict.vote));
+      case 'wait':
+        return waitForOther();
+      case 'unknown':
+        return lose(refuseUnknown());
+      case 'lost':
+        return lose(refuse(claimCodes.keepersLost, toSeconds(verdict.left)));
+      case 'full':
+        return lose(refuse(claimCodes.keepersFull, fullRetryAfter));
+      case 'stale':
+        return lose({kind: 'stale'});
+      case 'unavailable':
+        return lose(refuse(claimCodes.keepersUnavailable));
+    }
+  }
+
+  function count(): void {
+    act(judge(ballots, options.votesNeeded(members.length)));
+  }
+
+  function hearNotice({settlement}: Notice): void {
+    if (settlement.kind === 'answered' || settlement.kind === 'abandoned') {
+      return lose(endByVote(settlement));
+    }
+    lose({kind: 'again', pause: random.integer(contestSpread)});
+  }
+
+  function hear(index: number, hearing: Hearing): void {
+    if (isDone) return;
+    if (hearing.kind === 'notice') return hearNotice(hearing);
+    if (hearing.kind === 'stale' && hearing.newer !== undefined) {
+      options.learn(service, hearing.newer);
+    }
+    ballots[index] = toBallot(hearing);
+    count();
+  }
+
+  function giveUpVotes(): void {
+    if (isWaiting) return;
+    members.forEach((member, index) => {
+      if (ballots[index] !== undefined) return;
+      ballots[index] = {kind: 'unreachable'};
+      peers.drop(member);
+    });
+    count();
+  }
+
+  function giveUp(): void {
+    const isHeld = ballots.some(ballot => ballot?.kind === 'held');
+    const code = isHeld ? claimCodes.inFlight : claimCodes.keepersUnavailable;
+    lose(refuse(code));
+  }
+
+  function ask(member: Keeper, index: number): void {
+    const lease = deadline - timers.now() + leaseGrace;
+    const work = {service, epoch, key, fingerprint, claim};
+    const asking = peers.ask(
+      member,
+      {kind: 'acquire', lease, ...work},
+      hearing => hear(index, hearing),
+    );
+    subscriptions.push(asking);
+  }
+
+  return new Promise(resolve => {
+    end = resolve;
+    subscriptions.push(
+      timers.after(options.voteTimeout, giveUpVotes),
+      timers.after(deadline - timers.now(), giveUp),
+    );
+    members.forEach(ask);
+  });
+}
+
+/** A keeper that answered anything but a grant holds no vote of the claim. */
+function mayHoldVote(ballot: Ballot | undefined): boolean {
+  if (ballot === undefined) return true;
+  return ballot.kind === 'granted' || ballot.kind === 'unreachable';
+}
+
+function toSeconds(milliseconds: number): number {
+  return Math.ceil(milliseconds / 1000);
+}
+
+function toBallot(hearing: Hearing): Ballot {
+  switch (hearing.kind) {
+    case 'notice':
+    case 'sealed':
+    case 'standing':
+    case 'settled':
+    case 'stranger':
+    case 'unreachable':
+      return {kind: 'unreachable'};
+    default:
+      return hearing;
+  }
+}
--- /dev/null
+++ b/src/claims/settler.ts
@@ -0,0 +1,62 @@
+/** Tells keepers how a claim ended, until each of them took it. */
+import type {Keeper} from '../configuration/configuration.js';
+import type {Timers} from '../time/timers.js';
+import type {Settle} from './messages.js';
+import type {KeeperPeers} from './peers.js';
+
+/** What a settler is made of. */
+export interface SettlerOptions {
+  readonly peers: KeeperPeers;
+  readonly timers: Timers;
+  /** The service's keepers now, who may have taken over from those asked. */
+  readonly members: (service: string) => readonly Keeper[];
+}
+
+/** Tells keepers how claims ended. */
+export interface Settler {
+  /** Begins to tell those that were asked, and whoever follows them. */
+  tell(settle: Settle, asked: readonly Keeper[]): void;
+}
+
+/** Milliseconds until a settlement is told again; doubled at each try. */
+const firstPause = 1000;
+const lastPause = 32_000;
+/** A release that is lost only blocks the key until its lease ends. */
+const lastReleasePause = 2000;
+
+/** Creates a settler. */
+export function createSettler(options: SettlerOptions): Settler {
+  const {peers, timers, members} = options;
+
+  function tellAll(settle: Settle, asked: readonly Keeper[]): void {
+    const isRelease = settle.settlement.kind === 'released';
+    const limit = isRelease ? lastReleasePause : lastPause;
+    const done = new Set<string>();
+
+    function tellOne(keeper: Keeper): void {
+      const asking = peers.ask(keeper, settle, ({kind}) => {
+        asking.cancel();
+        if (kind === 'settled' || kind === 'stranger') done.add(nameOf(keeper));
+      });
+    }
+
+    function round(pause: number): void {
+      const left = new Map<string, Keeper>();
+      const followers = isRelease ? [] : members(settle.service);
+      for (const keeper of [...asked, ...followers]) {
+        if (!done.has(nameOf(keeper))) left.set(nameOf(keeper), keeper);
+      }
+      if (left.size === 0 || pause > limit) return;
+      for (const keeper of left.values()) tellOne(keeper);
+      timers.after(pause, () => round(pause * 2));
+    }
+
+    round(firstPause);
+  }
+
+  return {tell: tellAll};
+}
+
+function nameOf({address, incarnation}: Keeper): string {
+  return `${address}/${incarnation}`;
+}
