--- a/src/distribution/codes.ts
+++ b/src/distribution/codes.ts
@@ -2,13 +2,6 @@
 
 /** Results of distribution: 4000 to 4999. */
 export const distributionCodes = {
-  notProved: defineCode(
-    4000,
-    'configuration-not-proved',
-    'not-run',
-    503,
-    'The process has started and no quorum has yet confirmed its configuration. Send it again later or to another entry; if it lasts, look at the control group.',
-  ),
   digestMismatch: defineCode(
     4001,
     'digest-mismatch',
--- a/src/distribution/proof.test.ts
+++ b/src/distribution/proof.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava';
 import {success} from '../result/failure.js';
 import {settle} from '../time/fakes/fake-timers.js';
-import {distributionCodes} from './codes.js';
 import {createOperator, createStage} from './fakes/stage.js';
 import type {Operator} from './fakes/stage.js';
 import {createProver} from './prover.js';
@@ -47,8 +46,6 @@
   const {stage, before, after} = await restartAtIsolated({});
   t.is(before.subscriber.current()!.version, 2);
   t.is(after.subscriber.current(), undefined);
-  t.is(after.subscriber.refusal(), distributionCodes.notProved);
-  t.is(after.subscriber.refusal().effect, 'not-run');
   stage.network.heal();
   await stage.timers.advanceAsync(20_000);
   t.deepEqual(after.versions, [2]);
--- a/src/distribution/subscriber.ts
+++ b/src/distribution/subscriber.ts
@@ -55,8 +55,6 @@
 export interface Subscriber {
   /** The configuration in force; undefined until it is proved fresh. */
   current(): Configuration | undefined;
-  /** The code to refuse with while `current` is undefined. */
-  refusal(): Code;
   /** Calls `observe` after each switch. */
   onSwitch(observe: (configuration: Configuration) => void): void;
   /** Changes the services whose sections are wanted. */
@@ -298,7 +296,6 @@
       if (held === undefined || held.version < provedVersion) return undefined;
       return held.configuration;
     },
-    refusal: () => distributionCodes.notProved,
     onSwitch: observe => void observers.push(observe),
     subscribe(next) {
       services = next;
