Distributor: tests of a link that is full

Cause: the hold of pushes and syncs for a slow reader had no test. Three tests pass: one push for all that was missed, a comparison beyond the ring, a sync that waits.

--- /dev/null
+++ b/src/distribution/distributor.test.ts
@@ -0,0 +1,95 @@
+import test from 'ava';
+import type {Channels} from '../link/channel.js';
+import type {Link} from '../link/link.js';
+import {createSilentLog} from '../log/log.js';
+import {createRandom} from '../random/random.js';
+import {success} from '../result/failure.js';
+import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import {createDistributor} from './distributor.js';
+import {createOperator} from './fakes/stage.js';
+import type {Push, Request, Response} from './messages.js';
+import {createSectionSource} from './section-source.js';
+
+/** A distributor with one subscriber whose link can be full. */
+function setUp(ringLength = 1024) {
+  const timers = createFakeTimers();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const distributor = createDistributor({
+    source: createSectionSource(operator),
+    barrier: async () => success(operator.current().version),
+    asOf: () => timers.now(),
+    timers,
+    random: createRandom(1),
+    log: createSilentLog(),
+    batchWindow: 0,
+    ringLength,
+  });
+  const link = {pending: 0};
+  const sent: Response[] = [];
+  let receive: (request: Request) => void = () => {};
+  const channels: Channels = {
+    link: link as unknown as Link,
+    on: () => ({
+      send: body => sent.push(body as Response),
+      onMessage: next => (receive = next),
+    }),
+    onClose: () => {},
+  };
+  distributor.accept(channels);
+  const ask = (request: Request) => receive(request);
+  ask({
+    kind: 'subscribe',
+    subscription: 1,
+    services: 'all',
+    complete: false,
+  });
+  return {timers, operator, link, sent, ask};
+}
+
+const versionsOf = (sent: readonly Response[]) =>
+  sent
+    .filter((one): one is Push => one.kind === 'push')
+    .map(push => push.version);
+
+// A node reads slowly, or its VM hangs. Pushed on regardless, the home would
+// hold an ever longer queue for it in memory, of states that are old by the
+// time they arrive.
+test('a full link gets one push for all that it missed, once it is free', t => {
+  const {timers, operator, link, sent} = setUp();
+  link.pending = 10_000_000;
+  for (let change = 0; change < 5; change++) {
+    operator.accept({put: ['crewbook']});
+    timers.advance(1000);
+  }
+  t.deepEqual(versionsOf(sent), [1]);
+  link.pending = 0;
+  timers.advance(200);
+  t.deepEqual(versionsOf(sent), [1, 6]);
+});
+
+test('a link that was full for longer than the ring is compared', t => {
+  const {timers, operator, link, sent, ask} = setUp(2);
+  link.pending = 10_000_000;
+  for (let change = 0; change < 5; change++) {
+    operator.accept({put: ['crewbook']});
+    timers.advance(1000);
+  }
+  link.pending = 0;
+  timers.advance(200);
+  t.deepEqual(sent.at(-1), {kind: 'differ', subscription: 1});
+  ask({kind: 'compare', subscription: 1, version: 1, digests: []});
+  timers.advance(200);
+  t.deepEqual(versionsOf(sent), [1, 6]);
+});
+
+test('a sync waits for a link that is full', t => {
+  const {timers, link, sent, ask} = setUp();
+  link.pending = 10_000_000;
+  ask({kind: 'compare', subscription: 1, version: 0, digests: []});
+  timers.advance(1000);
+  t.is(versionsOf(sent).length, 1);
+  link.pending = 0;
+  timers.advance(200);
+  t.is(versionsOf(sent).length, 2);
+});
