A second VM lost right after the repair of the first, over real processes

SIGKILL and an emptied folder for one control process, `replace` by the operators' client, then the same for the leader as soon as the command ends. The change accepted before and the one between are there, the two left accept more, and a resend gets its first answer. Without a wait of the client the replacement was refused (3009) while the joining process was starting; the client now asks again until its timeout.

--- a/src/operator/create-operator-client.ts
+++ b/src/operator/create-operator-client.ts
@@ -88,6 +88,8 @@
   'outcome-unknown',
   'consensus-overloaded',
   'consensus-stopped',
+  // The joining process may still be starting.
+  'member-unreachable',
   'internal',
 ];
 
--- a/src/operator/testing/control-processes.ts
+++ b/src/operator/testing/control-processes.ts
@@ -11,12 +11,17 @@
 
 /** Control processes on loopback, for tests of what a kill leaves behind. */
 export interface ControlProcesses {
+  /** The first members. */
   readonly names: readonly string[];
   /** Operators' addresses in the order of the names. */
   readonly addresses: readonly string[];
   start(name: string): void;
   /** Ends a process at once, with SIGKILL; its data folder stays. */
   kill(name: string): Promise<void>;
+  /** Kills a process and removes its data folder. */
+  lose(name: string): Promise<void>;
+  /** Starts a process that is to take the place of `leaving`. */
+  join(name: string, leaving: string): Promise<ControlMember>;
   /** Freezes a process with SIGSTOP. */
   freeze(name: string): void;
   /** Lets a frozen process go on. */
@@ -25,6 +30,15 @@
   end(): Promise<void>;
 }
 
+/** One control process as settings name it. */
+export interface ControlMember {
+  readonly name: string;
+  readonly peerAddress: string;
+  readonly operatorAddress: string;
+  readonly distributionAddress: string;
+  readonly failureDomain: string;
+}
+
 const program = fileURLToPath(new URL('../../cli/bin.js', import.meta.url));
 
 const failureDomains = ['hall-a', 'hall-b', 'hall-c'];
@@ -32,32 +46,30 @@
 /** Writes settings for three control processes and starts them. */
 export async function startControlProcesses(): Promise<ControlProcesses> {
   const folder = await mkdtemp(join(tmpdir(), 'foxbarrow-'));
-  const members = [];
+  const running = new Map<string, ChildProcess>();
+  const members: ControlMember[] = [];
   for (const [index, failureDomain] of failureDomains.entries()) {
-    members.push({
-      name: `control-${index + 1}`,
-      peerAddress: await findAddress(),
-      operatorAddress: await findAddress(),
-      distributionAddress: await findAddress(),
-      failureDomain,
-    });
+    members.push(await createMember(`control-${index + 1}`, failureDomain));
   }
-  for (const member of members) {
+
+  function fileOf(name: string): string {
+    return join(folder, `${name}.json`);
+  }
+
+  async function writeSettings(
+    member: ControlMember,
+    group: readonly ControlMember[],
+  ): Promise<void> {
     const settings = {
       role: 'control',
       region: 'astana',
       ...member,
       adminAddress: await findAddress(),
       dataFolder: join(folder, member.name),
-      members,
+      members: group,
     };
     await writeFile(fileOf(member.name), JSON.stringify(settings));
   }
-  const running = new Map<string, ChildProcess>();
-
-  function fileOf(name: string): string {
-    return join(folder, `${name}.json`);
-  }
 
   function start(name: string): void {
     const args = [program, 'control', fileOf(name)];
@@ -72,22 +84,56 @@
     await once(child, 'exit');
   }
 
-  const names = members.map(({name}) => name);
-  names.forEach(start);
+  async function lose(name: string): Promise<void> {
+    await kill(name);
+    await rm(join(folder, name), {recursive: true, force: true});
+  }
+
+  async function joinGroup(
+    name: string,
+    leaving: string,
+  ): Promise<ControlMember> {
+    const left = members.find(member => member.name === leaving)!;
+    const member = await createMember(name, left.failureDomain);
+    const others = members.filter(each => each !== left);
+    await writeSettings(member, [...others, member]);
+    start(name);
+    return member;
+  }
+
+  for (const member of members) {
+    await writeSettings(member, members);
+    start(member.name);
+  }
   return {
-    names,
+    names: members.map(({name}) => name),
     addresses: members.map(({operatorAddress}) => operatorAddress),
     start,
     kill,
+    lose,
+    join: joinGroup,
     freeze: name => void running.get(name)?.kill('SIGSTOP'),
     thaw: name => void running.get(name)?.kill('SIGCONT'),
     async end() {
-      await Promise.all(names.map(kill));
+      await Promise.all([...running.keys()].map(kill));
       await rm(folder, {recursive: true, force: true});
     },
   };
 }
 
+async function createMember(
+  name: string,
+  failureDomain: string,
+): Promise<ControlMember> {
+  return {
+    name,
+    peerAddress: await findAddress(),
+    operatorAddress: await findAddress(),
+    distributionAddress: await findAddress(),
+    failureDomain,
+  };
+}
+
 /** An address on loopback whose port is free at the moment. */
 async function findAddress(): Promise<string> {
   const server = createServer();
