--- a/src/operator/create-operator-client.ts
+++ b/src/operator/create-operator-client.ts
@@ -1,4 +1,4 @@
-import {createTRPCClient, httpLink, TRPCClientError} from '@trpc/client';
+import {createTRPCClient, httpLink} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
 import {Agent} from 'undici';
 import type {Dispatcher} from 'undici';
@@ -7,19 +7,22 @@
 import type {Member} from '../consensus/consensus.js';
 import type {Address} from '../link/link.js';
 import type {Effect} from '../result/code.js';
-import {commonCodes} from '../result/codes.js';
 import type {Timers} from '../time/timers.js';
+import {
+  describeError,
+  giveUp,
+  isPassing,
+  settleRefusal,
+} from './client-refusals.js';
 import {createFetch} from './fetch.js';
 import type {
   ControlView,
   History,
   InForce,
   Items,
-  Refusal,
   Reply,
   Waited,
 } from './messages.js';
-import {refuse} from './refusal.js';
 import {longestWait} from './router.js';
 import type {OperatorRouter} from './router.js';
 
@@ -81,26 +84,6 @@
 /** Milliseconds between two rounds over all addresses. */
 const roundPause = 100;
 
-/** Refusals after which another process, or a later moment, may do. */
-const passing: readonly string[] = [
-  'not-leader',
-  'no-quorum',
-  'outcome-unknown',
-  'consensus-overloaded',
-  'consensus-stopped',
-  // The joining process may still be starting.
-  'member-unreachable',
-  'internal',
-];
-
-/** Errors of a connection that was never made, so that nothing was sent. */
-const neverSent: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-];
-
 /** Creates a client that knows several control processes. */
 export function createOperatorClient(
   options: OperatorClientOptions,
@@ -144,7 +127,8 @@
         Math.min(limit + extra, left),
       );
       if (reply.ok) return reply;
-      if (!isPassing(reply.refusal)) return settle(reply.refusal, effect);
+      if (!isPassing(reply.refusal))
+        return settleRefusal(reply.refusal, effect);
       if (reply.refusal.effect === 'unknown') {
         effect = call.effect;
         call.onLost?.();
@@ -257,41 +241,3 @@
 function wrap<T>(value: T): Reply<T> {
   return {ok: true, value};
 }
-
-function isPassing({code, name}: Refusal): boolean {
-  return code === commonCodes.unreachable.number || passing.includes(name);
-}
-
-/**
- * The last process refused. An earlier sending may have run all the same, and
- * then the refusal must not say that nothing did.
- */
-function settle(last: Refusal, effect: Effect): Reply<never> {
-  if (effect !== 'unknown') return {ok: false, refusal: last};
-  const message = `an earlier sending may have run; then: ${last.message}`;
-  return {ok: false, refusal: {...last, message, effect}};
-}
-
-function giveUp(last: Refusal, effect: Effect): Reply<never> {
-  const {unreachable} = commonCodes;
-  if (effect !== 'unknown') return {ok: false, refusal: {...last, effect}};
-  const message = `no answer came in time: ${last.message}`;
-  return {ok: false, refusal: {...refuse(unreachable, message), effect}};
-}
-
-function describeError(address: Address, error: Error): Refusal {
-  if (error instanceof TRPCClientError) {
-    const refusal = (error.data as {refusal?: Refusal} | undefined)?.refusal;
-    if (refusal !== undefined) return refusal;
-  }
-  const code = findSystemCode(error);
-  const message = `${address} did not answer${code ? `: ${code}` : ''}`;
-  const effect = neverSent.includes(code ?? '') ? 'not-run' : 'unknown';
-  return {...refuse(commonCodes.unreachable, message), effect};
-}
-
-function findSystemCode(error: Error): string | undefined {
-  const {code} = error as {code?: unknown};
-  if (typeof code === 'string') return code;
-  return error.cause instanceof Error ? findSystemCode(error.cause) : undefined;
-}
