--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -25,6 +25,7 @@
 /** A running deployment. */
 export interface Deployment {
   readonly controls: readonly Program[];
+  readonly relays: readonly Program[];
   readonly places: readonly Place[];
   /** The settings of the control processes, in the order of `controls`. */
   readonly controlSettings: readonly ControlSettings[];
@@ -107,11 +108,13 @@
   const controls = settings.filter(isControl);
   const places = settings.filter(isNode);
   const controlPrograms = controls.map(start);
+  const relays = settings.filter(({role}) => role === 'relay').map(start);
   const startedPlaces = places.map(startPlace);
   const operators = controls.map(({operatorAddress}) => operatorAddress);
 
   return {
     controls: controlPrograms,
+    relays,
     controlSettings: controls,
     data,
     places: startedPlaces,
--- a/bench/deployment/small.ts
+++ b/bench/deployment/small.ts
@@ -10,6 +10,8 @@
 /** What a small deployment has. */
 export interface SmallOptions {
   readonly controls: number;
+  /** Relays, which are then the nodes' homes; default none. */
+  readonly relays?: number;
   /** Instances by service. */
   readonly services: ReadonlyArray<{
     readonly name: string;
@@ -82,6 +84,22 @@
       ...options.control,
     });
   }
+  const relays = Array.from({length: options.relays ?? 0}, (_, index) => ({
+    name: `relay-${index + 1}`,
+    distributionAddress: take(),
+    failureDomain: failureDomains[index % failureDomains.length]!,
+  }));
+  for (const relay of relays) {
+    await write({
+      role: 'relay',
+      ...relay,
+      region: 'astana',
+      adminAddress: take(),
+      sources: members.map(member => member.distributionAddress),
+      relays: relays.map(one => one.distributionAddress),
+    });
+  }
+  const homes = relays.length > 0 ? relays : members;
   for (const service of options.services) {
     for (let number = 1; number <= service.instances; number++) {
       await write({
@@ -94,7 +112,7 @@
         announceAddress: take(),
         adminAddress: take(),
         keeperAddress: take(),
-        homes: members.map(member => member.distributionAddress),
+        homes: homes.map(home => home.distributionAddress),
         ...options.node,
       });
     }
