Fleet: nodes that left a dead or living home are counted where they are now

Cause: with real processes, a relay that died kept its nodes in the count as unknown for a minute although they had switched at another relay, so a wait for a change failed (exit 3) after 30 s. Ruled out: a slow re-home (lookups and the version were right within seconds) and forgetting dead homes sooner (a region that is cut off would vanish from the count and the change seem in force everywhere). Conclusion: a node names the home it came from, homes name arrivals (512 at most).

--- a/src/distribution/home.ts
+++ b/src/distribution/home.ts
@@ -107,6 +107,8 @@
   let heardAt = 0;
   let returnAt = 0;
   let homeAsOf: number | undefined;
+  /** The name of the home that answered last. */
+  let lastHome: string | undefined;
   let ownAsOf: number | undefined;
   let version: number | undefined;
 
@@ -170,7 +172,7 @@
       if (opened === channels) receive(body as FleetMessage);
     });
     opened.onClose(() => lose(opened));
-    fleet.send(self);
+    fleet.send(lastHome === undefined ? self : {...self, from: lastHome});
     log.info('home attached', {home: target.address});
     for (const observe of channelsObservers) observe(opened);
     beat(opened);
@@ -216,6 +218,7 @@
   }
 
   function receivePong(pong: Pong): void {
+    lastHome = pong.home;
     const sentAt = pings.get(pong.number);
     if (sentAt === undefined) return;
     for (const number of pings.keys()) {
--- a/src/fleet/fleet.test.ts
+++ b/src/fleet/fleet.test.ts
@@ -164,11 +164,13 @@
     age: 0,
     version: 1,
     laggards: [],
+    arrivals: [],
     domains: [
       {
         failureDomain: 'a',
         nodes: 5,
         unknown: 0,
+        lost: [],
         starting: 0,
         least: 1,
         versions: [{version: 1, nodes: 5}],
@@ -177,3 +179,36 @@
     ...change,
   };
 }
+
+// An operator waits for a change after a relay died. Its nodes are at another
+// relay and have switched; counted where they were as well, they would be
+// unknown there and the wait would end as not in force. Nodes that did not
+// come anywhere stay unknown.
+test('nodes that left a dead home are counted where they are', t => {
+  const dead = homeSummary({age: 10_000});
+  const arrival = (number: number, age: number) => ({
+    node: `node-${number}`,
+    from: 'relay-1',
+    failureDomain: 'a',
+    age,
+  });
+  const other = homeSummary({home: 'relay-2'});
+  t.like(joinSummaries(1, [dead, other]), {nodes: 10, inForce: 5, unknown: 5});
+  const arrivals = [1, 2, 3].map(number => arrival(number, 4000));
+  const some = joinSummaries(1, [dead, {...other, arrivals}]);
+  t.like(some, {nodes: 7, inForce: 5, unknown: 2});
+  // Came before the dead home was last heard, so not among its five.
+  const early = [...arrivals, arrival(4, 20_000)];
+  const same = joinSummaries(1, [dead, {...other, arrivals: early}]);
+  t.like(same, {nodes: 7, inForce: 5, unknown: 2});
+});
+
+test('a node that moved is not unknown at the living home that lost it', t => {
+  const lost = homeSummary({});
+  const [domain] = lost.domains;
+  const left = {...lost, domains: [{...domain!, unknown: 2, lost: ['x', 'y']}]};
+  const arrivals = [{node: 'x', from: 'relay-1', failureDomain: 'a', age: 900}];
+  const other = homeSummary({home: 'relay-2', arrivals});
+  const summary = joinSummaries(1, [left, other]);
+  t.like(summary, {nodes: 11, inForce: 10, unknown: 1});
+});
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -152,6 +152,7 @@
     fleet.send({
       kind: 'pong',
       number: ping.number,
+      home: self.name,
       ...(asOf !== undefined && {age: Math.ceil(timers.now() - asOf)}),
       ...(version !== undefined && {version}),
     });
--- a/src/fleet/limits.ts
+++ b/src/fleet/limits.ts
@@ -12,6 +12,8 @@
   summaryAge: 5000,
   /** Age after which a home's summary is dropped. */
   summaryDropped: 60_000,
+  /** Names of lost nodes of a domain, and arrivals, in a summary. */
+  names: 512,
   /** Names of laggards in a summary. */
   laggards: 20,
   /** Versions counted apart in each failure domain. */
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -12,6 +12,8 @@
   readonly name: string;
   readonly failureDomain: string;
   readonly region: string;
+  /** The home that the sender had a link to before, if it had another. */
+  readonly from?: string;
 }
 
 /** What a home tells its nodes of its own state. */
@@ -34,6 +36,8 @@
 export interface Pong {
   readonly kind: 'pong';
   readonly number: number;
+  /** The home's name. */
+  readonly home: string;
   /** Milliseconds since a quorum confirmed the home's state; absent if never. */
   readonly age?: number;
   /** The version that the home last sent to all of its subscribers. */
@@ -64,6 +68,8 @@
   readonly nodes: number;
   /** Nodes whose link ended without a goodbye, for a while. */
   readonly unknown: number;
+  /** Names of such nodes; 512 at most. */
+  readonly lost: readonly string[];
   /** Nodes that have nothing in force yet. */
   readonly starting: number;
   /** Least version in force; absent when no node has one. */
@@ -72,6 +78,15 @@
   readonly versions: readonly VersionCount[];
 }
 
+/** A node that came to a home from another one, not long ago. */
+export interface Arrival {
+  readonly node: string;
+  readonly from: string;
+  readonly failureDomain: string;
+  /** Milliseconds since it came, when the summary was made. */
+  readonly age: number;
+}
+
 /** What one home knows of its nodes; of bounded size. */
 export interface HomeSummary {
   readonly home: string;
@@ -81,6 +96,8 @@
   readonly domains: readonly DomainSummary[];
   /** Names of nodes that lack `version`, oldest first; 20 at most. */
   readonly laggards: readonly string[];
+  /** Nodes that came from other homes; 512 at most. */
+  readonly arrivals: readonly Arrival[];
 }
 
 /** Carries summaries from a home to control or between control processes. */
--- a/src/fleet/roster.ts
+++ b/src/fleet/roster.ts
@@ -2,6 +2,7 @@
 import type {Timers} from '../time/timers.js';
 import {fleetLimits} from './limits.js';
 import type {
+  Arrival,
   DomainSummary,
   Hello,
   HomeSummary,
@@ -15,6 +16,7 @@
   /** The version in force there, as the node itself said. */
   version: number | undefined;
   heardAt: number;
+  readonly arrivedAt: number;
   /** When the link ended; undefined while it is up. */
   lostAt: number | undefined;
 }
@@ -45,6 +47,7 @@
         channels,
         version: undefined,
         heardAt: timers.now(),
+        arrivedAt: timers.now(),
         lostAt: undefined,
       };
       members.set(hello.name, member);
@@ -78,6 +81,7 @@
         version,
         domains: [...domains].map(([name, group]) => summarize(name, group)),
         laggards: findLaggards(members.values(), version),
+        arrivals: findArrivals(members.values(), timers.now()),
       };
     },
   };
@@ -85,12 +89,12 @@
 
 function summarize(failureDomain: string, group: Member[]): DomainSummary {
   const counts = new Map<number, number>();
+  const lost: string[] = [];
   let nodes = 0;
-  let unknown = 0;
   let starting = 0;
-  for (const {version, lostAt} of group) {
+  for (const {hello, version, lostAt} of group) {
     if (lostAt !== undefined) {
-      unknown++;
+      lost.push(hello.name);
       continue;
     }
     nodes++;
@@ -101,7 +105,8 @@
   return {
     failureDomain,
     nodes,
-    unknown,
+    unknown: lost.length,
+    lost: lost.slice(0, fleetLimits.names),
     starting,
     ...(least !== undefined && {least}),
     versions: bound(counts),
@@ -119,6 +124,20 @@
   return [...kept, {version: rest[rest.length - 1]!.version, nodes}];
 }
 
+/** Nodes that are here and were elsewhere, the latest first. */
+function findArrivals(members: Iterable<Member>, now: number): Arrival[] {
+  const arrivals: Arrival[] = [];
+  for (const {hello, arrivedAt, lostAt} of members) {
+    const age = now - arrivedAt;
+    if (hello.from === undefined || lostAt !== undefined) continue;
+    if (age > fleetLimits.summaryDropped) continue;
+    const {name, from, failureDomain} = hello;
+    arrivals.push({node: name, from, failureDomain, age});
+  }
+  arrivals.sort((left, right) => left.age - right.age);
+  return arrivals.slice(0, fleetLimits.names);
+}
+
 function findLaggards(members: Iterable<Member>, version: number): string[] {
   const behind: Member[] = [];
   for (const member of members) {
--- a/src/fleet/summary.ts
+++ b/src/fleet/summary.ts
@@ -1,5 +1,5 @@
 import {fleetLimits} from './limits.js';
-import type {DomainSummary, HomeSummary} from './messages.js';
+import type {Arrival, DomainSummary, HomeSummary} from './messages.js';
 
 /** What is in force in one failure domain. */
 export interface DomainState {
@@ -43,13 +43,17 @@
   homes: readonly HomeSummary[],
 ): FleetSummary {
   const domains = new Map<string, DomainState>();
+  const arrivals = homes.filter(isCurrent).flatMap(listArrivals);
   const laggards: string[] = [];
   let least: number | undefined;
   for (const home of homes) {
-    const isStale = home.age > fleetLimits.summaryAge;
+    const isStale = !isCurrent(home);
+    const left = arrivals.filter(({from}) => from === home.home);
     for (const domain of home.domains) {
-      const state = judge(domain, version, isStale);
-      add(domains, state);
+      const moved = isStale
+        ? countAfter(left, domain, home.age)
+        : countLost(left, domain);
+      add(domains, judge(domain, version, isStale, moved));
       if (isStale || domain.least === undefined) continue;
       least = Math.min(least ?? domain.least, domain.least);
     }
@@ -71,25 +75,62 @@
       home: home.home,
       version: home.version,
       age: Math.round(home.age),
-      isStale: home.age > fleetLimits.summaryAge,
+      isStale: !isCurrent(home),
     })),
   };
 }
 
+/** A home's word is current while its summary is young enough. */
+function isCurrent(home: HomeSummary): boolean {
+  return home.age <= fleetLimits.summaryAge;
+}
+
+/** Arrivals with their ages as of now. */
+function listArrivals(home: HomeSummary): Arrival[] {
+  return home.arrivals.map(one => ({...one, age: one.age + home.age}));
+}
+
+/**
+ * Nodes of a home that has fallen silent which came to another home since it
+ * was last heard. Without them each node of a dead relay would be counted
+ * twice, as present where it is and as unknown where it was, and no change
+ * would be in force everywhere until the dead relay is forgotten. A node that
+ * came before counts for nothing here: the silent home had dropped it.
+ */
+function countAfter(
+  left: readonly Arrival[],
+  {failureDomain}: DomainSummary,
+  silence: number,
+): number {
+  const moved = left.filter(
+    one => one.failureDomain === failureDomain && one.age <= silence,
+  );
+  return moved.length;
+}
+
+/** Nodes that a home has lost and that are known to be at another. */
+function countLost(left: readonly Arrival[], {lost}: DomainSummary): number {
+  const names = new Set(lost);
+  return left.filter(({node}) => names.has(node)).length;
+}
+
+/** `moved` nodes are counted at the home where they are now. */
 function judge(
   domain: DomainSummary,
   version: number,
   isStale: boolean,
+  moved: number,
 ): DomainState {
   const {failureDomain} = domain;
-  const nodes = domain.nodes + domain.unknown;
+  const nodes = Math.max(0, domain.nodes + domain.unknown - moved);
   if (isStale) {
     return {failureDomain, nodes, inForce: 0, behind: 0, unknown: nodes};
   }
   const current = domain.versions.filter(entry => entry.version >= version);
   const inForce = current.reduce((sum, entry) => sum + entry.nodes, 0);
   const behind = domain.nodes - inForce;
-  return {failureDomain, nodes, inForce, behind, unknown: domain.unknown};
+  const unknown = Math.max(0, domain.unknown - moved);
+  return {failureDomain, nodes, inForce, behind, unknown};
 }
 
 function add(domains: Map<string, DomainState>, state: DomainState): void {
