Links: a process that stood still does not take its own pause for silence

Cause: a control VM or relay that wakes after some seconds runs its timers before it reads what came meanwhile, would find every node silent and close all links at once: a herd made by itself. A look that is late by more than a period now starts the count anew, at both ends of a link. One watch in src/time takes the place of two counts.

--- a/src/distribution/home.ts
+++ b/src/distribution/home.ts
@@ -5,6 +5,7 @@
 import type {Address, Link, Network} from '../link/link.js';
 import type {Log} from '../log/log.js';
 import type {Random} from '../random/random.js';
+import {createSilenceWatch} from '../time/silence-watch.js';
 import type {Subscription, Timers} from '../time/timers.js';
 import {backoffDelay} from './backoff.js';
 import {distributionLimits} from './limits.js';
@@ -104,12 +105,17 @@
   let channels: Channels | undefined;
   let timer: Subscription | undefined;
   let attachedAt = 0;
-  let heardAt = 0;
+  let watch = createWatch();
   let returnAt = 0;
   let homeAsOf: number | undefined;
   let ownAsOf: number | undefined;
   let version: number | undefined;
 
+  function createWatch() {
+    const limit = heartbeat * limits.missedHeartbeats;
+    return createSilenceWatch(timers, heartbeat, limit);
+  }
+
   const current = () => service.machine.current as HomeState;
   const isSuspect = (home: HomeAddress) =>
     (suspectUntil.get(home.address) ?? 0) > timers.now();
@@ -161,7 +167,8 @@
     service.send('opened');
     const opened = createChannels(link);
     channels = opened;
-    attachedAt = heardAt = timers.now();
+    attachedAt = timers.now();
+    watch = createWatch();
     returnAt = attachedAt + limits.returnPeriod * (0.5 + random.fraction());
     homeAsOf = undefined;
     pings.clear();
@@ -193,8 +200,9 @@
 
   function check(opened: Channels): void {
     const now = timers.now();
-    const isSilent = now - heardAt > heartbeat * limits.missedHeartbeats;
-    if (guarded.silence && isSilent) {
+    const hearing = watch.look();
+    if (hearing === 'paused') return;
+    if (guarded.silence && hearing === 'silent') {
       end(opened, 'home is silent');
       return;
     }
@@ -221,11 +229,11 @@
     for (const number of pings.keys()) {
       if (number <= pong.number) pings.delete(number);
     }
-    heardAt = timers.now();
+    watch.hear();
     // Counted from the ping, so that a delayed answer never looks fresher.
     const asOf = pong.age === undefined ? undefined : sentAt - pong.age;
     homeAsOf = asOf ?? homeAsOf;
-    if (asOf !== undefined && heardAt - asOf < freshness) trust();
+    if (asOf !== undefined && timers.now() - asOf < freshness) trust();
     for (const observe of markObservers) observe({asOf, version: pong.version});
     const isInStep = version !== undefined && version >= (pong.version ?? 0);
     if (isInStep) ownAsOf = asOf ?? ownAsOf;
@@ -239,7 +247,7 @@
   function trust(): void {
     oldMarks = 0;
     suspectUntil.delete(target.address);
-    if (heardAt - attachedAt >= freshness) attempt = 0;
+    if (timers.now() - attachedAt >= freshness) attempt = 0;
   }
 
   /** Goes back to a nearer home once it accepts links again. */
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,5 +1,7 @@
 import type {Channel, Channels} from '../link/channel.js';
 import type {Log} from '../log/log.js';
+import {createSilenceWatch} from '../time/silence-watch.js';
+import type {SilenceWatch} from '../time/silence-watch.js';
 import type {Subscription, Timers} from '../time/timers.js';
 import {receiveHello} from './hello.js';
 import {fleetLimits} from './limits.js';
@@ -87,16 +89,17 @@
   }
 
   /** A link that died without a word keeps its end open; silence tells. */
-  function watchSilence(channels: Channels, hello: Hello) {
-    let heardAt = timers.now();
-    const timer: Subscription = timers.every(fleetLimits.silence / 2, () => {
-      if (timers.now() - heardAt <= fleetLimits.silence) return;
+  function watchSilence(channels: Channels, hello: Hello): SilenceWatch {
+    const {silence} = fleetLimits;
+    const watch = createSilenceWatch(timers, silence / 2, silence);
+    const timer: Subscription = timers.every(silence / 2, () => {
+      if (watch.look() !== 'silent') return;
       timer.cancel();
       log.warn('link is silent', {name: hello.name});
       channels.link.close();
     });
     channels.onClose(() => timer.cancel());
-    return {hear: () => void (heardAt = timers.now())};
+    return watch;
   }
 
   function greetNode(hello: Hello, channels: Channels) {
