--- a/src/consensus/faults.test.ts
+++ b/src/consensus/faults.test.ts
@@ -100,6 +100,12 @@
     if (isStarted) witness.watch(name);
   }
 
+  /** Stops a member in order, as a planned restart does. */
+  async function stop(name: string): Promise<void> {
+    await group.stop(name).catch(() => {});
+    group.kill(name);
+  }
+
   function propose(name: string): void {
     const text = `change ${proposed++}`;
     void group
@@ -144,7 +150,8 @@
       for (const one of group.names) group.kill(one, random);
     }
     if (kind === 11 || kind === 12) replace();
-    if (kind > 13) await start(name);
+    if (kind === 14 && isUp(name) && !frozen.has(name)) await stop(name);
+    if (kind > 14) await start(name);
   }
 
   group.network.decide(() => {
@@ -163,7 +170,7 @@
     for (const name of group.names) propose(name);
     await group.run(random.integer(1000));
     await reap(group);
-    await fault(random.pick(group.names), random.integer(28));
+    await fault(random.pick(group.names), random.integer(30));
     if (random.integer(4) === 0) group.network.release(true);
   }
 
@@ -272,7 +279,7 @@
 // Where the search for a violation starts, which only saves time.
 const mutants = [
   {name: 'syncBeforeAnswer', firstSeed: 10},
-  {name: 'storageIdentity', firstSeed: 42},
+  {name: 'storageIdentity', firstSeed: 86},
 ] as const;
 
 test('the same faults do show what a missing safeguard costs', async t => {
