--- a/src/consensus/election.test.ts
+++ b/src/consensus/election.test.ts
@@ -120,11 +120,14 @@
   const accepted = await group.propose(next, 'newer');
   const index = Number(accepted.ok && Buffer.from(accepted.value).toString());
   const read = group.member(old).consensus!.readBarrier();
+  const {term} = statusOf(group, next);
   group.thaw(old);
   const result = await group.settled(read);
   t.true(result.ok && result.value >= index);
+  await group.run(5000);
   t.is(statusOf(group, old).role, 'follower');
   t.is(group.leader(), next);
+  t.is(statusOf(group, next).term, term);
 });
 
 /** Milliseconds of fake time until a change is accepted after a leader went. */
