--- /dev/null
+++ b/bench/experiments/request-latency.ts
@@ -0,0 +1,107 @@
+/** What entry and gate add to a call, against calling the upstream directly. */
+import {createRandom} from '../../src/random/random.js';
+import type {Experiment, Outcome, Row, RunOptions} from '../experiment.js';
+import {compare} from '../experiment.js';
+import {timeArrivals} from '../requests/arrivals.js';
+import type {Timed} from '../requests/arrivals.js';
+import {benchAnnouncement, startPart} from '../requests/stage.js';
+import type {Part} from '../requests/stage.js';
+
+/** Calls a second to each of the three ways. */
+const rates = [50, 200, 800];
+const bytes = 500;
+const warmSeconds = 1.5;
+
+async function run({seed, seconds}: RunOptions): Promise<Outcome> {
+  const upstream = await startPart({kind: 'upstream', work: 0, bytes});
+  const beside = await startPart({
+    kind: 'node',
+    instance: 'stock-desk-1',
+    upstream: upstream.address,
+    instances: [benchAnnouncement('stock-desk-1')],
+    seed,
+  });
+  const entry = await startPart({
+    kind: 'node',
+    instance: 'caller-1',
+    instances: [benchAnnouncement('stock-desk-1', beside.gate)],
+    seed,
+  });
+  const parts = [upstream, beside, entry];
+  const rows: Row[] = [];
+  const counts: Record<string, number> = {};
+  const each = seconds / rates.length - warmSeconds;
+  for (const rate of rates) {
+    await drive(parts, rate, warmSeconds, seed);
+    const before = await usageOf(parts);
+    const timed = await drive(parts, rate, each, seed + rate);
+    const after = await usageOf(parts);
+    rows.push(...latencyRows(rate, timed));
+    const calls = timed.get('two hops')!.latency.totalCount;
+    // The node beside the upstream takes the calls of both ways.
+    const entryTime = (after[2]! - before[2]!) / calls;
+    rows.push({
+      figure: `processor time of the entry a call, ${rate}/s`,
+      unit: 'us',
+      value: entryTime,
+    });
+    counts[`failed at ${rate}/s`] = [...timed.values()].reduce(
+      (sum, one) => sum + one.failed,
+      0,
+    );
+  }
+  for (const part of parts) part.end();
+  return {rows, counts};
+}
+
+function drive(
+  [upstream, beside, entry]: Part[],
+  rate: number,
+  seconds: number,
+  seed: number,
+): Promise<Map<string, Timed>> {
+  const path = '/stock/7';
+  return timeArrivals({
+    targets: [
+      {name: 'direct', address: upstream!.address, path},
+      {name: 'one hop', address: beside!.address, path},
+      {name: 'two hops', address: entry!.address, path},
+    ],
+    rate,
+    seconds,
+    random: createRandom(seed),
+  });
+}
+
+async function usageOf(parts: Part[]): Promise<number[]> {
+  const usages = await Promise.all(parts.map(part => part.usage()));
+  return usages.map(usage => usage.processor);
+}
+
+function latencyRows(rate: number, timed: Map<string, Timed>): Row[] {
+  const rows: Row[] = [];
+  for (const percentile of [50, 99]) {
+    const at = (name: string) =>
+      timed.get(name)!.latency.getValueAtPercentile(percentile) / 1000;
+    const direct = at('direct');
+    const label = `p${percentile} at ${rate}/s`;
+    rows.push({figure: `direct ${label}`, unit: 'ms', value: direct});
+    for (const name of ['one hop', 'two hops']) {
+      rows.push(compare(`${name} ${label}`, 'ms', at(name), direct));
+      rows.push({
+        figure: `${name} adds, ${label}`,
+        unit: 'ms',
+        value: at(name) - direct,
+      });
+    }
+  }
+  return rows;
+}
+
+export const experiment: Experiment = {
+  name: 'request-latency',
+  about: 'latency that entry and gate add to a call, by calls a second',
+  baseline: 'the same call sent to the upstream directly',
+  seconds: 45,
+  run,
+};
--- /dev/null
+++ b/bench/requests/stage.ts
@@ -0,0 +1,56 @@
+/** Processes of the request benches, started and ended by the bench. */
+import {fork} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import type {Announcement} from '../../src/endpoints/messages.js';
+import type {Order, Report, Started, Usage} from './messages.js';
+
+/** One started process. */
+export interface Part extends Started {
+  usage(): Promise<Usage>;
+  end(): void;
+}
+
+const program = new URL('./process.js', import.meta.url);
+
+/** Starts a process and a part in it. */
+export async function startPart(
+  order: Order,
+  execArgv: string[] = ['--expose-gc'],
+): Promise<Part> {
+  const child = fork(program, {execArgv});
+  const started = (await ask(child, order)) as Started;
+  return {
+    ...started,
+    usage: async () => (await ask(child, {kind: 'usage'})) as Usage,
+    end: () => void child.kill(),
+  };
+}
+
+function ask(child: ChildProcess, order: Order): Promise<Report> {
+  return new Promise((resolve, reject) => {
+    child.once('message', message => resolve(message as Report));
+    child.once('exit', () => reject(new Error('a bench process ended')));
+    child.send(order);
+  });
+}
+
+/** An announcement of a bench instance; an empty gate means its own node's. */
+export function benchAnnouncement(
+  instance: string,
+  gate = '',
+  slots = 100,
+): Announcement {
+  return {
+    instance,
+    service: 'stock-desk',
+    incarnation: 1,
+    sequence: 1,
+    state: 'serving',
+    gate,
+    failureDomain: 'rusayl-a',
+    region: 'muscat',
+    slots,
+    connections: 110,
+    since: 0,
+  };
+}
