--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -90,10 +90,15 @@
     return ((ahead + 1) * durations.mean()) / slots;
   }
 
+  /**
+   * While other work waits, a slot is not spent on work that usually takes
+   * longer than this has left; with no other, on what cannot possibly fit.
+   */
   function isHopeless(ticket: Ticket, wait: number): boolean {
     const left = ticket.deadline - clock.now();
     if (left <= 0) return true;
-    return testsDeadline && wait + durations.shortest() > left;
+    const own = waiting > 0 ? durations.mean() : durations.shortest();
+    return testsDeadline && wait + own > left;
   }
 
   function start(ticket: Ticket): void {
--- a/src/request/attempt-answer.ts
+++ b/src/request/attempt-answer.ts
@@ -1,6 +1,6 @@
 import {Answer} from './answer.js';
 import {requestCodes} from './codes.js';
-import type {AnswerHead, Refusal} from './messages.js';
+import type {Refusal} from './messages.js';
 import type {Peer} from './peers.js';
 import type {Code} from '../result/code.js';
 
@@ -26,38 +26,23 @@
     return true;
   }
 
-  return new (class extends AttemptAnswer {
-    admit(): void {
-      answer.admit();
-    }
-
-    start(head: AnswerHead): void {
+  return {
+    admit: () => answer.admit(),
+    start: head => {
       status = head.status;
       answer.start(head);
-    }
-
-    write(chunk: Buffer): boolean {
-      return answer.write(chunk);
-    }
-
-    onDrain(resume: () => void): void {
-      answer.onDrain(resume);
-    }
-
-    end(): void {
+    },
+    write: chunk => answer.write(chunk),
+    onDrain: resume => answer.onDrain(resume),
+    end: () => {
       if (settle(undefined)) answer.end();
-    }
-
-    refuse(reason: Refusal): void {
+    },
+    refuse: reason => {
       if (settle(reason.code)) refused(reason);
-    }
-
-    cut(): void {
+    },
+    cut: () => {
       if (settle(requestCodes.upstreamLost)) answer.cut();
-    }
-
-    abandon(): void {
-      settle(requestCodes.callerLeft);
-    }
-  })();
+    },
+    abandon: () => void settle(requestCodes.callerLeft),
+  };
 }
--- a/src/request/connections.ts
+++ b/src/request/connections.ts
@@ -18,6 +18,27 @@
   readonly keepAlive?: number;
 }
 
+/** Hears of one request on a connection. */
+export abstract class Handler {
+  /** The request's first byte is about to be written. */
+  abstract onConnect(abort: (reason?: Error) => void): void;
+
+  /** An answer's head, or an interim one's; false pauses its body. */
+  abstract onHeaders(
+    status: number,
+    headers: Buffer[],
+    resume: () => void,
+    reason: string,
+  ): boolean;
+
+  /** A part of the body; false pauses the rest until `resume`. */
+  abstract onData(chunk: Buffer): boolean;
+
+  abstract onComplete(): void;
+
+  abstract onError(error: Error): void;
+}
+
 /** The connections to one address. */
 export interface Connections {
   /** Requests under way. */
@@ -25,10 +46,7 @@
   /** Clients made, at most the limit. */
   readonly size: number;
   /** Sends a request; false when every connection is in use. */
-  dispatch(
-    request: Dispatcher.DispatchOptions,
-    handler: Dispatcher.DispatchHandler,
-  ): boolean;
+  dispatch(request: Dispatcher.DispatchOptions, handler: Handler): boolean;
   /** Closes each connection once it is free; resolves when all are closed. */
   close(): Promise<void>;
 }
@@ -91,27 +109,28 @@
  * The end is passed on after the client's own work on it: a retry that came
  * back to the same client from inside its error handling would break an
  * assertion of the client's and end the process.
+ *
+ * The handler is of undici's older form, which gives the answer's headers as
+ * they came; the newer form builds an object of them that no one here reads.
  */
 function watch(
-  handler: Dispatcher.DispatchHandler,
+  handler: Handler,
   ended: () => void,
 ): Dispatcher.DispatchHandler {
   return {
-    onRequestStart: (controller, context) =>
-      handler.onRequestStart?.(controller, context),
-    onResponseStart: (controller, status, headers, reason) =>
-      handler.onResponseStart?.(controller, status, headers, reason),
-    onResponseData: (controller, chunk) =>
-      handler.onResponseData?.(controller, chunk),
-    onResponseEnd: (controller, trailers) =>
+    onConnect: abort => handler.onConnect(abort),
+    onHeaders: (status, headers, resume, reason) =>
+      handler.onHeaders(status, headers as Buffer[], resume, reason),
+    onData: chunk => handler.onData(chunk),
+    onComplete: () =>
       queueMicrotask(() => {
         ended();
-        handler.onResponseEnd?.(controller, trailers);
+        handler.onComplete();
       }),
-    onResponseError: (controller, error) =>
+    onError: error =>
       queueMicrotask(() => {
         ended();
-        handler.onResponseError?.(controller, error);
+        handler.onError(error);
       }),
   };
 }
--- a/src/request/http-answer.ts
+++ b/src/request/http-answer.ts
@@ -1,7 +1,7 @@
 /** Answers over HTTP: to a caller, or from a gate to an entry. */
 import {STATUS_CODES} from 'node:http';
 import type {ServerResponse} from 'node:http';
-import {Answer} from './answer.js';
+import type {Answer} from './answer.js';
 import {headerNames} from './headers.js';
 import type {AnswerHead, Refusal} from './messages.js';
 
@@ -34,33 +34,26 @@
     return all;
   }
 
+  function end(): void {
+    if (!response.destroyed) response.end();
+  }
+
   function begin(head: AnswerHead): void {
     const reason = head.reason || STATUS_CODES[head.status] || '';
     response.writeHead(head.status, reason, headersOf(head.headers));
   }
 
-  return new (class extends Answer {
-    admit(): void {
-      options.onAdmit?.();
-    }
-
-    start(head: AnswerHead): void {
+  // An object, not a class made here: a class for each call would give each
+  // answer a shape of its own and make every call on it a slow one.
+  return {
+    admit: () => options.onAdmit?.(),
+    start: head => {
       if (!response.destroyed) begin(head);
-    }
-
-    write(chunk: Buffer): boolean {
-      return response.destroyed || response.write(chunk);
-    }
-
-    onDrain(resume: () => void): void {
-      response.once('drain', resume);
-    }
-
-    end(): void {
-      if (!response.destroyed) response.end();
-    }
-
-    refuse(refusal: Refusal): void {
+    },
+    write: chunk => response.destroyed || response.write(chunk),
+    onDrain: resume => void response.once('drain', resume),
+    end,
+    refuse: refusal => {
       options.onRefusal?.(refusal);
       if (response.destroyed) return;
       const body = JSON.stringify(describe(refusal));
@@ -70,16 +63,15 @@
         headers: refusalHeaders(refusal, Buffer.byteLength(body)),
       });
       response.end(body);
-    }
-
-    cut(): void {
+    },
+    cut: () => {
       options.onCut?.();
-      if (options.visibleCuts === false) return this.end();
+      if (options.visibleCuts === false) return end();
       // A reset, not an end: a receiver of an answer without a length would
       // take an orderly close for the end of a whole answer.
       response.socket?.resetAndDestroy();
-    }
-  })();
+    },
+  };
 }
 
 /** The JSON body of a refusal. */
--- a/src/request/sending.ts
+++ b/src/request/sending.ts
@@ -1,6 +1,6 @@
 /** One request on one connection, and what is known of it when it fails. */
 import type {Dispatcher} from 'undici';
-import type {Connections} from './connections.js';
+import type {Connections, Handler} from './connections.js';
 import type {Upload} from './upload.js';
 
 /** What goes to the next hop. */
@@ -37,39 +37,43 @@
   cancel(reason: Error): void;
 }
 
+/** Lower ones are interim. */
+const firstFinalStatus = 200;
+
 /** Sends a request; undefined when no connection was free. */
 export function send(
   connections: Connections,
   outgoing: Outgoing,
   receiver: Receiver,
 ): Sending | undefined {
-  let controller: Dispatcher.DispatchController | undefined;
+  let abort: ((reason?: Error) => void) | undefined;
+  let resume = () => {};
   let cancelled: Error | undefined;
   let began = false;
   let ended = false;
 
-  const handler: Dispatcher.DispatchHandler = {
-    onRequestStart: started => {
-      controller = started;
+  const handler: Handler = {
+    onConnect: breakOff => {
+      abort = breakOff;
       // The client may start a request again when a connection was reset; the
       // upstream would run it twice, so only the first start is let through.
-      if (began) return started.abort(new Error('a second start'));
-      if (cancelled !== undefined) return started.abort(cancelled);
+      if (began) return breakOff(new Error('a second start'));
+      if (cancelled !== undefined) return breakOff(cancelled);
       began = true;
       receiver.began();
     },
-    onResponseStart: (started, status, _headers, reason) => {
-      if (status < 200) return receiver.interim(status);
-      receiver.head(status, reason ?? '', started.rawHeaders as Buffer[]);
-    },
-    onResponseData: (started, chunk) => {
-      if (!receiver.data(chunk)) started.pause();
+    onHeaders: (status, headers, goOn, reason) => {
+      resume = goOn;
+      if (status < firstFinalStatus) receiver.interim(status);
+      else receiver.head(status, reason, headers);
+      return true;
     },
-    onResponseEnd: () => {
+    onData: chunk => receiver.data(chunk),
+    onComplete: () => {
       ended = true;
       receiver.end();
     },
-    onResponseError: (_started, error) => {
+    onError: error => {
       if (ended) return;
       ended = true;
       receiver.failed(cancelled ?? error, began);
@@ -89,11 +93,11 @@
   );
   if (!sent) return undefined;
   return {
-    resume: () => controller?.resume(),
+    resume: () => resume(),
     cancel: reason => {
       if (ended) return;
       cancelled ??= reason;
-      controller?.abort(reason);
+      abort?.(reason);
     },
   };
 }
