--- /dev/null
+++ b/bench/experiments/request-balance.ts
@@ -0,0 +1,256 @@
+/**
+ * Balancing rules at the agency's size: crewbook's nine instances of ten slots
+ * behind their gates, thirty entries. Decisions only, on timers moved by hand.
+ */
+import {createAdmission} from '../../src/request/admission.js';
+import type {Admission} from '../../src/request/admission.js';
+import {
+  createLeastOutstandingBalancer,
+  createPowerOfTwoBalancer,
+  createRandomBalancer,
+  createRoundRobinBalancer,
+} from '../../src/request/balancer.js';
+import type {Balancer} from '../../src/request/balancer.js';
+import {requestCodes} from '../../src/request/codes.js';
+import {createPeers} from '../../src/request/peers.js';
+import type {Peers} from '../../src/request/peers.js';
+import type {Configuration} from '../../src/configuration/configuration.js';
+import type {Code} from '../../src/result/code.js';
+import type {Announcement} from '../../src/endpoints/messages.js';
+import {createRandom} from '../../src/random/random.js';
+import type {Random} from '../../src/random/random.js';
+import {createFakeTimers} from '../../src/time/fakes/fake-timers.js';
+import type {FakeTimers} from '../../src/time/fakes/fake-timers.js';
+import type {Experiment, Outcome, Row, RunOptions} from '../experiment.js';
+import {compare} from '../experiment.js';
+import {benchAnnouncement} from '../requests/stage.js';
+
+/** A rule and what goes with it. */
+interface Rule {
+  readonly name: string;
+  readonly create: (random: Random) => Balancer;
+  /** Milliseconds in which a gate's word on its load ages; 0 to ignore it. */
+  readonly loadAge: number;
+  /** Busyness up to which the own failure domain goes first. */
+  readonly localLimit: number;
+}
+
+/** What an instance suffers. */
+interface Trouble {
+  readonly name: string;
+  /** Times as long that the first instance's work takes. */
+  readonly slowness: number;
+  /** Share of work that the first instance fails at once. */
+  readonly failing: number;
+}
+
+const instanceCount = 9;
+/** Entries that call the service: today's order, and the letter's. */
+const entryCounts = [30, 300];
+const slots = 10;
+const work = 40;
+const deadline = 1_000;
+/** Milliseconds one way, within a failure domain and between two. */
+const near = 0.1;
+const far = 1;
+const domains = ['hall-a', 'hall-b', 'hall-c'];
+const loads = [0.7, 0.9];
+/** Milliseconds of the model's time that each point covers, per second asked. */
+const modelTime = 2_000;
+
+const powerOfTwo: Rule = {
+  name: 'power of two, load aged 1 s',
+  create: createPowerOfTwoBalancer,
+  loadAge: 1_000,
+  localLimit: 0,
+};
+const rules: readonly Rule[] = [
+  {...powerOfTwo, name: 'random', create: createRandomBalancer},
+  {...powerOfTwo, name: 'round robin', create: createRoundRobinBalancer},
+  {
+    ...powerOfTwo,
+    name: 'least outstanding',
+    create: createLeastOutstandingBalancer,
+  },
+  {...powerOfTwo, name: 'power of two, own work', loadAge: 0},
+  powerOfTwo,
+  {...powerOfTwo, name: 'power of two, load aged 3 s', loadAge: 3_000},
+  {...powerOfTwo, name: 'power of two, load aged 10 s', loadAge: 10_000},
+  {
+    ...powerOfTwo,
+    name: 'load aged 3 s, near up to 0.7',
+    loadAge: 3_000,
+    localLimit: 0.7,
+  },
+  {
+    ...powerOfTwo,
+    name: 'load aged 10 s, near up to 0.7',
+    loadAge: 10_000,
+    localLimit: 0.7,
+  },
+];
+const troubles: readonly Trouble[] = [
+  {name: 'all well', slowness: 1, failing: 0},
+  {name: 'one 5 times slower', slowness: 5, failing: 0},
+  {name: 'one failing fast', slowness: 1, failing: 1},
+];
+
+const configuration: Configuration = {
+  version: 1,
+  services: new Map([['stock-desk', {name: 'stock-desk', slowStart: 0}]]),
+  routes: new Map(),
+  policies: new Map(),
+  drains: new Map(),
+} as unknown as Configuration;
+
+/** What is varied besides the rule. */
+interface Point {
+  readonly entries: number;
+  readonly trouble: Trouble;
+  /** Offered work over the capacity of all instances. */
+  readonly load: number;
+}
+
+interface Result {
+  readonly mean: number;
+  readonly p99: number;
+  /** Share of the calls that were refused or failed. */
+  readonly lost: number;
+}
+
+async function run({seed, seconds}: RunOptions): Promise<Outcome> {
+  const rows: Row[] = [];
+  const points = entryCounts.flatMap(entries =>
+    troubles.flatMap(trouble => loads.map(load => ({entries, trouble, load}))),
+  );
+  for (const point of points) {
+    const {entries, trouble, load} = point;
+    const results = rules.map(rule =>
+      drive(rule, point, seconds * modelTime, seed),
+    );
+    const base = results[0]!;
+    rules.forEach((rule, index) => {
+      const at = `${entries} entries, ${trouble.name}, ${load}x, ${rule.name}`;
+      const {mean, p99, lost} = results[index]!;
+      rows.push(compare(`mean: ${at}`, 'ms', mean, base.mean));
+      rows.push(compare(`p99: ${at}`, 'ms', p99, base.p99));
+      rows.push({figure: `lost: ${at}`, unit: 'share', value: lost});
+    });
+  }
+  return {rows, notes: ['decisions on fake timers; no machine time in it']};
+}
+
+function drive(
+  rule: Rule,
+  {entries: entryCount, trouble, load}: Point,
+  duration: number,
+  seed: number,
+): Result {
+  const timers = createFakeTimers(1);
+  const random = createRandom(seed);
+  const announcements = domainsOf(instanceCount).map(
+    (failureDomain, index) => ({
+      ...benchAnnouncement(`crewbook-${index + 1}`, '', slots),
+      failureDomain,
+    }),
+  );
+  const gates = new Map(
+    announcements.map(({instance}) => [instance, createSlots(timers)]),
+  );
+  const entries = domainsOf(entryCount).map(failureDomain => ({
+    failureDomain,
+    peers: createEntryPeers(rule, failureDomain, announcements, timers, random),
+  }));
+  const taken: number[] = [];
+  let offered = 0;
+  let lost = 0;
+
+  function call(): void {
+    const entry = random.pick(entries);
+    const peer = entry.peers.choose('stock-desk', configuration, new Set())!;
+    const {instance, failureDomain} = peer.announcement;
+    const oneWay = failureDomain === entry.failureDomain ? near : far;
+    const since = timers.now();
+    const gate = gates.get(instance)!;
+    const isTroubled = instance === announcements[0]!.instance;
+    offered++;
+    peer.began();
+    const answer = (code: Code | undefined, status: number) =>
+      timers.after(oneWay, () => {
+        if (rule.loadAge > 0) peer.loaded(gate.load);
+        peer.ended(code, status);
+        if (code === undefined && status === 200)
+          taken.push(timers.now() - since);
+        else lost++;
+      });
+    timers.after(oneWay, () => {
+      if (isTroubled && random.fraction() < trouble.failing) {
+        answer(undefined, 500);
+        return;
+      }
+      const factor = isTroubled ? trouble.slowness : 1;
+      const duration = exponential(work * factor, random);
+      gate.offer({
+        priority: 'normal',
+        deadline: since + deadline,
+        refuse: () => answer(requestCodes.full, 503),
+        start: () =>
+          timers.after(duration, () => {
+            gate.done(duration);
+            answer(undefined, 200);
+          }),
+      });
+    });
+  }
+
+  const gap = work / (slots * instanceCount) / load;
+  for (let due = 0; due < duration; due += exponential(gap, random)) {
+    timers.advance(Math.max(0, due - timers.now()));
+    call();
+  }
+  timers.advance(deadline * 2);
+  taken.sort((left, right) => left - right);
+  const sum = taken.reduce((total, one) => total + one, 0);
+  return {
+    mean: sum / taken.length,
+    p99: taken[Math.floor(taken.length * 0.99)]!,
+    lost: lost / offered,
+  };
+}
+
+function createSlots(timers: FakeTimers): Admission {
+  return createAdmission({slots, queueLength: 64, clock: timers});
+}
+
+function createEntryPeers(
+  rule: Rule,
+  failureDomain: string,
+  announcements: readonly Announcement[],
+  timers: FakeTimers,
+  random: Random,
+): Peers {
+  return createPeers({
+    failureDomain,
+    endpoints: {instances: () => announcements, onChange: () => {}},
+    balancer: rule.create(random),
+    timers,
+    localLimit: rule.localLimit,
+    loadAge: rule.loadAge || 1,
+  });
+}
+
+function domainsOf(count: number): string[] {
+  return Array.from({length: count}, (_none, index) => domains[index % 3]!);
+}
+
+function exponential(mean: number, random: Random): number {
+  return -Math.log(1 - random.fraction()) * mean;
+}
+
+export const experiment: Experiment = {
+  name: 'request-balance',
+  about: 'balancing rules and local preference at the agency’s size',
+  baseline: 'an instance by chance',
+  seconds: 10,
+  run,
+};
--- a/src/request/attempt-answer.ts
+++ b/src/request/attempt-answer.ts
@@ -10,11 +10,16 @@
   abstract abandon(): void;
 }
 
-/** Passes an answer on; a refusal goes to `refused` instead. */
+/**
+ * Passes an answer on; a refusal goes to `refused` instead. A deadline that a
+ * caller in a hurry set is not held against the peer: one caller could have
+ * every instance ejected by asking for a millisecond.
+ */
 export function createAttemptAnswer(
   answer: Answer,
   peer: Peer,
   refused: (reason: Refusal) => void,
+  isHurried: boolean,
 ): AttemptAnswer {
   let status = 0;
   let settled = false;
@@ -22,7 +27,8 @@
   function settle(code: Code | undefined): boolean {
     if (settled) return false;
     settled = true;
-    peer.ended(code, status);
+    const excused = isHurried && code === requestCodes.deadlinePassed;
+    peer.ended(excused ? requestCodes.callerLeft : code, status);
     return true;
   }
 
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -33,6 +33,9 @@
   readonly once: boolean;
 }
 
+/** Share of the policy's deadline below which a caller counts as hurried. */
+const hurriedShare = 0.5;
+
 /** The attempts of one request. */
 export interface Attempts {
   readonly count: number;
@@ -47,6 +50,9 @@
   const {service} = match.route;
   const budget = peers.budget(service);
   const tried = new Set<string>();
+  // A caller that gives less time than the policy can't show a fault by it.
+  const isHurried =
+    call.deadline - timers.now() < match.policy.deadline * hurriedShare;
   let count = 0;
   let cancelled = false;
   let current: AttemptAnswer | undefined;
@@ -61,7 +67,7 @@
     count++;
     tried.add(peer.announcement.instance);
     peer.began();
-    const own = createAttemptAnswer(answer, peer, ended);
+    const own = createAttemptAnswer(answer, peer, ended, isHurried);
     current = own;
     const cancel = sendTo(peer, own);
     // A gate may refuse before it returns, and the next attempt be under way.
--- a/src/request/peers.ts
+++ b/src/request/peers.ts
@@ -20,7 +20,7 @@
   readonly timers: Timers;
   /** Busyness up to which the own failure domain goes first; 0.7 unless given. */
   readonly localLimit?: number;
-  /** Time in which the word on a load loses most of its worth; 1000 unless given. */
+  /** Time in which the word on a load loses most of its worth; 10000 unless given. */
   readonly loadAge?: number;
   /** How long an instance that refused as leaving is passed by; 2000 unless given. */
   readonly leavingPause?: number;
@@ -53,7 +53,7 @@
   budget(service: string): RetryBudget;
 }
 
-const defaults = {localLimit: 0.7, loadAge: 1_000, leavingPause: 2_000};
+const defaults = {localLimit: 0.7, loadAge: 10_000, leavingPause: 2_000};
 
 /** Refusals that speak of an instance's own fault. */
 const faults: ReadonlySet<Code> = new Set([
@@ -74,6 +74,8 @@
 ]);
 
 const firstServerError = 500;
+/** What one failure counts for, as work over slots. */
+const blameStep = 2;
 
 /** Creates the peers of an entry. */
 export function createPeers(options: PeersOptions): Peers {
@@ -112,6 +114,7 @@
       if (old.announcement.incarnation !== incarnation) {
         ejection.forget(instance);
         old.pausedUntil = 0;
+        old.blame = 0;
       }
       old.announcement = announcement;
     }
@@ -128,6 +131,8 @@
       outstanding: 0,
       reported: 0,
       reportedAt: 0,
+      blame: 0,
+      blamedAt: 0,
       pausedUntil: 0,
       peer: {
         get announcement() {
@@ -148,13 +153,12 @@
   }
 
   function judge(known: Known, code: Code | undefined, status: number): void {
-    const {instance} = known.announcement;
     if (code === undefined) {
-      if (status >= firstServerError) ejection.failed(instance);
-      else ejection.succeeded(instance);
+      if (status >= firstServerError) blame(known);
+      else praise(known);
       return;
     }
-    if (faults.has(code)) ejection.failed(instance);
+    if (faults.has(code)) blame(known);
     if (code === requestCodes.gateUnreachable) {
       options.onUnreachable?.(known.announcement);
     }
@@ -164,6 +168,27 @@
     }
   }
 
+  function praise(known: Known): void {
+    known.blame = 0;
+    ejection.succeeded(known.announcement.instance);
+  }
+
+  /**
+   * An instance that fails at once looks idle and would draw all work to it,
+   * most of all where each entry sends too little to eject it soon. A failure
+   * therefore counts as load until the instance does better.
+   */
+  function blame(known: Known): void {
+    ejection.failed(known.announcement.instance);
+    known.blame = agedBlame(known) + blameStep;
+    known.blamedAt = timers.now();
+  }
+
+  function agedBlame(known: Known): number {
+    const quiet = timers.now() - known.blamedAt;
+    return known.blame * Math.exp(-quiet / limits.loadAge);
+  }
+
   function isOpen(known: Known, configuration: Configuration): boolean {
     const {state, instance} = known.announcement;
     if (state !== 'serving' && state !== 'warming') return false;
@@ -179,7 +204,8 @@
       instance: announcement.instance,
       slots: Math.max(1, announcement.slots),
       outstanding: known.outstanding,
-      load: known.reported * Math.exp(-quiet / limits.loadAge),
+      load:
+        known.reported * Math.exp(-quiet / limits.loadAge) + agedBlame(known),
       weight: slowStartWeight(age, slowStart),
       local: announcement.failureDomain === options.failureDomain,
       peer: known.peer,
@@ -226,6 +252,9 @@
   /** The load that its gate told last, and when. */
   reported: number;
   reportedAt: number;
+  /** Load that its failures count for, and when the last was. */
+  blame: number;
+  blamedAt: number;
   /** It refused as leaving; passed by until then. */
   pausedUntil: number;
   readonly peer: Peer;
