--- a/src/request/connections.ts
+++ b/src/request/connections.ts
@@ -47,6 +47,8 @@
   readonly size: number;
   /** Sends a request; false when every connection is in use. */
   dispatch(request: Dispatcher.DispatchOptions, handler: Handler): boolean;
+  /** Lets go of connections that were not needed since the last call. */
+  prune(): void;
   /** Closes each connection once it is free; resolves when all are closed. */
   close(): Promise<void>;
 }
@@ -56,10 +58,13 @@
   const idle: Client[] = [];
   const all = new Set<Client>();
   let closed: Promise<unknown> | undefined;
+  /** Fewest connections that were idle at once since the last pruning. */
+  let spare = 0;
 
   function take(): Client | undefined {
     // The connection used last is the warmest; the others age out.
     const client = idle.pop();
+    spare = Math.min(spare, idle.length);
     if (client !== undefined) return client;
     if (closed !== undefined || all.size >= options.limit) return undefined;
     const made = createClient(options);
@@ -83,6 +88,13 @@
       );
       return true;
     },
+    prune: () => {
+      for (const client of idle.splice(0, spare)) {
+        all.delete(client);
+        void client.close();
+      }
+      spare = idle.length;
+    },
     close: async () => {
       closed ??= Promise.all([...all].map(client => client.close()));
       await closed;
--- a/src/request/entry.test.ts
+++ b/src/request/entry.test.ts
@@ -161,6 +161,25 @@
   });
 }
 
+for (const size of [256, 4096]) {
+  test(`an answer of ${size} bytes of all values passes byte for byte`, async t => {
+    const bytes = Buffer.from(
+      Array.from({length: size}, (_none, at) => at % 256),
+    );
+    const mesh = await createMesh({
+      upstreams: [
+        (_req, res) => {
+          res.setHeader('content-length', size);
+          res.end(bytes);
+        },
+      ],
+    });
+    const answer = await request(`${mesh.url}/stock`);
+    t.deepEqual(Buffer.from(await answer.body.arrayBuffer()), bytes);
+    await mesh.close();
+  });
+}
+
 test('headers of one connection end there', async t => {
   let heard: string[] = [];
   const mesh = await createMesh({
--- a/src/request/gate-link.ts
+++ b/src/request/gate-link.ts
@@ -36,6 +36,8 @@
 }
 
 const defaultLimit = 256;
+/** Milliseconds between two looks for connections that are not needed. */
+const prunePeriod = 60_000;
 /**
  * Milliseconds beyond the deadline for which an entry waits: the gate decides
  * at the deadline and knows better than the entry whether the work was run.
@@ -46,6 +48,15 @@
 export function createGateLinks(options: GateLinksOptions): GateLinks {
   const {timers} = options;
   const links = new Map<Address, Connections>();
+  const pruning = timers.every(prunePeriod, prune);
+
+  /** Gates come and go; without this each one seen would keep its share of memory. */
+  function prune(): void {
+    for (const [address, link] of links) {
+      link.prune();
+      if (link.size === 0) links.delete(address);
+    }
+  }
 
   function linkTo(address: Address): Connections {
     let link = links.get(address);
@@ -72,6 +83,7 @@
       });
     },
     close: async () => {
+      pruning.cancel();
       await Promise.all([...links.values()].map(link => link.close()));
     },
   };
--- a/src/request/sending.test.ts
+++ b/src/request/sending.test.ts
@@ -14,6 +14,7 @@
       handler = given;
       return true;
     },
+    prune: () => {},
     close: async () => {},
   };
   const receiver: Receiver = {
