--- a/src/request/http-answer.ts
+++ b/src/request/http-answer.ts
@@ -23,16 +23,11 @@
   readonly onAdmit?: () => void;
 }
 
-/** Most bytes of a first part that is sent joined with the head. */
-const joinedLimit = 2048;
-
 /** Creates the answer that goes out by `response`. */
 export function createHttpAnswer(
   response: ServerResponse,
   options: HttpAnswerOptions = {},
 ): Answer {
-  let isFirst = true;
-
   function headersOf(headers: readonly string[]): string[] {
     const all = [...headers, ...(options.extra?.() ?? [])];
     if (options.closing?.() === true) all.push('connection', 'close');
@@ -55,15 +50,7 @@
     start: head => {
       if (!response.destroyed) begin(head);
     },
-    write: chunk => {
-      if (response.destroyed) return true;
-      const joins = isFirst && chunk.length <= joinedLimit;
-      isFirst = false;
-      // As text of one byte a character, a small first part leaves together
-      // with the head in one write of the platform instead of two buffers.
-      if (joins) return response.write(chunk.toString('latin1'), 'latin1');
-      return response.write(chunk);
-    },
+    write: chunk => response.destroyed || response.write(chunk),
     onDrain: resume => void response.once('drain', resume),
     end,
     refuse: refusal => {
