--- a/src/request/gate-link.ts
+++ b/src/request/gate-link.ts
@@ -10,6 +10,7 @@
 import type {Subscription, Timers} from '../time/timers.js';
 import type {Answer} from './answer.js';
 import {requestCodes} from './codes.js';
+import {delayUntil} from './deadline.js';
 import {createConnections} from './connections.js';
 import type {Connections} from './connections.js';
 import {endToEnd, findHeader, headerNames} from './headers.js';
@@ -156,7 +157,7 @@
     return () => {};
   }
   if (!ended) {
-    const left = call.deadline - timers.now() + decisionMargin;
+    const left = delayUntil(call.deadline + decisionMargin, timers.now());
     limit = timers.after(left, () =>
       sending.cancel(new Failure(requestCodes.deadlinePassed, 'no answer')),
     );
--- a/src/request/run.ts
+++ b/src/request/run.ts
@@ -5,6 +5,7 @@
 import {requestCodes} from './codes.js';
 import type {Connections} from './connections.js';
 import {Failure} from '../result/failure.js';
+import {delayUntil} from './deadline.js';
 import {endToEnd, findHeader, headerNames} from './headers.js';
 import type {Call, Cancel, Refusal} from './messages.js';
 import {refusal} from './refusal.js';
@@ -157,7 +158,7 @@
 
   return {
     offer: () => {
-      const left = call.deadline - timers.now();
+      const left = delayUntil(call.deadline, timers.now());
       if (left > 0) limit = timers.after(left, expire);
       admission.offer(ticket);
     },
--- a/src/request/upload.ts
+++ b/src/request/upload.ts
@@ -8,15 +8,13 @@
 import {Failure} from '../result/failure.js';
 import type {Subscription, Timers} from '../time/timers.js';
 import {requestCodes} from './codes.js';
+import {delayUntil} from './deadline.js';
 import {allSafeguards} from './safeguards.js';
 import type {Safeguards} from './safeguards.js';
 
 /** Bodies up to this many bytes are gathered before they are sent on. */
 export const gatherLimit = 64 * 1024;
 
-/** Longest delay that a timer of the platform takes, in milliseconds. */
-const longestTimer = 2 ** 31 - 1;
-
 /** A body that streams from its sender. */
 export interface StreamUpload {
   readonly kind: 'stream';
@@ -89,8 +87,8 @@
     const watch = createWatch(options, () =>
       finish(fail(requestCodes.bodySlow, `no bytes for ${options.idle} ms`)),
     );
-    const left = (options.deadline ?? Infinity) - options.timers.now();
-    const limit = options.timers.after(Math.min(left, longestTimer), () =>
+    const left = delayUntil(options.deadline ?? Infinity, options.timers.now());
+    const limit = options.timers.after(left, () =>
       finish(fail(requestCodes.bodySlow, 'its time ran out')),
     );
     const onData = (part: Buffer) => {
