--- a/src/request/attempt-answer.ts
+++ b/src/request/attempt-answer.ts
@@ -1,6 +1,6 @@
 import {Answer} from './answer.js';
 import {requestCodes} from './codes.js';
-import type {AnswerHead, Refusal} from './messages.js';
+import type {Refusal} from './messages.js';
 import type {Peer} from './peers.js';
 import type {Code} from '../result/code.js';
 
@@ -10,11 +10,16 @@
   abstract abandon(): void;
 }
 
-/** Passes an answer on; a refusal goes to `refused` instead. */
+/**
+ * Passes an answer on; a refusal goes to `refused` instead. A deadline that a
+ * caller in a hurry set is not held against the peer: one caller could have
+ * every instance ejected by asking for a millisecond.
+ */
 export function createAttemptAnswer(
   answer: Answer,
   peer: Peer,
   refused: (reason: Refusal) => void,
+  isHurried: boolean,
 ): AttemptAnswer {
   let status = 0;
   let settled = false;
@@ -22,42 +27,28 @@
   function settle(code: Code | undefined): boolean {
     if (settled) return false;
     settled = true;
-    peer.ended(code, status);
+    const excused = isHurried && code === requestCodes.deadlinePassed;
+    peer.ended(excused ? requestCodes.callerLeft : code, status);
     return true;
   }
 
-  return new (class extends AttemptAnswer {
-    admit(): void {
-      answer.admit();
-    }
-
-    start(head: AnswerHead): void {
+  return {
+    admit: () => answer.admit(),
+    start: head => {
       status = head.status;
       answer.start(head);
-    }
-
-    write(chunk: Buffer): boolean {
-      return answer.write(chunk);
-    }
-
-    onDrain(resume: () => void): void {
-      answer.onDrain(resume);
-    }
-
-    end(): void {
+    },
+    write: chunk => answer.write(chunk),
+    onDrain: resume => answer.onDrain(resume),
+    end: () => {
       if (settle(undefined)) answer.end();
-    }
-
-    refuse(reason: Refusal): void {
+    },
+    refuse: reason => {
       if (settle(reason.code)) refused(reason);
-    }
-
-    cut(): void {
+    },
+    cut: () => {
       if (settle(requestCodes.upstreamLost)) answer.cut();
-    }
-
-    abandon(): void {
-      settle(requestCodes.callerLeft);
-    }
-  })();
+    },
+    abandon: () => void settle(requestCodes.callerLeft),
+  };
 }
