Fleet: nodes of a silent home stay unknown for an hour; a young control process does not speak for all

Cause: a home's summary was dropped after a minute, so in a region cut of minutes its nodes left the count and a wait could end as in force everywhere; and a control process just started spoke from the few nodes that it had heard. Ruled out: telling arrivals for an hour (kilobytes a second at a relay after a relay's death); the receiver remembers them. The tests fail before (after 600 s of a cut 1 of 1 nodes; settled at once) and pass after. Conclusion: unknown is said until the home is heard or an hour has passed; waits need every fellow's word, 10 s at most.

--- a/src/distribution/fakes/stage.ts
+++ b/src/distribution/fakes/stage.ts
@@ -74,6 +74,7 @@
     name: string,
     operator: Operator,
     options?: Partial<DistributorOptions>,
+    fellows?: number,
   ): Promise<StagedHome>;
   relay(
     name: string,
@@ -161,6 +162,7 @@
     barrier: DistributorOptions['barrier'],
     asOf: () => number | undefined,
     options: Partial<DistributorOptions>,
+    fellows = 0,
   ) {
     const {name} = self;
     const distributor = createDistributor({
@@ -172,7 +174,7 @@
       ...options,
     });
     const {position} = distributor;
-    const fleet = createFleet({self, timers, log, position});
+    const fleet = createFleet({self, timers, log, position, fellows});
     fleet.onHello((_hello, channels) => distributor.accept(channels));
     const address = `127.0.0.1:${++port}`;
     await network.from(name).listen(address, link => {
@@ -203,7 +205,7 @@
   return {
     timers,
     network,
-    async control(name, operator, options = {}) {
+    async control(name, operator, options = {}, fellows = 0) {
       const staged = {quorum: true};
       const barrier = async () =>
         staged.quorum
@@ -212,7 +214,14 @@
       const freshness = createFreshness(barrier, timers);
       const source = createSectionSource(operator);
       const self = helloOf('control', name);
-      const made = await serve(self, source, barrier, freshness.asOf, options);
+      const made = await serve(
+        self,
+        source,
+        barrier,
+        freshness.asOf,
+        options,
+        fellows,
+      );
       return Object.assign(staged, made);
     },
     async relay(name, sources, options = {}) {
--- a/src/fleet/fleet.test.ts
+++ b/src/fleet/fleet.test.ts
@@ -72,8 +72,8 @@
 
 test('without ages a lost relay would still count as in force', t => {
   const old = homeSummary({age: 60_000});
-  t.is(joinSummaries(1, [{...old, age: 0}]).inForce, 5);
-  t.is(joinSummaries(1, [old]).inForce, 0);
+  t.is(joinSummaries(1, [{...old, age: 0}], [], true).inForce, 5);
+  t.is(joinSummaries(1, [old], [], true).inForce, 0);
 });
 
 // An operator asks one control process while most nodes are at the others. When
@@ -132,7 +132,7 @@
 });
 
 test('a home that knows an older version speaks for no newer one', t => {
-  const summary = joinSummaries(2, [homeSummary({})]);
+  const summary = joinSummaries(2, [homeSummary({})], [], true);
   t.like(summary, {inForce: 0, behind: 5, least: 1});
 });
 
@@ -193,13 +193,17 @@
     age,
   });
   const other = homeSummary({home: 'relay-2'});
-  t.like(joinSummaries(1, [dead, other]), {nodes: 10, inForce: 5, unknown: 5});
+  t.like(joinSummaries(1, [dead, other], [], true), {
+    nodes: 10,
+    inForce: 5,
+    unknown: 5,
+  });
   const arrivals = [1, 2, 3].map(number => arrival(number, 4000));
-  const some = joinSummaries(1, [dead, {...other, arrivals}]);
+  const some = joinSummaries(1, [dead, other], arrivals, true);
   t.like(some, {nodes: 7, inForce: 5, unknown: 2});
   // Came before the dead home was last heard, so not among its five.
   const early = [...arrivals, arrival(4, 20_000)];
-  const same = joinSummaries(1, [dead, {...other, arrivals: early}]);
+  const same = joinSummaries(1, [dead, other], early, true);
   t.like(same, {nodes: 7, inForce: 5, unknown: 2});
 });
 
@@ -208,7 +212,48 @@
   const [domain] = lost.domains;
   const left = {...lost, domains: [{...domain!, unknown: 2, lost: ['x', 'y']}]};
   const arrivals = [{node: 'x', from: 'relay-1', failureDomain: 'a', age: 900}];
-  const other = homeSummary({home: 'relay-2', arrivals});
-  const summary = joinSummaries(1, [left, other]);
+  const other = homeSummary({home: 'relay-2'});
+  const summary = joinSummaries(1, [left, other], arrivals, true);
   t.like(summary, {nodes: 11, inForce: 10, unknown: 1});
 });
+
+// An operator waits for a change while a region is cut off for ten minutes. Its
+// relay is silent; the node that could come over is counted where it is, and
+// the one that could not must stay unknown all the while.
+test('a home that is cut off for long keeps its nodes unknown', async t => {
+  const stage = createStage();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const control = await stage.control('control-1', operator);
+  const relay = await stage.relay('relay-1', [control.address]);
+  stage.node('node-1', [relay.address]);
+  stage.node('node-2', [
+    {address: relay.address, failureDomain: 'a'},
+    control.address,
+  ]);
+  await stage.timers.advanceAsync(5000);
+  t.like(control.fleet.summary(), {nodes: 2, inForce: 2, unknown: 0});
+  for (const other of ['control-1', 'node-2']) {
+    stage.network.cut('relay-1', other);
+    stage.network.cut(other, 'relay-1');
+  }
+  await stage.timers.advanceAsync(600_000);
+  const summary = control.fleet.summary();
+  t.like(summary, {nodes: 2, inForce: 1, unknown: 1, isSettled: true});
+});
+
+// An operator asks a control process that has just started and has heard of a
+// few nodes only. Were they taken for all, the change would seem in force
+// everywhere while most nodes, at the other control process, lack it.
+test('a control process that just started does not speak for all', async t => {
+  const stage = createStage();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const alone = await stage.control('control-1', operator, {}, 1);
+  stage.node('node-1', [alone.address]);
+  await stage.timers.advanceAsync(4000);
+  t.like(alone.fleet.summary(), {nodes: 1, inForce: 1, isSettled: false});
+  const report = {...homeSummary({home: 'control-2'}), arrivals: []};
+  alone.fleet.receive({kind: 'report', summaries: [report]});
+  t.like(alone.fleet.summary(), {nodes: 6, isSettled: true});
+});
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -15,6 +15,7 @@
 } from './messages.js';
 import {createRoster} from './roster.js';
 import type {Member} from './roster.js';
+import {createMoves} from './moves.js';
 import {joinSummaries} from './summary.js';
 import type {FleetSummary} from './summary.js';
 
@@ -25,6 +26,8 @@
   readonly log: Log;
   /** What pings are answered with. */
   readonly position: () => Position;
+  /** How many fellow homes tell this one of their nodes; default none. */
+  readonly fellows?: number;
 }
 
 /** The nodes and fellow homes of one home. */
@@ -53,6 +56,8 @@
   const {self, timers, log, position} = options;
   const roster = createRoster(timers);
   const received = new Map<string, Received>();
+  const moves = createMoves(timers);
+  const startedAt = timers.now();
   /** Homes that this one speaks for: relays below it. */
   const below = new Set<string>();
   const observers: Array<(hello: Hello, channels: Channels) => void> = [];
@@ -104,6 +109,7 @@
 
   function greetNode(hello: Hello, channels: Channels) {
     const member = roster.add(hello, channels);
+    moves.arrived(hello);
     changed = true;
     channels.onClose(() => {
       roster.lose(member);
@@ -174,10 +180,21 @@
       const known = received.get(summary.home);
       if (known !== undefined && known.madeAt > madeAt) continue;
       received.set(summary.home, {summary, madeAt});
+      moves.note(summary);
+      moves.heard(summary.home, madeAt);
       if (below.has(summary.home)) changed = true;
     }
   }
 
+  /** Whether all who speak for nodes have had their say. */
+  function isSettled(): boolean {
+    const age = timers.now() - startedAt;
+    if (age >= fleetLimits.fellowsAwaited) return true;
+    const heard = [...received.keys()].filter(name => !below.has(name));
+    const isComplete = heard.length >= (options.fellows ?? 0);
+    return isComplete && age >= fleetLimits.settling;
+  }
+
   function own(): HomeSummary {
     return roster.summarize(self.name, position().version ?? 0);
   }
@@ -207,6 +224,7 @@
       if (madeAt > oldest) continue;
       log.warn('home dropped from the summary', {home: name});
       received.delete(name);
+      moves.forget(name);
       below.delete(name);
     }
   }
@@ -220,7 +238,7 @@
     receive,
     summary(version = position().version ?? 0) {
       const homes = [own(), ...[...received.values()].map(aged)];
-      return joinSummaries(version, homes);
+      return joinSummaries(version, homes, moves.list(), isSettled());
     },
     stop: () => timer.cancel(),
   };
--- a/src/fleet/limits.ts
+++ b/src/fleet/limits.ts
@@ -10,8 +10,17 @@
   reportIdle: 1000,
   /** Age after which a home's summary no longer says what is in force. */
   summaryAge: 5000,
-  /** Age after which a home's summary is dropped. */
-  summaryDropped: 60_000,
+  /**
+   * Age after which a home's summary is dropped. A region may be cut off for
+   * many minutes; until then its nodes count as unknown.
+   */
+  summaryDropped: 3_600_000,
+  /** How long a home tells of a node that came from another. */
+  arrivalTold: 60_000,
+  /** Time after the start in which links may not have been opened yet. */
+  settling: 3000,
+  /** Time after the start for which a silent fellow is waited for. */
+  fellowsAwaited: 10_000,
   /** Names of lost nodes of a domain, and arrivals, in a summary. */
   names: 512,
   /** Names of laggards in a summary. */
--- a/src/fleet/roster.ts
+++ b/src/fleet/roster.ts
@@ -130,7 +130,7 @@
   for (const {hello, arrivedAt, lostAt} of members) {
     const age = now - arrivedAt;
     if (hello.from === undefined || lostAt !== undefined) continue;
-    if (age > fleetLimits.summaryDropped) continue;
+    if (age > fleetLimits.arrivalTold) continue;
     const {name, from, failureDomain} = hello;
     arrivals.push({node: name, from, failureDomain, age});
   }
--- a/src/fleet/summary.ts
+++ b/src/fleet/summary.ts
@@ -26,6 +26,8 @@
 /** What is in force where, for one version. */
 export interface FleetSummary extends Omit<DomainState, 'failureDomain'> {
   readonly version: number;
+  /** False while the asked process is too young to have heard all homes. */
+  readonly isSettled: boolean;
   /** Least version in force among nodes that are known; absent for none. */
   readonly least?: number;
   readonly domains: readonly DomainState[];
@@ -41,9 +43,10 @@
 export function joinSummaries(
   version: number,
   homes: readonly HomeSummary[],
+  arrivals: readonly Arrival[],
+  isSettled: boolean,
 ): FleetSummary {
   const domains = new Map<string, DomainState>();
-  const arrivals = homes.filter(isCurrent).flatMap(listArrivals);
   const laggards: string[] = [];
   let least: number | undefined;
   for (const home of homes) {
@@ -64,6 +67,7 @@
     list.reduce((sum, domain) => sum + domain[key], 0);
   return {
     version,
+    isSettled,
     nodes: total('nodes'),
     inForce: total('inForce'),
     behind: total('behind'),
@@ -85,11 +89,6 @@
   return home.age <= fleetLimits.summaryAge;
 }
 
-/** Arrivals with their ages as of now. */
-function listArrivals(home: HomeSummary): Arrival[] {
-  return home.arrivals.map(one => ({...one, age: one.age + home.age}));
-}
-
 /**
  * Nodes of a home that has fallen silent which came to another home since it
  * was last heard. Without them each node of a dead relay would be counted
--- a/src/operator/fakes/deployment.ts
+++ b/src/operator/fakes/deployment.ts
@@ -17,6 +17,7 @@
 const fleet = {
   summary: (version = 0): FleetSummary => ({
     version,
+    isSettled: true,
     nodes: 2,
     inForce: version < 2 ? 2 : 1,
     behind: version < 2 ? 0 : 1,
--- a/src/operator/render.ts
+++ b/src/operator/render.ts
@@ -127,7 +127,10 @@
     `version ${version} is in force on ${inForce} of ${nodes} nodes; ` +
     `least version ${least}\n`;
   const names = laggards.length > 0 ? `behind: ${laggards.join(' ')}\n` : '';
-  return `${domains}${total}${names}${renderStaleHomes(fleet)}`;
+  const young = fleet.isSettled
+    ? ''
+    : 'this control process started just now and may not know all nodes yet\n';
+  return `${domains}${total}${names}${renderStaleHomes(fleet)}${young}`;
 }
 
 function renderStaleHomes({homes}: FleetSummary): string {
--- a/src/operator/service.test.ts
+++ b/src/operator/service.test.ts
@@ -12,6 +12,7 @@
 function summarize(version: number, inForce: number): FleetSummary {
   return {
     version,
+    isSettled: true,
     nodes: 2,
     inForce,
     behind: 2 - inForce,
@@ -22,7 +23,7 @@
   };
 }
 
-function createTrial(nodes = 2) {
+function createTrial(nodes = 2, isSettled = true) {
   const timers = createFakeTimers();
   const group = createFakeGroup(['control-1'], createSampleMachine);
   let inForce = 0;
@@ -31,7 +32,11 @@
     consensus: group.member('control-1'),
     machine: group.machine('control-1'),
     fleet: {
-      summary: (version = 0) => ({...summarize(version, inForce), nodes}),
+      summary: (version = 0) => ({
+        ...summarize(version, inForce),
+        nodes,
+        isSettled,
+      }),
     },
     timers,
     limits: defaults.limits,
@@ -105,3 +110,11 @@
   await timers.advanceAsync(1000);
   t.false(confirmed);
 });
+
+test('a young process that has not heard all homes does not end a wait', async t => {
+  const {timers, service, spread} = createTrial(2, false);
+  spread(2);
+  const waited = service.wait(1, 1000);
+  await timers.advanceAsync(1100);
+  t.false((await waited).inForce);
+});
--- a/src/operator/service.ts
+++ b/src/operator/service.ts
@@ -142,8 +142,8 @@
 
   async function wait(version: number, within: number): Promise<Waited> {
     const isInForce = () => {
-      const {nodes, inForce} = fleet.summary(version);
-      return nodes > 0 && inForce === nodes;
+      const {nodes, inForce, isSettled} = fleet.summary(version);
+      return isSettled && nodes > 0 && inForce === nodes;
     };
     const inForce = await until(isInForce, within);
     return {version, inForce, summary: fleet.summary(version)};
--- a/src/relay/distribution-host.ts
+++ b/src/relay/distribution-host.ts
@@ -66,6 +66,7 @@
     timers,
     log,
     position: distributor.position,
+    fellows: options.fellows.filter(fellow => fellow !== address).length,
   });
 
   fleet.onHello((hello, channels) => {
