Consensus process tests: ports that no outgoing connection takes

Cause: a port found by listening on 0 lies in the range of outgoing connections; under load one of these can take it between the search and the start, or while a killed member is away, and the start fails.

--- a/bench/consensus/process-group.ts
+++ b/bench/consensus/process-group.ts
@@ -1,8 +1,8 @@
+import {randomInt} from 'node:crypto';
 import {fork} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
 import {mkdtemp, rm} from 'node:fs/promises';
 import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -46,18 +46,33 @@
 const host = new URL('./host.js', import.meta.url);
 const waitLimit = 30_000;
 const pollPeriod = 5;
+const lowestPort = 12_000;
+const highestPort = 32_000;
 
 interface Child {
   readonly process: ChildProcess;
   readonly waiting: Map<number, (reply: Reply) => void>;
 }
 
+/**
+ * A port below those that the system gives to outgoing connections: one of
+ * these could take it while a member that was killed is away.
+ */
 async function freePort(): Promise<number> {
+  for (;;) {
+    const port = randomInt(lowestPort, highestPort);
+    if (await isFree(port)) return port;
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(done => server.close(done));
-  return port;
+  return new Promise(resolve => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => resolve(true));
+    });
+  });
 }
 
 /** Creates and starts a group of processes; spares are not started. */
