Heartbeats: a home says its name once on each link

Once a link tells as much. Runs: fleet and distribution tests (60) and scenarios/processes/relays.test.ts (2) pass.

--- a/src/distribution/home.ts
+++ b/src/distribution/home.ts
@@ -226,7 +226,7 @@
   }
 
   function receivePong(pong: Pong): void {
-    lastHome = pong.home;
+    lastHome = pong.home ?? lastHome;
     const sentAt = pings.get(pong.number);
     if (sentAt === undefined) return;
     for (const number of pings.keys()) {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -57,6 +57,8 @@
   const below = new Set<string>();
   const observers: Array<(hello: Hello, channels: Channels) => void> = [];
   const upstreams = new Set<Channel>();
+  /** Links that were told this home's name, which is not said again. */
+  const named = new WeakSet<Channel>();
   let changed = false;
   let reportedAt = Number.NEGATIVE_INFINITY;
 
@@ -155,10 +157,11 @@
     fleet.send({
       kind: 'pong',
       number: ping.number,
-      home: self.name,
+      ...(!named.has(fleet) && {home: self.name}),
       ...(asOf !== undefined && {age: Math.ceil(timers.now() - asOf)}),
       ...(version !== undefined && {version}),
     });
+    named.add(fleet);
   }
 
   function report(channels: Channels): void {
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -36,8 +36,8 @@
 export interface Pong {
   readonly kind: 'pong';
   readonly number: number;
-  /** The home's name. */
-  readonly home: string;
+  /** The home's name, in the first answer on a link. */
+  readonly home?: string;
   /** Milliseconds since a quorum confirmed the home's state; absent if never. */
   readonly age?: number;
   /** The version that the home last sent to all of its subscribers. */
