Bundle: only the parts of undici that the program uses

The package's entry also loads fetch, cache, WebSocket and mock parts. The process tests run the binary and pass.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -10,7 +10,7 @@
   statSync,
   writeFileSync,
 } from 'node:fs';
-import {join} from 'node:path';
+import {join, resolve} from 'node:path';
 import process from 'node:process';
 import {build} from 'esbuild';
 import {inject} from 'postject';
@@ -23,6 +23,16 @@
 // Node looks for a blob behind this mark in its own executable.
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
+// An alias would also catch the paths inside the package.
+const undiciParts = {
+  name: 'undici-parts',
+  setup(build) {
+    build.onResolve({filter: /^undici$/}, () => ({
+      path: resolve('scripts/undici-client.cjs'),
+    }));
+  },
+};
+
 async function bundleProgram() {
   const {version} = JSON.parse(readFileSync('package.json', 'utf8'));
   await build({
@@ -35,6 +45,7 @@
     minify: true,
     keepNames: true,
     legalComments: 'none',
+    plugins: [undiciParts],
     define: {FOXBARROW_VERSION: JSON.stringify(version)},
     logLevel: 'warning',
   });
--- /dev/null
+++ b/scripts/undici-client.cjs
@@ -0,0 +1,20 @@
+// The parts of undici that the program uses, for the bundle. The package's
+// entry loads its fetch, cache, WebSocket and mock parts too, and a node would
+// hold them for life. The names are those of the package's own entry.
+const Agent = require('undici/lib/dispatcher/agent.js');
+const Client = require('undici/lib/dispatcher/client.js');
+const Dispatcher = require('undici/lib/dispatcher/dispatcher.js');
+const api = require('undici/lib/api/index.js');
+const {URL} = require('node:url');
+const {getGlobalDispatcher} = require('undici/lib/global.js');
+
+Object.assign(Dispatcher.prototype, api);
+
+function request(url, options = {}) {
+  const {dispatcher = getGlobalDispatcher(), ...rest} = options;
+  const {origin, pathname, search} = new URL(url);
+  const method = rest.method ?? 'GET';
+  return dispatcher.request({...rest, origin, path: pathname + search, method});
+}
+
+module.exports = {Agent, Client, request};
