Model: the core protocol and the claims in Promela, one mutant per safeguard

Cause: what is accepted must never revert, and keyed work must run at most once; tests try some orders, a model all within its bounds. consensus.pml follows src/consensus as it stands (one voter a step, storage identity, own-term commit and change, quorum rounds for the version floor); claims.pml follows src/claims and src/keepers. model/run.ts alone starts spin, gcc and the search; a search that is cut fails.

--- /dev/null
+++ b/model/checks.ts
@@ -0,0 +1,145 @@
+/** What spin is asked: each claim at its bounds, each mutant, each witness. */
+
+/** Numbers, and switches that are on, by their names in the specification. */
+export interface Bounds {
+  readonly [name: string]: number | boolean;
+}
+
+/** One question to spin. */
+export interface Check {
+  /** Unique; a mutant's says which safeguard is taken out. */
+  readonly name: string;
+  readonly specification: 'consensus' | 'claims';
+  readonly bounds: Bounds;
+  /**
+   * - `holds`: no reachable state breaks a claim; all states are searched.
+   * - `refuted`: without the safeguard spin finds a broken claim.
+   * - `reached`: not a claim; the good end is reachable, so that the claims do
+   *   not hold merely because nothing happens.
+   */
+  readonly expected: 'holds' | 'refuted' | 'reached';
+  /** Part of the assertion that must break, as spin prints it. */
+  readonly assertion?: string;
+}
+
+const leaders = 'leaderOf';
+const acceptedEntry = 'accepted';
+const floor = 'roundIndex>=owed';
+const runs = 'runs<=1';
+
+const small = {TERMS: 2, LENGTH: 2};
+const disks = {...small, JOINS: 1, LOSSES: 1};
+const replacement = {TERMS: 2, LENGTH: 3, JOINS: 1, REPLACE: true, FIRST: true};
+const halfReplaced = {TERMS: 3, LENGTH: 1, JOINS: 1, CHANGING: true};
+const proxy = {TERMS: 3, LENGTH: 2, RESTARTS: 2, FIRST: true};
+const handover = {EPOCHS: 2, DEATHS: 1, SILENT: true};
+const threeSets = {
+  EPOCHS: 3,
+  DEATHS: 0,
+  SILENT: true,
+  STARTED: true,
+  APART: true,
+};
+
+/** The claims, each at bounds that a search exhausts in under a minute. */
+const claims: readonly Check[] = [
+  hold('election and commit', {TERMS: 4, LENGTH: 2}),
+  hold('unsynced entries lost in crashes', {
+    TERMS: 3,
+    LENGTH: 2,
+    SYNC: true,
+    FIRST: true,
+  }),
+  hold('lost disk', {TERMS: 3, LENGTH: 2, JOINS: 1, LOSSES: 1, FIRST: true}),
+  hold('second disk lost right after the repair of the first', {
+    TERMS: 2,
+    LENGTH: 4,
+    JOINS: 1,
+    LOSSES: 2,
+    FIRST: true,
+  }),
+  hold('replacement of a living member', replacement),
+  hold('replacement half done', {
+    TERMS: 2,
+    LENGTH: 2,
+    JOINS: 1,
+    CHANGING: true,
+  }),
+  hold('version floor of a restarting proxy', proxy),
+  hold('version floor while a disk is lost', {
+    ...disks,
+    RESTARTS: 2,
+    FIRST: true,
+  }),
+  holdClaims('keyed work, one keeper set', {EPOCHS: 1, ATTEMPTS: 3}),
+  holdClaims('keyed work, handover, two keepers lost', {EPOCHS: 2, DEATHS: 2}),
+  holdClaims('keyed work, two handovers', threeSets),
+];
+
+const mutants: readonly Check[] = [
+  refute('VOTE_TWICE', small, leaders),
+  refute('NO_LOG_CHECK', small, acceptedEntry),
+  refute('COMMIT_OLD_TERM', {TERMS: 4, LENGTH: 2}, acceptedEntry),
+  refute('CROSSED_APPEND', small, acceptedEntry),
+  refute('ACK_BEFORE_SYNC', {...small, SYNC: true}, acceptedEntry),
+  refute('NO_IDENTITY', disks, leaders),
+  refute('SWAP_IN_ONE_STEP', replacement, acceptedEntry),
+  refute('TWO_CHANGES', replacement, leaders),
+  refute('CHANGE_BEFORE_OWN_COMMIT', halfReplaced, leaders),
+  refute('JOIN_RUNNING_ROUND', proxy, floor),
+  refute('FLOOR_BEFORE_OWN_COMMIT', proxy, floor),
+  refute('NO_QUORUM_ROUND', proxy, floor),
+  refuteClaims('MINORITY_GRANTS', {...handover, DEATHS: 0}),
+  refuteClaims('RELEASE_AFTER_RUN', {EPOCHS: 1, SILENT: true}),
+  refuteClaims('NO_INCARNATION', handover),
+  refuteClaims('NO_HANDOVER', handover),
+  refuteClaims('SEAL_KEEPS_VOTING', handover),
+  refuteClaims('ONE_SEAL_IS_ENOUGH', handover),
+  refuteClaims('APPOINT_EARLY', threeSets),
+];
+
+const witnesses: readonly Check[] = [
+  reach('ACCEPTED', small, 'commit'),
+  reach('SECOND_LOSS', {...disks, LENGTH: 4, LOSSES: 2}, 'lost==2'),
+  reach('REPLACED', replacement, 'voters'),
+  reach('FLOOR', {...small, RESTARTS: 1}, 'owed'),
+  {
+    ...reach('RUN_IN_LAST_EPOCH', {EPOCHS: 2, DEATHS: 0}, 'asked'),
+    specification: 'claims',
+  },
+];
+
+/** All checks, the quick ones last. */
+export const checks: readonly Check[] = [...claims, ...mutants, ...witnesses];
+
+function hold(name: string, bounds: Bounds): Check {
+  return {name, specification: 'consensus', bounds, expected: 'holds'};
+}
+
+function holdClaims(name: string, bounds: Bounds): Check {
+  return {...hold(name, bounds), specification: 'claims'};
+}
+
+function refute(mutant: string, bounds: Bounds, assertion: string): Check {
+  return {
+    name: `MUTANT_${mutant}`,
+    specification: 'consensus',
+    bounds: {...bounds, [`MUTANT_${mutant}`]: true},
+    expected: 'refuted',
+    assertion,
+  };
+}
+
+function refuteClaims(mutant: string, bounds: Bounds): Check {
+  return {...refute(mutant, bounds, runs), specification: 'claims'};
+}
+
+function reach(witness: string, bounds: Bounds, assertion: string): Check {
+  return {
+    name: `WITNESS_${witness}`,
+    specification: 'consensus',
+    bounds: {...bounds, [`WITNESS_${witness}`]: true},
+    expected: 'reached',
+    assertion,
+  };
+}
--- /dev/null
+++ b/model/run.ts
@@ -0,0 +1,139 @@
+/** Has spin check the specifications; only this module starts spin and gcc. */
+import {execFile} from 'node:child_process';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {checks} from './checks.js';
+import type {Bounds, Check} from './checks.js';
+
+/** What came of one check. */
+export interface Outcome {
+  /** Whether it is as expected. */
+  readonly passed: boolean;
+  /** What was found, in a few words. */
+  readonly finding: string;
+  readonly states: number;
+  readonly seconds: number;
+  readonly megabytes: number;
+}
+
+/** Longest search in milliseconds, and its memory in megabytes. */
+const searchTimeout = 110_000;
+const searchMemory = 1400;
+const searchDepth = 20_000;
+const compilerFlags = ['-w', '-DSAFETY', '-DCOLLAPSE'];
+
+/** Thrown when spin or gcc can't be started. */
+export class ToolMissing extends Error {
+  constructor(tool: string) {
+    super(`${tool} is missing; install it with: apt-get install spin gcc`);
+  }
+}
+
+interface Ending {
+  readonly output: string;
+  readonly failed: boolean;
+}
+
+function start(
+  file: string,
+  args: readonly string[],
+  cwd: string,
+): Promise<Ending> {
+  const limits = {timeout: searchTimeout, maxBuffer: 16 * 1024 * 1024};
+  return new Promise((resolve, reject) => {
+    execFile(file, args, {cwd, ...limits}, (error, stdout, stderr) => {
+      const isMissing = error !== null && error.code === 'ENOENT';
+      if (isMissing) reject(new ToolMissing(file));
+      else resolve({output: stdout + stderr, failed: error !== null});
+    });
+  });
+}
+
+async function build(
+  file: string,
+  args: readonly string[],
+  folder: string,
+): Promise<void> {
+  const {output, failed} = await start(file, args, folder);
+  if (failed) throw new Error(`${file} failed: ${output}`);
+}
+
+const toFlags = (bounds: Bounds) =>
+  Object.entries(bounds).map(([name, value]) =>
+    value === true ? `-D${name}` : `-D${name}=${value}`,
+  );
+
+/** Searches the states of one check; never takes a cut search for a whole one. */
+export async function run(check: Check): Promise<Outcome> {
+  const source = `../../model/${check.specification}.pml`;
+  const path = fileURLToPath(new URL(source, import.meta.url));
+  const folder = await mkdtemp(join(tmpdir(), 'foxbarrow-model-'));
+  try {
+    await build('spin', ['-a', '-o3', ...toFlags(check.bounds), path], folder);
+    const flags = [...compilerFlags, `-DMEMLIM=${searchMemory}`];
+    // Only whole searches are long enough to repay an optimizing compiler.
+    flags.push(check.expected === 'holds' ? '-O2' : '-O1');
+    const args = ['-E', '-n', `-m${searchDepth}`];
+    await build('gcc', [...flags, '-o', 'pan', 'pan.c'], folder);
+    return judge(check, await start('./pan', args, folder));
+  } finally {
+    await rm(folder, {recursive: true, force: true});
+  }
+}
+
+/** Reads what the search printed. */
+export function judge(check: Check, {output, failed}: Ending): Outcome {
+  const find = (pattern: RegExp) => Number(pattern.exec(output)?.[1] ?? NaN);
+  const figures = {
+    states: find(/(\d+) states, stored/),
+    seconds: find(/elapsed time ([\d.]+)/),
+    megabytes: find(/([\d.]+)\s+total actual memory/),
+  };
+  const broken = /assertion violated (.*) \(at depth/.exec(output)?.[1];
+  if (broken !== undefined) {
+    const isExpected =
+      check.expected !== 'holds' && broken.includes(check.assertion!);
+    const finding = `${isExpected ? check.expected : 'broken'}: ${broken}`;
+    return {passed: isExpected, finding, ...figures};
+  }
+  const isWhole =
+    !failed &&
+    find(/errors: (\d+)/) === 0 &&
+    figures.states > 0 &&
+    !/Search not completed|search depth too small|out of memory/.test(output);
+  if (!isWhole) {
+    return {passed: false, finding: 'search not completed', ...figures};
+  }
+  if (check.expected === 'holds') {
+    return {passed: true, finding: 'holds, all states searched', ...figures};
+  }
+  return {passed: false, finding: 'no state breaks it', ...figures};
+}
+
+/** One line for a person. */
+export function describe(check: Check, outcome: Outcome): string {
+  const {passed, finding, states, seconds, megabytes} = outcome;
+  const bounds = toFlags(check.bounds)
+    .map(flag => flag.slice(2))
+    .filter(flag => flag !== check.name)
+    .join(' ');
+  const figures = `${states} states, ${seconds} s, ${megabytes} MB`;
+  const verdict = passed ? 'ok' : 'FAILED';
+  return `${verdict} ${check.specification}: ${check.name} [${bounds}] ${figures}; ${finding}`;
+}
+
+async function main(): Promise<void> {
+  let failures = 0;
+  for (const check of checks) {
+    const outcome = await run(check);
+    if (!outcome.passed) failures++;
+    process.stdout.write(`${describe(check, outcome)}\n`);
+  }
+  process.stdout.write(`${checks.length - failures} ok, ${failures} failed\n`);
+  process.exitCode = failures === 0 ? 0 : 1;
+}
+
+if (process.argv[1] === fileURLToPath(import.meta.url)) await main();
