--- a/src/endpoints/health.test.ts
+++ b/src/endpoints/health.test.ts
@@ -49,7 +49,11 @@
   // between two looks, and the instance is gone.
   const {health, state, see} = start();
   await see('well', 5);
-  for (let turn = 0; turn < 3; turn++) health.observe('refused');
+  const refusal = Object.assign(new Error(), {code: 'ECONNREFUSED'});
+  const slow = Object.assign(new Error(), {code: 'UND_ERR_CONNECT_TIMEOUT'});
+  for (let turn = 0; turn < 3; turn++) health.observeConnection(slow);
+  t.is(health.verdict(), 'ready');
+  for (let turn = 0; turn < 3; turn++) health.observeConnection(refusal);
   t.is(health.verdict(), 'dead');
   t.is(state(), 'gone');
 });
--- a/src/endpoints/health.ts
+++ b/src/endpoints/health.ts
@@ -41,8 +41,10 @@
 /** Watches the upstream beside a node. */
 export interface Health {
   verdict(): Verdict;
-  /** Takes what the gate saw of the upstream. */
+  /** Takes what was seen of the upstream. */
   observe(observation: Observation): void;
+  /** Takes a connection of the gate: an answer, or its failure to begin. */
+  observeConnection(failure: Error | undefined): void;
   close(): void;
 }
 
@@ -117,7 +119,14 @@
     () => void look(),
   );
 
-  return {verdict, observe, close: () => ticking.cancel()};
+  /** Only a refusal speaks of death; a full or slow upstream is alive. */
+  function observeConnection(failure: Error | undefined): void {
+    if (failure === undefined) {
+      if (refused > 0 || verdict() !== 'ready') observe('answered');
+    } else if (isRefusal(failure)) observe('refused');
+  }
+
+  return {verdict, observe, observeConnection, close: () => ticking.cancel()};
 }
 
 /** Creates a probe: the health path where there is one, else a connection. */
--- a/src/node/run.ts
+++ b/src/node/run.ts
@@ -90,6 +90,7 @@
         claims: claims.claims,
         timers,
         log,
+        onUpstream: failure => health.observeConnection(failure),
       }),
   });
   subscriber.onSwitch(() => gate.review());
--- a/src/request/gate.ts
+++ b/src/request/gate.ts
@@ -44,6 +44,8 @@
   readonly claims: Claims | undefined;
   readonly timers: Timers;
   readonly log: Log;
+  /** Hears whether the upstream takes connections: a failure, or an answer. */
+  readonly onUpstream?: (failure: Error | undefined) => void;
   /** Test only. */
   readonly safeguards?: Partial<Safeguards>;
   /** Choices of the admission, with its own defaults. */
@@ -128,6 +130,7 @@
       answer,
       admission,
       connections,
+      onUpstream: options.onUpstream,
       timers,
       closedReason,
       safeguards,
--- a/src/request/run.ts
+++ b/src/request/run.ts
@@ -25,6 +25,8 @@
   readonly safeguards: Safeguards;
   /** Called once when nothing of it is left at the gate. */
   readonly ended: () => void;
+  /** Hears of each answer's head, and of each failure before the start. */
+  readonly onUpstream?: (failure: Error | undefined) => void;
 }
 
 /** One piece of work. */
@@ -64,6 +66,7 @@
     },
     interim: () => {},
     head: (status, reason, raw) => {
+      options.onUpstream?.(undefined);
       if (answered) return;
       const {method} = call;
       if (safeguards.framing && !isFramed(method, status, raw)) {
@@ -90,6 +93,7 @@
       finish(timers.now() - startedAt!);
     },
     failed: (error, began) => {
+      if (!began) options.onUpstream?.(error);
       breakOff(reasonOf(error, began && safeguards.doubt));
       finish(undefined);
     },
