--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,4 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 npm run --silent compile
-node build/bench/demo/main.js
+npm run --silent build
+# What runs is the file that ships.
+FOXBARROW_BINARY=dist/foxbarrow node build/bench/demo/main.js
