Tests: verdicts hang on events, not on the machine's speed

Cause: a few tests raced a real clock or assumed that leadership stays.

- Gate and mesh tests: sockets are real, time is fake and moved by the test.
The deadline tests wait until the upstream has the work, then pass the time; "its connection is broken off" is now looked at on the upstream's side.
The slots test lets work end only while all slots are taken.
The caller's shorter time is 504 and 5007 again, which a real 30 ms could not promise.
- Operators' client: whatever must give up does so in a time that passes in its pauses alone; whatever must succeed has the default time (was 0.4 s, 0.5 s).
- Control processes: a replacement whose outcome is unknown is looked up in the status; the frozen leader's test, which demands that the term stays, has an election timeout of 2 s (was 0.5 s).
- Ports of process groups come from reserved ranges: an outgoing connection sat on a port that was free when it was asked for (EADDRINUSE, seen once).
A start that failed so passed for a success; it rejects now.
- Process tests end by killing what is left.
Their graceful stop was not judged by any of them, waited 5.5 s for keepers with no successor, and would have hung on a frozen process.
Planned stops keep their own tests and the demo.
- Setting up asks the operators' API instead of starting a command each time.

Bounds went up (10 s and 30 s to 60 s), none down; no assertion was dropped.

--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -37,6 +37,11 @@
   restart(name: string): Program;
   /** Stops all in a planned way; gives the names that did not exit with 0. */
   stop(): Promise<readonly string[]>;
+  /**
+   * Kills all at once, frozen ones too: the end of a test that judges no stop,
+   * which would wait for keepers that no one is left to follow.
+   */
+  end(): Promise<void>;
 }
 
 /** How a deployment is started. */
@@ -143,6 +148,12 @@
       await rm(data, {recursive: true, force: true});
       return failed;
     },
+    async end() {
+      const all = [...started.values()];
+      for (const program of all) program.signal('SIGKILL');
+      await Promise.all(all.map(program => program.ended()));
+      await rm(data, {recursive: true, force: true});
+    },
   };
 }
 
--- a/bench/deployment/small.ts
+++ b/bench/deployment/small.ts
@@ -45,14 +45,23 @@
     work: options.work ?? defaultWork,
     upstreamAddress: ports.take,
   });
+
+  async function release(): Promise<void> {
+    ports.release();
+    await rm(folder, {recursive: true, force: true});
+  }
+
   return {
     ...deployment,
     async stop() {
       const failed = await deployment.stop();
-      ports.release();
-      await rm(folder, {recursive: true, force: true});
+      await release();
       return failed;
     },
+    async end() {
+      await deployment.end();
+      await release();
+    },
   };
 }
 
--- a/src/operator/create-operator-client.ts
+++ b/src/operator/create-operator-client.ts
@@ -82,7 +82,7 @@
 const shortestAttempt = 50;
 
 /** Milliseconds between two rounds over all addresses. */
-const roundPause = 100;
+export const roundPause = 100;
 
 /** Creates a client that knows several control processes. */
 export function createOperatorClient(
--- a/src/operator/testing/control-processes.ts
+++ b/src/operator/testing/control-processes.ts
@@ -2,12 +2,12 @@
 import type {ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
+import {reservePorts} from '../../../bench/deployment/ports.js';
+import type {Ports} from '../../../bench/deployment/ports.js';
 
 /** Control processes on loopback, for tests of what a kill leaves behind. */
 export interface ControlProcesses {
@@ -43,13 +43,21 @@
 
 const failureDomains = ['hall-a', 'hall-b', 'hall-c'];
 
+const children = new Set<ChildProcess>();
+
+/** A test run that is cut short must leave no process behind. */
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
+
 /** Writes settings for three control processes and starts them. */
 export async function startControlProcesses(): Promise<ControlProcesses> {
   const folder = await mkdtemp(join(tmpdir(), 'foxbarrow-'));
+  const ports = await reservePorts();
   const running = new Map<string, ChildProcess>();
   const members: ControlMember[] = [];
   for (const [index, failureDomain] of failureDomains.entries()) {
-    members.push(await createMember(`control-${index + 1}`, failureDomain));
+    members.push(createMember(`control-${index + 1}`, failureDomain, ports));
   }
 
   function fileOf(name: string): string {
@@ -64,7 +72,7 @@
       role: 'control',
       region: 'astana',
       ...member,
-      adminAddress: await findAddress(),
+      adminAddress: ports.take(),
       dataFolder: join(folder, member.name),
       members: group,
     };
@@ -73,7 +81,10 @@
 
   function start(name: string): void {
     const args = [program, 'control', fileOf(name)];
-    running.set(name, spawn(process.execPath, args, {stdio: 'ignore'}));
+    const child = spawn(process.execPath, args, {stdio: 'ignore'});
+    children.add(child);
+    child.once('exit', () => children.delete(child));
+    running.set(name, child);
   }
 
   async function kill(name: string): Promise<void> {
@@ -94,7 +105,7 @@
     leaving: string,
   ): Promise<ControlMember> {
     const left = members.find(member => member.name === leaving)!;
-    const member = await createMember(name, left.failureDomain);
+    const member = createMember(name, left.failureDomain, ports);
     const others = members.filter(each => each !== left);
     await writeSettings(member, [...others, member]);
     start(name);
@@ -116,31 +127,22 @@
     thaw: name => void running.get(name)?.kill('SIGCONT'),
     async end() {
       await Promise.all([...running.keys()].map(kill));
+      ports.release();
       await rm(folder, {recursive: true, force: true});
     },
   };
 }
 
-async function createMember(
+function createMember(
   name: string,
   failureDomain: string,
-): Promise<ControlMember> {
+  ports: Ports,
+): ControlMember {
   return {
     name,
-    peerAddress: await findAddress(),
-    operatorAddress: await findAddress(),
-    distributionAddress: await findAddress(),
+    peerAddress: ports.take(),
+    operatorAddress: ports.take(),
+    distributionAddress: ports.take(),
     failureDomain,
   };
 }
-
-/** An address on loopback whose port is free at the moment. */
-async function findAddress(): Promise<string> {
-  const server = createServer();
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return `127.0.0.1:${port}`;
-}
--- a/src/request/fakes/calls.ts
+++ b/src/request/fakes/calls.ts
@@ -1,6 +1,6 @@
 import type {Call} from '../messages.js';
 
-/** A lookup with five seconds to run; `changes` go over the defaults. */
+/** A lookup whose time is up at 5000 ms of fake timers; `changes` go over the defaults. */
 export function callOf(changes: Partial<Call> = {}): Call {
   return {
     id: 'entry-1',
@@ -12,7 +12,7 @@
     priority: 'normal',
     repeatability: 'idempotent',
     key: undefined,
-    deadline: performance.now() + 5_000,
+    deadline: 5_000,
     ...changes,
   };
 }
--- a/src/request/fakes/mesh.ts
+++ b/src/request/fakes/mesh.ts
@@ -1,4 +1,8 @@
-/** A small mesh on loopback: upstreams made by the test, gates, one entry. */
+/**
+ * A small mesh on loopback: upstreams made by the test, gates, one entry. The
+ * sockets are real; time stands still but when the test moves it, so that no
+ * verdict hangs on how fast the machine is.
+ */
 import {createServer} from 'node:http';
 import type {RequestListener, Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -6,7 +10,8 @@
 import type {Configuration} from '../../configuration/configuration.js';
 import {createSilentLog} from '../../log/log.js';
 import {createRandom} from '../../random/random.js';
-import {createTimers} from '../../time/timers.js';
+import {createFakeTimers, settle} from '../../time/fakes/fake-timers.js';
+import type {FakeTimers} from '../../time/fakes/fake-timers.js';
 import {createEntry} from '../entry.js';
 import type {Entry, EntryOptions} from '../entry.js';
 import {createGate} from '../gate.js';
@@ -44,12 +49,12 @@
   readonly members: readonly Member[];
   readonly endpoints: FakeEndpoints;
   readonly entry: Entry;
+  readonly timers: FakeTimers;
   /** The entry's URL, without a path. */
   readonly url: string;
   close(): Promise<void>;
 }
 
-const timers = createTimers();
 const log = createSilentLog();
 const headerLimit = 16 * 1024;
 const bodyLimit = 64 * 1024 * 1024;
@@ -59,6 +64,7 @@
 export async function createMesh(options: MeshOptions): Promise<Mesh> {
   const configuration = options.configuration ?? (() => stockConfiguration);
   const endpoints = createFakeEndpoints();
+  const timers = createFakeTimers();
   const members: Member[] = [];
   for (const [index, listener] of options.upstreams.entries()) {
     const member = await createMember(
@@ -66,6 +72,7 @@
       listener,
       configuration,
       options,
+      timers,
     );
     members.push(member);
     endpoints.put(
@@ -96,10 +103,11 @@
     members,
     endpoints,
     entry,
+    timers,
     url: `http://${entry.address}`,
     close: async () => {
-      await entry.stop(0);
-      await Promise.all(members.map(closeMember));
+      await passTime(timers, entry.stop(0));
+      await passTime(timers, Promise.all(members.map(closeMember)));
     },
   };
 }
@@ -109,6 +117,7 @@
   listener: RequestListener,
   configuration: () => Configuration | undefined,
   options: MeshOptions,
+  timers: FakeTimers,
 ): Promise<Member> {
   const upstream = createServer(listener);
   const gate = createGate({
@@ -138,6 +147,20 @@
   return {instance, upstream, gate, server};
 }
 
+/** Moves time on until `work` is done. */
+export async function passTime(
+  timers: FakeTimers,
+  work: Promise<unknown>,
+): Promise<void> {
+  let isDone = false;
+  const done = work.finally(() => (isDone = true));
+  while (!isDone) {
+    timers.advance(grace);
+    await settle();
+  }
+  await done;
+}
+
 /** Lets a server listen on a free port of loopback; gives its address. */
 export async function listen(server: Server): Promise<string> {
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
