Relay test shows what a change that failed said

Cause: it failed once on a busy machine with nothing but an exit code to go by. Conclusion: the next failure names its cause.

--- a/scenarios/processes/relays.test.ts
+++ b/scenarios/processes/relays.test.ts
@@ -22,12 +22,16 @@
   return deployment;
 }
 
-/** Puts a service and waits until every node has that version. */
-async function change(deployment: Deployment, name: string): Promise<number> {
+/**
+ * Puts a service and waits until every node has that version; gives what went
+ * wrong, or nothing.
+ */
+async function change(deployment: Deployment, name: string): Promise<string> {
   const done = await deployment.operate('put', 'service', name);
+  if (done.code !== 0) return done.errors;
   const version = /version (\d+)/.exec(done.output)?.[1] ?? '0';
   const waited = await deployment.operate('wait', version, 'within', '60s');
-  return done.code + waited.code;
+  return waited.code === 0 ? '' : waited.output + waited.errors;
 }
 
 async function lookUpEverywhere(deployment: Deployment): Promise<number[]> {
@@ -47,16 +51,16 @@
     // in force at every node. Started again, the relay is of use again: then the
     // other one may die.
     const deployment = await start(t);
-    t.is(await change(deployment, 'first'), 0);
+    t.is(await change(deployment, 'first'), '');
     const [one, two] = deployment.relays;
     one!.signal('SIGKILL');
     for (let round = 0; round < 5; round++) {
       t.deepEqual(await lookUpEverywhere(deployment), [200]);
     }
-    t.is(await change(deployment, 'second'), 0);
+    t.is(await change(deployment, 'second'), '');
     deployment.restart(one!.name);
     two!.signal('SIGKILL');
-    t.is(await change(deployment, 'third'), 0);
+    t.is(await change(deployment, 'third'), '');
     t.deepEqual(await lookUpEverywhere(deployment), [200]);
   },
 );
@@ -78,6 +82,6 @@
     return reply.ok && reply.value.summary.nodes === deployment.places.length;
   });
   await client.close();
-  t.is(await change(deployment, 'after'), 0);
+  t.is(await change(deployment, 'after'), '');
   t.deepEqual(await lookUpEverywhere(deployment), [200]);
 });
