--- a/bench/claims/far-network.ts
+++ b/bench/claims/far-network.ts
@@ -1,5 +1,6 @@
-import {Link, Network} from '../../src/link/link.js';
-import type {Address, Listener} from '../../src/link/link.js';
+import {ForwardingLink} from '../../src/link/forwarding-link.js';
+import {Network} from '../../src/link/link.js';
+import type {Address, Link, Listener} from '../../src/link/link.js';
 import type {Timers} from '../../src/time/timers.js';
 
 /** Bytes that links of one network carried. */
@@ -26,38 +27,12 @@
       sent = link.bytesOut + link.pending;
       traffic.messages++;
     };
-    return new (class extends Link {
-      readonly peer = link.peer;
-
-      get pending(): number {
-        return link.pending;
-      }
-
-      get bytesIn(): number {
-        return link.bytesIn;
-      }
-
-      get bytesOut(): number {
-        return link.bytesOut;
-      }
-
-      send(message: unknown): void {
+    return new (class extends ForwardingLink {
+      override send(message: unknown): void {
         if (delay === 0) send(message);
         else timers.after(delay, () => send(message));
       }
-
-      onMessage(receive: (message: unknown) => void): void {
-        link.onMessage(receive);
-      }
-
-      onClose(closed: () => void): void {
-        link.onClose(closed);
-      }
-
-      close(): void {
-        link.close();
-      }
-    })();
+    })(link);
   }
 
   return new (class extends Network {
--- a/src/consensus/fakes/freezable.ts
+++ b/src/consensus/fakes/freezable.ts
@@ -1,5 +1,6 @@
-import {Link, Network} from '../../link/link.js';
-import type {Address, Listener} from '../../link/link.js';
+import {ForwardingLink} from '../../link/forwarding-link.js';
+import {Network} from '../../link/link.js';
+import type {Address, Link, Listener} from '../../link/link.js';
 import {Timers} from '../../time/timers.js';
 import type {Subscription} from '../../time/timers.js';
 
@@ -90,35 +91,13 @@
 }
 
 function wrap(link: Link, clock: FreezableTimers): Link {
-  return new (class extends Link {
-    readonly peer = link.peer;
-
-    get pending(): number {
-      return link.pending;
-    }
-
-    get bytesIn(): number {
-      return link.bytesIn;
-    }
-
-    get bytesOut(): number {
-      return link.bytesOut;
-    }
-
-    send(message: unknown): void {
-      link.send(message);
-    }
-
-    onMessage(receive: (message: unknown) => void): void {
+  return new (class extends ForwardingLink {
+    override onMessage(receive: (message: unknown) => void): void {
       link.onMessage(message => clock.whenAwake(() => receive(message)));
     }
 
-    onClose(closed: () => void): void {
+    override onClose(closed: () => void): void {
       link.onClose(() => clock.whenAwake(closed));
     }
-
-    close(): void {
-      link.close();
-    }
-  })();
+  })(link);
 }
--- a/src/metrics/metered-network.ts
+++ b/src/metrics/metered-network.ts
@@ -1,5 +1,6 @@
-import {Link, Network} from '../link/link.js';
-import type {Address, Listener} from '../link/link.js';
+import {ForwardingLink} from '../link/forwarding-link.js';
+import {Network} from '../link/link.js';
+import type {Address, Link, Listener} from '../link/link.js';
 import type {Timers} from '../time/timers.js';
 import type {Metrics, Traffic} from './metrics.js';
 
@@ -67,36 +68,10 @@
     closed?.();
   });
 
-  return new (class extends Link {
-    readonly peer = link.peer;
-
-    get pending(): number {
-      return link.pending;
-    }
-
-    get bytesIn(): number {
-      return link.bytesIn;
-    }
-
-    get bytesOut(): number {
-      return link.bytesOut;
-    }
-
-    send(message: unknown): void {
-      link.send(message);
-    }
-
-    onMessage(receive: (message: unknown) => void): void {
-      link.onMessage(receive);
-    }
-
-    onClose(observe: () => void): void {
+  return new (class extends ForwardingLink {
+    override onClose(observe: () => void): void {
       closed = observe;
       if (isClosed) observe();
     }
-
-    close(): void {
-      link.close();
-    }
-  })();
+  })(link);
 }
