Members that replaced others are known by all their addresses

A member put in place by `replace control` was in nobody's settings: a refusal could not name its operators' address when it led, and neither the mesh of the control processes nor nodes and relays knew where it takes links.

Each member now tells its operators' and distribution address in its hello; the leader puts them into the membership entry, founders' come from settings. The control role reads them through src/control/member-directory.ts: refusals name the leader, the mesh follows the members, the count of awaited fellows follows, and nodes and relays linked to a control process are told the present voters' addresses in a pong after each change.

Ruled out: the addresses in the command (ages when a member moves), only in the hello (unknown after a restart while the member is away). Older code reads past the new fields, so the protocol version stays 1.

HomeAddress moved to src/fleet/messages.ts, as a message carries it now. The fakes: a test group's members have all addresses, a staged home may tell of others. No existing test's expectation changed.

--- a/bench/distribution/messages.ts
+++ b/bench/distribution/messages.ts
@@ -1,5 +1,5 @@
 import type {DistributorCounts} from '../../src/distribution/distributor.js';
-import type {HomeAddress} from '../../src/distribution/rendezvous.js';
+import type {HomeAddress} from '../../src/fleet/messages.js';
 
 /** Messages between the bench and its stand-in processes, over their IPC. */
 
--- a/src/consensus/consensus.ts
+++ b/src/consensus/consensus.ts
@@ -19,6 +19,10 @@
   /** Where it takes peer messages. */
   readonly address: string;
   readonly failureDomain: string;
+  /** Where operators reach it; told by itself, absent while it has not. */
+  readonly operatorAddress?: string;
+  /** Where nodes, relays and fellows reach it; told by itself as well. */
+  readonly distributionAddress?: string;
 }
 
 /** A view of one control process, for operators and metrics. */
@@ -55,6 +59,8 @@
   onApplied(observe: (index: number) => void): void;
   /** Calls `observe` after each change of role or leader. */
   onRole(observe: (status: Status) => void): void;
+  /** Calls `observe` when the members or what they tell of themselves change. */
+  onMembers(observe: () => void): void;
   /** Ends the member; a leader first lets another one lead. */
   stop(): Promise<void>;
 }
--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -40,6 +40,7 @@
   const {state} = core;
   const proposals = createProposals();
   const roleObservers: Array<(status: Status) => void> = [];
+  const memberObservers: Array<() => void> = [];
   const due: Action[] = [];
   let isPerforming = false;
   let stopped: Result<never> | undefined;
@@ -101,7 +102,9 @@
   const ticking = timers.every(Math.max(1, heartbeat / 2), tick);
 
   function handle(event: Event): void {
-    if (stopped === undefined) perform(core.handle(event, timers.now()));
+    if (stopped !== undefined) return;
+    perform(core.handle(event, timers.now()));
+    if (event.kind === 'met') observeMembers();
   }
 
   /**
@@ -117,6 +120,11 @@
     if (state.log.membership === followed) return;
     followed = state.log.membership;
     links.follow(followed);
+    observeMembers();
+  }
+
+  function observeMembers(): void {
+    for (const observe of memberObservers) observe();
   }
 
   function act(action: Action): void {
@@ -217,7 +225,8 @@
         `${joining.name} has not called; start it with this group's members in its settings`,
       );
     }
-    const voter = {...joining, storage: met.storage};
+    // The command gives its peer address; the rest it has told by itself.
+    const voter = {...met, ...joining};
     const {answer, actions} = core.replace(leaving, voter, timers.now());
     perform(actions);
     if (answer === 'begun') return replacements.wait(leaving, joining.name);
@@ -225,6 +234,18 @@
     return refuseReplacement(answer, leaving, joining.name);
   }
 
+  /** A member as it last told of itself, where it stands at other ports now. */
+  function view(member: Voter): Voter {
+    const told = member.name === self.name ? me : links.find(member.name);
+    if (told?.storage !== member.storage) return member;
+    const {operatorAddress, distributionAddress} = told;
+    return {
+      ...member,
+      ...(operatorAddress !== undefined && {operatorAddress}),
+      ...(distributionAddress !== undefined && {distributionAddress}),
+    };
+  }
+
   function status(): Status {
     const {voters, learners} = state.log.membership;
     return {
@@ -234,8 +255,8 @@
       commitIndex: state.commitIndex,
       lastIndex: state.log.lastIndex,
       snapshotIndex: state.snapshot.index,
-      voters,
-      learners,
+      voters: voters.map(view),
+      learners: learners.map(view),
       bytesOut: links.bytesOut,
       logBytes: storage.logBytes,
     };
@@ -285,6 +306,7 @@
     replace,
     onApplied: observe => applier.observe(observe),
     onRole: observe => void roleObservers.push(observe),
+    onMembers: observe => void memberObservers.push(observe),
     async stop() {
       await retire();
       await halt(
--- a/src/consensus/fakes/fake-consensus.ts
+++ b/src/consensus/fakes/fake-consensus.ts
@@ -99,6 +99,7 @@
       },
       onApplied: observe => void observers.add(observe),
       onRole: () => {},
+      onMembers: () => {},
       stop: async () => {},
     };
   }
--- a/src/consensus/fakes/group.ts
+++ b/src/consensus/fakes/group.ts
@@ -122,7 +122,13 @@
   function add(name: string): void {
     const address = `10.0.0.${all.size + 1}:7000`;
     all.set(name, {
-      member: {name, address, failureDomain: `domain-${name}`},
+      member: {
+        name,
+        address,
+        failureDomain: `domain-${name}`,
+        operatorAddress: address.replace('7000', '7001'),
+        distributionAddress: address.replace('7000', '7002'),
+      },
       disk: createFakeDisk({timers, ...options.diskOptions}),
       consensus: undefined,
       journal: createJournal(),
--- a/src/consensus/formation.ts
+++ b/src/consensus/formation.ts
@@ -29,11 +29,12 @@
   function collect(): readonly Voter[] | undefined {
     if (!isFounder) return undefined;
     const founders: Voter[] = [];
-    for (const {name, address, failureDomain} of members) {
+    for (const member of members) {
+      const {name} = member;
       const storage =
         name === self.name ? self.storage : empty.get(name)?.storage;
       if (storage === undefined) return undefined;
-      founders.push({name, address, failureDomain, storage});
+      founders.push({...member, storage});
     }
     return founders.sort((left, right) => (left.name < right.name ? -1 : 1));
   }
--- a/src/consensus/membership.test.ts
+++ b/src/consensus/membership.test.ts
@@ -184,3 +184,45 @@
   t.false(votersOf(group, leader).includes(leaving));
   t.deepEqual([view().voters.length, view().learners.length], [3, 0]);
 });
+
+test('a joined member is known with all its addresses, also after restarts without it', async t => {
+  // The command names the peer address alone. Operators who are refused by an
+  // old member are sent on only if it knows the new leader's other addresses;
+  // it must still know them when it starts again while the new one is down.
+  const group = await startWithSpares();
+  const leader = group.leader()!;
+  const leaving = group.names.find(name => name !== leader)!;
+  const {name, address, failureDomain, ...told} = group.member('d').member;
+  const joining = {name, address, failureDomain};
+  const replaced = group.member(leader).consensus!.replace(leaving, joining);
+  t.true((await group.settled(replaced)).ok);
+  await group.run(200);
+  group.kill('d');
+  const others = group.names.filter(
+    other => !['d', 'e', leaving].includes(other),
+  );
+  for (const other of others) group.kill(other);
+  for (const other of others) {
+    await group.start(other);
+    const {voters} = group.member(other).consensus!.status();
+    t.like(
+      voters.find(voter => voter.name === 'd'),
+      told,
+    );
+  }
+});
+
+test('observers hear of a joined member', async t => {
+  const group = await startWithSpares();
+  const leader = group.leader()!;
+  const other = group.names.find(name => name !== leader)!;
+  const last = group.names.find(name => ![leader, other].includes(name))!;
+  const {consensus} = group.member(other);
+  const seen = new Set<string>();
+  consensus!.onMembers(() => {
+    for (const voter of consensus!.status().voters) seen.add(voter.name);
+  });
+  t.true((await group.settled(replace(group, last, 'd'))).ok);
+  await group.run(200);
+  t.true(seen.has('d'));
+});
--- /dev/null
+++ b/src/control/member-directory.test.ts
@@ -0,0 +1,92 @@
+import test from 'ava';
+import type {Member, Status} from '../consensus/consensus.js';
+import {createMemberDirectory} from './member-directory.js';
+
+const founder = (number: number) => ({
+  name: `control-${number}`,
+  peerAddress: `10.0.0.${number}:7000`,
+  operatorAddress: `10.0.0.${number}:7001`,
+  distributionAddress: `10.0.0.${number}:7002`,
+  failureDomain: 'hall-a',
+});
+
+const founders = [1, 2, 3].map(founder);
+
+const old = (number: number): Member => ({
+  name: `control-${number}`,
+  address: `10.0.0.${number}:7000`,
+  failureDomain: 'hall-a',
+});
+
+function stage() {
+  let voters: Member[] = [];
+  const observers: Array<() => void> = [];
+  const directory = createMemberDirectory(
+    {
+      status: () => ({voters, learners: []}) as unknown as Status,
+      onMembers: observe => void observers.push(observe),
+    },
+    founders,
+  );
+  let changes = 0;
+  directory.onChange(() => changes++);
+  return {
+    directory,
+    changes: () => changes,
+    become(next: Member[]) {
+      voters = next;
+      for (const observe of observers) observe();
+    },
+  };
+}
+
+test('before the group is formed the settings count', t => {
+  const {directory} = stage();
+  t.deepEqual(
+    directory.fellows(),
+    founders.map(one => one.distributionAddress),
+  );
+  t.is(directory.operatorAddress('control-2'), '10.0.0.2:7001');
+  t.deepEqual(directory.homes(), []);
+});
+
+test('a member of a group formed by older code is known by settings', t => {
+  const {directory, become} = stage();
+  become([1, 2, 3].map(old));
+  t.is(directory.operatorAddress('control-3'), '10.0.0.3:7001');
+  t.is(directory.fellows().length, 3);
+});
+
+test('a member that replaced another is known by what it told', t => {
+  const {directory, become, changes} = stage();
+  become([1, 2, 3].map(old));
+  const joined = {
+    ...old(4),
+    operatorAddress: '10.0.0.4:7001',
+    distributionAddress: '10.0.0.4:7002',
+  };
+  become([old(2), old(3), joined]);
+  t.is(directory.operatorAddress('control-4'), '10.0.0.4:7001');
+  const addresses = ['10.0.0.2:7002', '10.0.0.3:7002', '10.0.0.4:7002'];
+  t.deepEqual(directory.fellows(), addresses);
+  t.deepEqual(
+    directory.homes().map(({address}) => address),
+    addresses,
+  );
+  t.is(changes(), 2);
+});
+
+test('what a member tells of itself goes before the settings', t => {
+  const {directory, become} = stage();
+  become([{...old(1), operatorAddress: '10.0.0.9:7001'}]);
+  t.is(directory.operatorAddress('control-1'), '10.0.0.9:7001');
+});
+
+test('news without a change are not passed on', t => {
+  const {directory, become, changes} = stage();
+  become([1, 2, 3].map(old));
+  const homes = directory.homes();
+  become([1, 2, 3].map(old));
+  t.is(changes(), 1);
+  t.is(directory.homes(), homes);
+});
--- /dev/null
+++ b/src/control/member-directory.ts
@@ -0,0 +1,75 @@
+/**
+ * Where the members of the control group are reached now. Settings name the
+ * founders only; a member that replaced one has told the group by itself.
+ */
+import type {Consensus, Member} from '../consensus/consensus.js';
+import type {HomeAddress} from '../fleet/messages.js';
+import type {Address} from '../link/link.js';
+import type {ControlSettings} from '../settings/schema.js';
+
+/** The present members' addresses. */
+export interface MemberDirectory {
+  /** Where operators reach a member; undefined when nobody knows. */
+  operatorAddress(name: string): Address | undefined;
+  /** Where the other members take links, this one's address among them. */
+  fellows(): readonly Address[];
+  /** The voters as homes of nodes; the same array until they change. */
+  homes(): readonly HomeAddress[];
+  /** Calls `observe` after each change. */
+  onChange(observe: () => void): void;
+}
+
+/** Creates the directory over a group; a group not formed yet has none. */
+export function createMemberDirectory(
+  consensus: Pick<Consensus, 'status' | 'onMembers'>,
+  founders: ControlSettings['members'],
+): MemberDirectory {
+  const founderOf = (name: string) =>
+    founders.find(founder => founder.name === name);
+  const observers: Array<() => void> = [];
+  let fellows = listFellows();
+  let homes = listHomes();
+
+  function distributionAddress(member: Member): Address | undefined {
+    return (
+      member.distributionAddress ?? founderOf(member.name)?.distributionAddress
+    );
+  }
+
+  function listFellows(): Address[] {
+    const {voters, learners} = consensus.status();
+    if (voters.length === 0) {
+      return founders.map(founder => founder.distributionAddress);
+    }
+    return [...voters, ...learners]
+      .map(distributionAddress)
+      .filter(address => address !== undefined);
+  }
+
+  function listHomes(): HomeAddress[] {
+    return consensus.status().voters.flatMap(member => {
+      const address = distributionAddress(member);
+      const {failureDomain} = member;
+      return address === undefined ? [] : [{address, failureDomain}];
+    });
+  }
+
+  consensus.onMembers(() => {
+    const before = JSON.stringify([fellows, homes]);
+    const next = {fellows: listFellows(), homes: listHomes()};
+    if (JSON.stringify([next.fellows, next.homes]) === before) return;
+    ({fellows, homes} = next);
+    for (const observe of observers) observe();
+  });
+
+  return {
+    operatorAddress(name) {
+      const {voters, learners} = consensus.status();
+      const member = [...voters, ...learners].find(one => one.name === name);
+      return member?.operatorAddress ?? founderOf(name)?.operatorAddress;
+    },
+    fellows: () => fellows,
+    homes: () => homes,
+    onChange: observe => void observers.push(observe),
+  };
+}
--- a/src/control/run.ts
+++ b/src/control/run.ts
@@ -14,6 +14,7 @@
 import {createAppointer} from '../keepers/appointer.js';
 import {createMeteredNetwork} from '../metrics/metered-network.js';
 import {createOperatorServer} from '../operator/create-operator-server.js';
+import {createMemberDirectory} from './member-directory.js';
 import {createProcess} from '../process/process.js';
 import {createDistributionHost} from '../relay/distribution-host.js';
 import type {ControlSettings} from '../settings/schema.js';
@@ -48,6 +49,7 @@
     network: peers,
   });
 
+  const directory = createMemberDirectory(consensus, settings.members);
   const barrier = () => consensus.readBarrier();
   const freshness = createFreshness(barrier, timers);
   const self: Hello = {
@@ -59,7 +61,8 @@
   const host = await createDistributionHost({
     self,
     address: settings.distributionAddress,
-    fellows: settings.members.map(member => member.distributionAddress),
+    fellows: directory.fellows,
+    homes: directory.homes,
     source: createSectionSource(machine),
     barrier,
     asOf: freshness.asOf,
@@ -70,6 +73,8 @@
     random,
     log,
   });
+  directory.onChange(host.follow);
+  host.follow();
   const convergence = createConvergence({
     timers,
     metrics,
@@ -105,7 +110,7 @@
     keepers: appointer,
     timers,
     limits: settings.limits,
-    leaderAddress: name => operatorAddress(settings, name),
+    leaderAddress: directory.operatorAddress,
     ...(settings.operatorToken !== undefined && {
       token: settings.operatorToken,
     }),
@@ -139,17 +144,11 @@
     name: member.name,
     address: member.peerAddress,
     failureDomain: member.failureDomain,
+    operatorAddress: member.operatorAddress,
+    distributionAddress: member.distributionAddress,
   };
 }
 
-function operatorAddress(
-  settings: ControlSettings,
-  name: string,
-): string | undefined {
-  const member = settings.members.find(one => one.name === name);
-  return member?.operatorAddress;
-}
-
 /** Exit code of a control process whose disk failed. */
 const diskFailureExit = 3;
 
--- a/src/distribution/fakes/stage.ts
+++ b/src/distribution/fakes/stage.ts
@@ -23,7 +23,7 @@
 import {createFreshness} from '../freshness.js';
 import {createHome} from '../home.js';
 import type {Home, HomeOptions} from '../home.js';
-import type {HomeAddress} from '../rendezvous.js';
+import type {HomeAddress} from '../../fleet/messages.js';
 import {createSectionSource} from '../section-source.js';
 import type {SectionSource} from '../section-source.js';
 import {createSubscriber} from '../subscriber.js';
@@ -75,6 +75,7 @@
     operator: Operator,
     options?: Partial<DistributorOptions>,
     fellows?: number,
+    homes?: () => readonly HomeAddress[],
   ): Promise<StagedHome>;
   relay(
     name: string,
@@ -163,6 +164,7 @@
     asOf: () => number | undefined,
     options: Partial<DistributorOptions>,
     fellows = 0,
+    homes: () => readonly HomeAddress[] = () => [],
   ) {
     const {name} = self;
     const distributor = createDistributor({
@@ -174,7 +176,11 @@
       ...options,
     });
     const {position} = distributor;
-    const fleet = createFleet({self, timers, log, position, fellows});
+    const fleet = createFleet({
+      ...{self, timers, log, position},
+      fellows: () => fellows,
+      homes,
+    });
     fleet.onHello((_hello, channels) => distributor.accept(channels));
     const address = `127.0.0.1:${++port}`;
     await network.from(name).listen(address, link => {
@@ -205,7 +211,7 @@
   return {
     timers,
     network,
-    async control(name, operator, options = {}, fellows = 0) {
+    async control(name, operator, options = {}, fellows = 0, homes) {
       const staged = {quorum: true};
       const barrier = async () =>
         staged.quorum
@@ -221,6 +227,7 @@
         freshness.asOf,
         options,
         fellows,
+        homes,
       );
       return Object.assign(staged, made);
     },
--- a/src/distribution/home.test.ts
+++ b/src/distribution/home.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {createOperator, createStage} from './fakes/stage.js';
+import type {HomeAddress} from '../fleet/messages.js';
 import type {HomeOptions} from './home.js';
 
 type Safeguards = HomeOptions['safeguards'];
@@ -114,3 +115,37 @@
   await stage.timers.advanceAsync(120_000);
   t.is(node.home.address(), nearest.address);
 });
+
+// All control VMs of a node's settings are replaced over the months while the
+// node runs on. When the last of them goes, the node has nowhere to ask and
+// keeps its version for good, unless its home told it of the new ones.
+async function replaceAllHomes(isTold: boolean) {
+  const stage = createStage();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  let homes: readonly HomeAddress[] = [];
+  const present = () => (isTold ? homes : []);
+  const old = await stage.control('control-1', operator, {}, 0, present);
+  const node = stage.node('node-1', [old.address]);
+  await stage.timers.advanceAsync(3000);
+  const joined = await stage.control('control-4', operator);
+  homes = [{address: joined.address, failureDomain: 'a'}];
+  await stage.timers.advanceAsync(3000);
+  const before = node.home.address();
+  stage.network.kill('control-1');
+  operator.accept({put: ['crewbook']});
+  await stage.timers.advanceAsync(20_000);
+  return {node, old, joined, before};
+}
+
+test('without being told a node whose homes were all replaced keeps an old version', async t => {
+  const {node} = await replaceAllHomes(false);
+  t.deepEqual(node.versions, [1]);
+});
+
+test('a node whose homes were all replaced goes to one it was told of', async t => {
+  const {node, old, joined, before} = await replaceAllHomes(true);
+  t.is(before, old.address);
+  t.is(node.home.address(), joined.address);
+  t.deepEqual(node.versions, [1, 2]);
+});
--- a/src/distribution/home.ts
+++ b/src/distribution/home.ts
@@ -1,5 +1,11 @@
 import {createMachine, interpret, state, transition} from 'robot3';
-import type {FleetMessage, Hello, Pong, Report} from '../fleet/messages.js';
+import type {
+  FleetMessage,
+  Hello,
+  HomeAddress,
+  Pong,
+  Report,
+} from '../fleet/messages.js';
 import {createChannels} from '../link/channel.js';
 import type {Channels} from '../link/channel.js';
 import type {Address, Link, Network} from '../link/link.js';
@@ -9,8 +15,7 @@
 import type {Subscription, Timers} from '../time/timers.js';
 import {backoffDelay} from './backoff.js';
 import {distributionLimits} from './limits.js';
-import {rankHomes} from './rendezvous.js';
-import type {HomeAddress} from './rendezvous.js';
+import {createKnownHomes} from './known-homes.js';
 
 /** Settings of a home; times in milliseconds. */
 export interface HomeOptions {
@@ -90,7 +95,7 @@
   const heartbeat = options.heartbeat ?? defaultHeartbeat(self);
   const freshness = options.freshness ?? limits.freshness;
   const guarded = {freshness: true, silence: true, ...options.safeguards};
-  const ranked = rankHomes(self, options.homes.map(resolveHome));
+  const known = createKnownHomes(self, options.homes.map(resolveHome));
   const suspectUntil = new Map<Address, number>();
   const channelsObservers: Array<(channels: Channels) => void> = [];
   const markObservers: Array<(mark: Mark) => void> = [];
@@ -98,7 +103,7 @@
   const service = interpret(machine, () => {});
   const pings = new Map<number, number>();
   let pingNumber = 0;
-  let target = ranked[0]!;
+  let target = known.list()[0]!;
   let attempt = 0;
   /** Homes left in a row since their marks were old. */
   let oldMarks = 0;
@@ -124,12 +129,12 @@
 
   /** The nearest home without suspicion, else the one longest out of it. */
   function choose(): HomeAddress {
-    const trusted = ranked.find(home => !isSuspect(home));
+    const trusted = known.list().find(home => !isSuspect(home));
     if (trusted !== undefined) return trusted;
     const until = (home: HomeAddress) => suspectUntil.get(home.address) ?? 0;
-    return ranked.reduce((best, home) =>
-      until(home) < until(best) ? home : best,
-    );
+    return known
+      .list()
+      .reduce((best, home) => (until(home) < until(best) ? home : best));
   }
 
   /**
@@ -210,7 +215,9 @@
     }
     const fresh = Math.max(homeAsOf ?? attachedAt, attachedAt);
     const isOld = now - fresh > freshness;
-    const hasOther = ranked.some(home => home !== target && !isSuspect(home));
+    const hasOther = known
+      .list()
+      .some(home => home.address !== target.address && !isSuspect(home));
     if (guarded.freshness && isOld && hasOther) {
       oldMarks++;
       end(opened, 'the mark of the home is old');
@@ -227,6 +234,7 @@
 
   function receivePong(pong: Pong): void {
     lastHome = pong.home ?? lastHome;
+    if (pong.homes !== undefined) known.learn(pong.homes);
     const sentAt = pings.get(pong.number);
     if (sentAt === undefined) return;
     for (const number of pings.keys()) {
@@ -258,7 +266,7 @@
     const now = timers.now();
     returnAt = now + limits.returnPeriod * (0.5 + random.fraction());
     const best = choose();
-    if (ranked.indexOf(best) >= ranked.indexOf(target)) return;
+    if (known.rankOf(best) >= known.rankOf(target)) return;
     const old = channels;
     network.connect(best.address).then(
       link => {
--- a/src/distribution/mesh.ts
+++ b/src/distribution/mesh.ts
@@ -5,6 +5,7 @@
 import type {Random} from '../random/random.js';
 import type {Timers} from '../time/timers.js';
 import {createHome} from './home.js';
+import type {Home} from './home.js';
 
 /** Settings of a mesh. */
 export interface MeshOptions {
@@ -12,7 +13,7 @@
   readonly self: Hello;
   /** Where this process accepts links. */
   readonly address: Address;
-  /** Where all fellow homes accept links; this one's may be among them. */
+  /** Where fellow homes accept links at first; this one's may be among them. */
   readonly peers: readonly Address[];
   readonly timers: Timers;
   readonly random: Random;
@@ -25,24 +26,51 @@
   onChannels(observe: (channels: Channels) => void): void;
   /** Calls `observe` with each report that came over those links. */
   onReport(observe: (report: Report) => void): void;
+  /** Keeps links to these fellow homes from now on, and to no others. */
+  follow(peers: readonly Address[]): void;
   stop(): void;
 }
 
 /** Creates a mesh: of two homes, the one with the lesser address opens. */
 export function createMesh(options: MeshOptions): Mesh {
   const {address, peers, ...shared} = options;
-  const homes = peers
-    .filter(peer => peer > address)
-    .map(peer => createHome({...shared, homes: [peer], heartbeat: 1000}));
+  const homes = new Map<Address, Home>();
+  const channelsObservers: Array<(channels: Channels) => void> = [];
+  const reportObservers: Array<(report: Report) => void> = [];
+  let isStopped = false;
+
+  function open(peer: Address): void {
+    const home = createHome({...shared, homes: [peer], heartbeat: 1000});
+    homes.set(peer, home);
+    for (const observe of channelsObservers) home.onChannels(observe);
+    for (const observe of reportObservers) home.onReport(observe);
+  }
+
+  function follow(list: readonly Address[]): void {
+    if (isStopped) return;
+    const wanted = new Set(list.filter(peer => peer > address));
+    for (const [peer, home] of homes) {
+      if (wanted.has(peer)) continue;
+      homes.delete(peer);
+      home.stop();
+    }
+    for (const peer of wanted) if (!homes.has(peer)) open(peer);
+  }
+
+  follow(peers);
   return {
     onChannels(observe) {
-      for (const home of homes) home.onChannels(observe);
+      channelsObservers.push(observe);
+      for (const home of homes.values()) home.onChannels(observe);
     },
     onReport(observe) {
-      for (const home of homes) home.onReport(observe);
+      reportObservers.push(observe);
+      for (const home of homes.values()) home.onReport(observe);
     },
+    follow,
     stop() {
-      for (const home of homes) home.stop();
+      isStopped = true;
+      for (const home of homes.values()) home.stop();
     },
   };
 }
--- a/src/distribution/rendezvous.test.ts
+++ b/src/distribution/rendezvous.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {rankHomes} from './rendezvous.js';
-import type {HomeAddress} from './rendezvous.js';
+import type {HomeAddress} from '../fleet/messages.js';
 
 const homes: HomeAddress[] = [];
 for (const failureDomain of ['a', 'b', 'c']) {
--- a/src/distribution/rendezvous.ts
+++ b/src/distribution/rendezvous.ts
@@ -1,12 +1,5 @@
 import murmurhash from 'murmurhash';
-import type {Address} from '../link/link.js';
-
-/** A process that nodes may keep their link to. */
-export interface HomeAddress {
-  readonly address: Address;
-  readonly failureDomain?: string;
-  readonly region?: string;
-}
+import type {HomeAddress} from '../fleet/messages.js';
 
 /** Where a process stands, to find what is near. */
 export interface Place {
--- a/src/fleet/fleet.test.ts
+++ b/src/fleet/fleet.test.ts
@@ -257,3 +257,34 @@
   alone.fleet.receive({kind: 'report', summaries: [report]});
   t.like(alone.fleet.summary(), {nodes: 6, isSettled: true});
 });
+
+// A control process that replaced another one is in nobody's settings. Until
+// its fellows link to it, its nodes are missing from what they tell operators.
+test('a mesh follows its fellows as they change', async t => {
+  const stage = createStage();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const first = await stage.control('control-1', operator);
+  const second = await stage.control('control-2', operator);
+  const joined = await stage.control('control-4', operator);
+  const mesh = createMesh({
+    network: stage.network.from(first.name),
+    self: {kind: 'control', name: first.name, failureDomain: 'a', region: 'r'},
+    address: first.address,
+    peers: [first.address, second.address],
+    timers: stage.timers,
+    random: createRandom(1),
+    log: createSilentLog(),
+  });
+  mesh.onChannels(first.fleet.report);
+  mesh.onReport(first.fleet.receive);
+  stage.node('node-1', [joined.address]);
+  await stage.timers.advanceAsync(5000);
+  t.is(first.fleet.summary().nodes, 0);
+  mesh.follow([first.address, joined.address]);
+  await stage.timers.advanceAsync(5000);
+  t.like(first.fleet.summary(), {nodes: 1, inForce: 1});
+  const homes = first.fleet.summary().homes;
+  t.true(homes.find(({home}) => home === second.name)!.age > 4000);
+  mesh.stop();
+});
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -8,6 +8,7 @@
 import type {
   FleetMessage,
   Hello,
+  HomeAddress,
   HomeSummary,
   Ping,
   Position,
@@ -27,7 +28,9 @@
   /** What pings are answered with. */
   readonly position: () => Position;
   /** How many fellow homes tell this one of their nodes; default none. */
-  readonly fellows?: number;
+  readonly fellows?: () => number;
+  /** Homes that nodes are told of besides their settings; default none. */
+  readonly homes?: () => readonly HomeAddress[];
 }
 
 /** The nodes and fellow homes of one home. */
@@ -45,6 +48,8 @@
   stop(): void;
 }
 
+const noHomes: readonly HomeAddress[] = [];
+
 interface Received {
   readonly summary: HomeSummary;
   /** Local time at which the summary was made, as far as is known. */
@@ -62,8 +67,8 @@
   const below = new Set<string>();
   const observers: Array<(hello: Hello, channels: Channels) => void> = [];
   const upstreams = new Set<Channel>();
-  /** Links that were told this home's name, which is not said again. */
-  const named = new WeakSet<Channel>();
+  /** What links were told of this home and others, which is not said again. */
+  const told = new WeakMap<Channel, readonly HomeAddress[]>();
   let changed = false;
   let reportedAt = Number.NEGATIVE_INFINITY;
 
@@ -130,7 +135,7 @@
     switch (message.kind) {
       case 'ping':
         acknowledge(member, message.version);
-        answer(fleet, message);
+        answer(fleet, message, homes());
         break;
       case 'acknowledgement':
         acknowledge(member, message.version);
@@ -153,21 +158,31 @@
     if (hello.kind === 'control') report(channels);
     if (hello.kind === 'relay') below.add(hello.name);
     return (message: FleetMessage) => {
-      if (message.kind === 'ping') answer(fleet, message);
+      // A fellow keeps its link to just this home.
+      const others = hello.kind === 'control' ? noHomes : homes();
+      if (message.kind === 'ping') answer(fleet, message, others);
       if (message.kind === 'report') receive(message);
     };
   }
 
-  function answer(fleet: Channel, ping: Ping): void {
+  const homes = () => options.homes?.() ?? noHomes;
+
+  function answer(
+    fleet: Channel,
+    ping: Ping,
+    others: readonly HomeAddress[],
+  ): void {
     const {version, asOf} = position();
+    const known = told.get(fleet);
     fleet.send({
       kind: 'pong',
       number: ping.number,
-      ...(!named.has(fleet) && {home: self.name}),
+      ...(known === undefined && {home: self.name}),
+      ...(known !== others && others.length > 0 && {homes: others}),
       ...(asOf !== undefined && {age: Math.ceil(timers.now() - asOf)}),
       ...(version !== undefined && {version}),
     });
-    named.add(fleet);
+    told.set(fleet, others);
   }
 
   function report(channels: Channels): void {
@@ -194,7 +209,7 @@
     const age = timers.now() - startedAt;
     if (age >= fleetLimits.fellowsAwaited) return true;
     const heard = [...received.keys()].filter(name => !below.has(name));
-    const isComplete = heard.length >= (options.fellows ?? 0);
+    const isComplete = heard.length >= (options.fellows?.() ?? 0);
     return isComplete && age >= fleetLimits.settling;
   }
 
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -3,6 +3,8 @@
  * the freshness mark, and acknowledgements. Times are in milliseconds.
  */
 
+import type {Address} from '../link/link.js';
+
 /** What a process of the system is. */
 export type ProcessKind = 'node' | 'relay' | 'control';
 
@@ -32,12 +34,21 @@
   readonly version?: number;
 }
 
+/** A process that nodes may keep their link to. */
+export interface HomeAddress {
+  readonly address: Address;
+  readonly failureDomain?: string;
+  readonly region?: string;
+}
+
 /** Answers a ping. */
 export interface Pong {
   readonly kind: 'pong';
   readonly number: number;
   /** The home's name, in the first answer on a link. */
   readonly home?: string;
+  /** Homes besides the asker's settings, when they differ from the last told. */
+  readonly homes?: readonly HomeAddress[];
   /** Milliseconds since a quorum confirmed the home's state; absent if never. */
   readonly age?: number;
   /** The version that the home last sent to all of its subscribers. */
--- a/src/relay/distribution-host.ts
+++ b/src/relay/distribution-host.ts
@@ -11,7 +11,7 @@
 import type {Registry} from '../endpoints/registry.js';
 import {createFleet} from '../fleet/fleet.js';
 import type {Fleet} from '../fleet/fleet.js';
-import type {Hello} from '../fleet/messages.js';
+import type {Hello, HomeAddress} from '../fleet/messages.js';
 import {createChannels} from '../link/channel.js';
 import type {Channels} from '../link/channel.js';
 import type {Address, Network} from '../link/link.js';
@@ -25,7 +25,9 @@
   /** Where nodes and fellow homes reach it. */
   readonly address: Address;
   /** Where fellow homes of the same kind are reached, this one among them. */
-  readonly fellows: readonly Address[];
+  readonly fellows: () => readonly Address[];
+  /** Homes that nodes and relays are told of; default none. */
+  readonly homes?: () => readonly HomeAddress[];
   readonly source: DistributorOptions['source'];
   readonly barrier: DistributorOptions['barrier'];
   /** Local time at which a quorum last confirmed the source's state. */
@@ -45,6 +47,8 @@
   readonly registry: Registry;
   /** Shares endpoints and reports over a link that this process opened. */
   join(channels: Channels): void;
+  /** Links to the fellow homes that there are now. */
+  follow(): void;
   stop(): Promise<void>;
 }
 
@@ -66,7 +70,8 @@
     timers,
     log,
     position: distributor.position,
-    fellows: options.fellows.filter(fellow => fellow !== address).length,
+    fellows: () => options.fellows().filter(one => one !== address).length,
+    ...(options.homes !== undefined && {homes: options.homes}),
   });
 
   fleet.onHello((hello, channels) => {
@@ -91,7 +96,7 @@
     network,
     self,
     address,
-    peers: options.fellows,
+    peers: options.fellows(),
     timers,
     random,
     log,
@@ -104,6 +109,7 @@
     fleet,
     registry,
     join,
+    follow: () => mesh.follow(options.fellows()),
     async stop() {
       mesh.stop();
       distributor.stop();
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -38,7 +38,7 @@
   const host = await createDistributionHost({
     self,
     address: settings.distributionAddress,
-    fellows: settings.relays,
+    fellows: () => settings.relays,
     source: subscriber.sections,
     barrier: subscriber.barrier,
     asOf: home.asOf,
