A node follows the service of its own upstream whatever it calls

Ruled out: asking operators to list it (a drain that silently does nothing is no setting's business). Conclusion: the announced service is added to both subscriptions.

--- a/scenarios/processes/endpoints.test.ts
+++ b/scenarios/processes/endpoints.test.ts
@@ -128,3 +128,32 @@
     }
   },
 );
+
+test.serial(
+  'a node obeys a drain of its own upstream whatever it calls',
+  async t => {
+    // A node's callers reach crewbook only; its own upstream is a drillvault. An
+    // operator drains that. Did the node follow only what it calls, its gate
+    // would not hear of the drain and go on taking work from late entries.
+    const deployment = await startSmall({
+      controls: 3,
+      services: [
+        {name: 'crewbook', instances: 1},
+        {name: 'drillvault', instances: 1},
+      ],
+      node: {calls: ['crewbook']},
+    });
+    t.teardown(deployment.end);
+    await setUp(deployment, 'examples/agency/setup.fox');
+    const {name, callerAddress} = caller(deployment).settings;
+    const check = () => call(callerAddress, '/gate-checks/crew-1');
+    await until('it serves its own', limit, async () => {
+      return (await check()).status === 200;
+    });
+    const done = await deployment.operate('drain', name, 'of', 'drillvault');
+    t.is(done.code, 0, done.errors);
+    await until('it is drained', limit, async () => {
+      return (await check()).effect === 'not-run';
+    });
+  },
+);
--- a/src/node/run.ts
+++ b/src/node/run.ts
@@ -5,6 +5,7 @@
 import {reportOutcome} from '../admin/report-outcome.js';
 import {createHome} from '../distribution/home.js';
 import {createSubscriber} from '../distribution/subscriber.js';
+import type {Subscriber} from '../distribution/subscriber.js';
 import {createAnnounceServer} from '../endpoints/announce-server.js';
 import type {AnnounceServer} from '../endpoints/announce-server.js';
 import {createAnnouncer} from '../endpoints/announcer.js';
@@ -13,6 +14,7 @@
 import {createHealth, createProbe} from '../endpoints/health.js';
 import type {Health} from '../endpoints/health.js';
 import {createMembership} from '../endpoints/membership.js';
+import type {Membership} from '../endpoints/membership.js';
 import type {Hello} from '../fleet/messages.js';
 import {createMeteredNetwork} from '../metrics/metered-network.js';
 import {createProcess} from '../process/process.js';
@@ -104,6 +106,9 @@
     services,
   });
   home.onChannels(channels => membership.attach(channels));
+  if (settings.calls !== undefined) {
+    followOwnService(settings.calls, announcer, subscriber, membership);
+  }
   subscriber.onSwitch(({drains}) => announcer.setDrains(drains));
 
   const gateServer = createGateServer({
@@ -185,6 +190,27 @@
   };
 }
 
+/**
+ * A node always wants the service of its own upstream too. Without it an
+ * operator's drain of that upstream would not reach the gate that must obey
+ * it, and the keeper beside it would never learn of its set.
+ */
+function followOwnService(
+  calls: readonly string[],
+  announcer: Announcer,
+  subscriber: Subscriber,
+  membership: Membership,
+): void {
+  let own: string | undefined;
+  announcer.onChange(({service}) => {
+    if (service === own) return;
+    own = service;
+    const services = [...new Set([...calls, service])];
+    subscriber.subscribe(services);
+    membership.subscribe(services);
+  });
+}
+
 /** An upstream that can't announce itself stands in the settings instead. */
 async function listenForUpstream(
   settings: NodeSettings,
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -176,7 +176,7 @@
     upstream: upstream.optional(),
     /** Local address where the upstream announces itself; absent for none. */
     announceAddress: address.optional(),
-    /** Services that callers reach through it; absent for all. */
+    /** Services that callers reach through it, its own upstream's always; absent for all. */
     calls: z.array(name).optional(),
     /** Where it takes claims of its service; absent to hold none. */
     keeperAddress: address.optional(),
