Bundle: the connector of undici that the gate uses

Cause: lane requests began to import buildConnector while lane product gave the bundle only the parts of undici in use; each request through the binary ended in 500 (5023), while the same program as modules was right. Ruled out: the merges of the node role (modules pass).

--- a/scripts/undici-client.cjs
+++ b/scripts/undici-client.cjs
@@ -3,6 +3,7 @@
 // hold them for life. The names are those of the package's own entry.
 const Agent = require('undici/lib/dispatcher/agent.js');
 const Client = require('undici/lib/dispatcher/client.js');
+const buildConnector = require('undici/lib/core/connect.js');
 const Dispatcher = require('undici/lib/dispatcher/dispatcher.js');
 const api = require('undici/lib/api/index.js');
 const {URL} = require('node:url');
@@ -17,4 +18,4 @@
   return dispatcher.request({...rest, origin, path: pathname + search, method});
 }
 
-module.exports = {Agent, Client, request};
+module.exports = {Agent, Client, buildConnector, request};
