Request benches start their measured path by one function

Cause: request-cost and request-latency each started upstream, node beside it and entry by the same 15 lines, so the two could come to measure different paths unseen. Ruled out: one experiment for both (they differ in what they drive). Conclusion: one startCallPath.

--- a/bench/experiments/request-cost.ts
+++ b/bench/experiments/request-cost.ts
@@ -5,7 +5,7 @@
 import type {Experiment, Outcome, Row, RunOptions} from '../experiment.js';
 import {compare} from '../experiment.js';
 import {timeArrivals} from '../requests/arrivals.js';
-import {benchAnnouncement, startPart} from '../requests/stage.js';
+import {startCallPath, startPart} from '../requests/stage.js';
 import type {Part} from '../requests/stage.js';
 
 const rate = 1000;
@@ -15,21 +15,8 @@
 const microsecondsPerSecond = 1e6;
 
 async function run({seed, seconds}: RunOptions): Promise<Outcome> {
-  const upstream = await startPart({kind: 'upstream', work: 0, bytes});
+  const {upstream, beside: gate, entry} = await startCallPath(seed, bytes);
   const bare = await startPart({kind: 'bare', target: upstream.address});
-  const gate = await startPart({
-    kind: 'node',
-    instance: 'stock-desk-1',
-    upstream: upstream.address,
-    instances: [benchAnnouncement('stock-desk-1')],
-    seed,
-  });
-  const entry = await startPart({
-    kind: 'node',
-    instance: 'caller-1',
-    instances: [benchAnnouncement('stock-desk-1', gate.gate)],
-    seed,
-  });
   const each = seconds / 3 - warmSeconds;
   const bareTime = await costOf(bare, bare, each, seed);
   const oneHop = await costOf(gate, gate, each, seed);
--- a/bench/experiments/request-latency.ts
+++ b/bench/experiments/request-latency.ts
@@ -4,7 +4,7 @@
 import {compare} from '../experiment.js';
 import {timeArrivals} from '../requests/arrivals.js';
 import type {Timed} from '../requests/arrivals.js';
-import {benchAnnouncement, startPart} from '../requests/stage.js';
+import {startCallPath} from '../requests/stage.js';
 import type {Part} from '../requests/stage.js';
 
 /** Calls a second to each of the three ways. */
@@ -15,20 +15,7 @@
 const warmSeconds = 4;
 
 async function run({seed, seconds}: RunOptions): Promise<Outcome> {
-  const upstream = await startPart({kind: 'upstream', work: 0, bytes});
-  const beside = await startPart({
-    kind: 'node',
-    instance: 'stock-desk-1',
-    upstream: upstream.address,
-    instances: [benchAnnouncement('stock-desk-1')],
-    seed,
-  });
-  const entry = await startPart({
-    kind: 'node',
-    instance: 'caller-1',
-    instances: [benchAnnouncement('stock-desk-1', beside.gate)],
-    seed,
-  });
+  const {upstream, beside, entry} = await startCallPath(seed, bytes);
   const parts = [upstream, beside, entry];
   const rows: Row[] = [];
   const counts: Record<string, number> = {};
--- a/bench/requests/stage.ts
+++ b/bench/requests/stage.ts
@@ -34,6 +34,38 @@
   });
 }
 
+/** The path that is measured: an upstream, its own node, and another node. */
+export interface CallPath {
+  readonly upstream: Part;
+  /** The node beside the upstream: entry and gate in one. */
+  readonly beside: Part;
+  /** A node whose entry reaches the upstream over the other's gate. */
+  readonly entry: Part;
+}
+
+/** Starts the path; the upstream answers at once with `bytes`. */
+export async function startCallPath(
+  seed: number,
+  bytes: number,
+): Promise<CallPath> {
+  const instance = 'stock-desk-1';
+  const upstream = await startPart({kind: 'upstream', work: 0, bytes});
+  const beside = await startPart({
+    kind: 'node',
+    instance,
+    upstream: upstream.address,
+    instances: [benchAnnouncement(instance)],
+    seed,
+  });
+  const entry = await startPart({
+    kind: 'node',
+    instance: 'caller-1',
+    instances: [benchAnnouncement(instance, beside.gate)],
+    seed,
+  });
+  return {upstream, beside, entry};
+}
+
 /** An announcement of a bench instance; an empty gate means its own node's. */
 export function benchAnnouncement(
   instance: string,
