One check of an address in place of five

Cause: settings, announcements, operators' options, burn options and the language each judged an address by hand, and three were laxer: the announce listener took 1.2.3 as an IP number, and three took a port such as 1.5. Ruled out: keeping the laxer ones (such an address fails later, at the first connection). No check is loosened. Conclusion: isAddress in src/link.

--- a/src/burn/options.ts
+++ b/src/burn/options.ts
@@ -1,7 +1,6 @@
 import {readFileSync} from 'node:fs';
-import {isIP} from 'node:net';
 import {parseArgs} from 'node:util';
-import {parseAddress} from '../link/address.js';
+import {isAddress} from '../link/address.js';
 import type {Address} from '../link/link.js';
 import {commonCodes} from '../result/codes.js';
 import {failure, success} from '../result/failure.js';
@@ -99,8 +98,7 @@
     .flatMap(list => list.split(','))
     .filter(address => address !== '');
   for (const address of addresses) {
-    const {host, port} = parseAddress(address);
-    if (isIP(host) !== 0 && port > 0 && port < 65536) continue;
+    if (isAddress(address)) continue;
     throw new Error(`${address}: give an IP number and a port`);
   }
   return [...new Set(addresses)];
--- a/src/endpoints/announce-server.ts
+++ b/src/endpoints/announce-server.ts
@@ -3,7 +3,7 @@
 import type {AddressInfo} from 'node:net';
 import polka from 'polka';
 import {z} from 'zod';
-import {parseAddress} from '../link/address.js';
+import {isAddress, parseAddress} from '../link/address.js';
 import type {Address} from '../link/link.js';
 import type {Code} from '../result/code.js';
 import {commonCodes} from '../result/codes.js';
@@ -214,8 +214,3 @@
   });
   response.end(JSON.stringify(body));
 }
-
-function isAddress(text: string): boolean {
-  const {host: name, port} = parseAddress(text);
-  return /^[0-9a-f.:]+$/i.test(name) && port > 0 && port < 65_536;
-}
--- a/src/language/values.ts
+++ b/src/language/values.ts
@@ -1,6 +1,5 @@
-import {isIP} from 'node:net';
 import type {IToken} from 'chevrotain';
-import {parseAddress} from '../link/address.js';
+import {isAddress} from '../link/address.js';
 import {ProblemError} from './problem.js';
 import type {CommandId} from './statement.js';
 
@@ -87,9 +86,7 @@
 
 /** An IP number and port. */
 export function toAddress(token: IToken): string {
-  const {host, port} = parseAddress(token.image);
-  const isPort = Number.isInteger(port) && port > 0 && port < 65536;
-  if (isIP(host) !== 0 && isPort) return token.image;
+  if (isAddress(token.image)) return token.image;
   return reject(token, 'an IP number and port, such as 127.0.0.1:7000');
 }
 
--- a/src/link/address.ts
+++ b/src/link/address.ts
@@ -1,3 +1,4 @@
+import {isIP} from 'node:net';
 import type {Address} from './link.js';
 
 /** The two parts of an address. */
@@ -12,3 +13,10 @@
   const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
   return {host, port: Number(address.slice(colon + 1))};
 }
+
+/** Whether a text is an IP number and a port from 1 to 65535. */
+export function isAddress(text: string): boolean {
+  const {host, port} = parseAddress(text);
+  const isPort = Number.isInteger(port) && port > 0 && port < 65_536;
+  return isIP(host) !== 0 && isPort;
+}
--- a/src/operator/options.ts
+++ b/src/operator/options.ts
@@ -1,7 +1,6 @@
 import {readFileSync} from 'node:fs';
-import {isIP} from 'node:net';
 import {parseArgs} from 'node:util';
-import {parseAddress} from '../link/address.js';
+import {isAddress} from '../link/address.js';
 import type {Address} from '../link/link.js';
 import {commonCodes} from '../result/codes.js';
 import {failure, success} from '../result/failure.js';
@@ -73,8 +72,7 @@
 }
 
 function checkAddress(address: Address): void {
-  const {host, port} = parseAddress(address);
-  if (isIP(host) !== 0 && port > 0 && port < 65536) return;
+  if (isAddress(address)) return;
   throw new Error(`--control ${address}: give an IP number and a port`);
 }
 
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -1,6 +1,5 @@
-import {isIP} from 'node:net';
 import {z} from 'zod';
-import {parseAddress} from '../link/address.js';
+import {isAddress} from '../link/address.js';
 import {defaults} from './defaults.js';
 import {limitsSchema} from './limits.js';
 
@@ -212,8 +211,3 @@
 export type RelaySettings = z.infer<typeof relaySchema>;
 export type NodeSettings = z.infer<typeof nodeSchema>;
 export type Settings = z.infer<typeof settingsSchema>;
-
-function isAddress(text: string): boolean {
-  const {host, port} = parseAddress(text);
-  return isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port < 65536;
-}
