--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -1,10 +1,8 @@
-import {once} from 'node:events';
-import type {AddressInfo} from 'node:net';
 import {createServer} from 'node:http';
-import type {Server, ServerResponse} from 'node:http';
+import type {RequestListener, ServerResponse} from 'node:http';
 import polka from 'polka';
 import type {Registry} from 'prom-client';
-import {parseAddress} from '../link/address.js';
+import {answerJson, closeServer, openServer} from '../link/http-server.js';
 import type {Address} from '../link/link.js';
 import {commonCodes} from '../result/codes.js';
 import type {Result} from '../result/failure.js';
@@ -62,7 +60,6 @@
 ): Promise<AdminServer> {
   const server = createServer({requestTimeout: 5_000, maxHeaderSize: 8_192});
   const app = polka({
-    server,
     onNoMatch: (_request, response) => end(response, 404),
   });
   const guard = createGuard(options.token);
@@ -75,12 +72,10 @@
   addReads(app, options);
   addActions(app, options.actions ?? {});
 
-  const {host, port} = parseAddress(options.address);
-  app.listen(port, host);
-  await once(server, 'listening');
+  server.on('request', app.handler as RequestListener);
   return {
-    address: `${host}:${(server.address() as AddressInfo).port}`,
-    close: () => close(server),
+    address: await openServer(server, options.address),
+    close: () => closeServer(server),
   };
 }
 
@@ -101,15 +96,15 @@
     const metric = registry.getSingleMetric(name);
     const values = metric === undefined ? [] : (await metric.get()).values;
     const reply: MetricReply = {started, values};
-    json(response as unknown as ServerResponse, 200, reply);
+    answerJson(response as unknown as ServerResponse, 200, reply);
   });
   app.get('/health', (_request, response) => {
-    json(response as unknown as ServerResponse, 200, {healthy: true});
+    answerJson(response as unknown as ServerResponse, 200, {healthy: true});
   });
   app.get('/ready', (_request, response) => {
     const reasons = health.notReady();
     const ready = reasons.length === 0;
-    json(response as unknown as ServerResponse, ready ? 200 : 503, {
+    answerJson(response as unknown as ServerResponse, ready ? 200 : 503, {
       ready,
       reasons,
     });
@@ -149,7 +144,7 @@
 function answer(response: ServerResponse, result: Result<unknown>): void {
   const code = result.ok ? commonCodes.ok : result.code;
   const message = result.ok ? 'done' : result.message;
-  json(response, code.status, {
+  answerJson(response, code.status, {
     code: code.number,
     name: code.name,
     effect: code.effect,
@@ -157,11 +152,6 @@
   });
 }
 
-function json(response: ServerResponse, status: number, body: object): void {
-  response.writeHead(status, {'content-type': 'application/json'});
-  response.end(JSON.stringify(body));
-}
-
 /** An answer without a body, the same for all who may not know more. */
 function end(
   response: Pick<ServerResponse, 'writeHead' | 'end'>,
@@ -170,10 +160,3 @@
   response.writeHead(status, {'content-length': 0});
   response.end();
 }
-
-async function close(server: Server): Promise<void> {
-  const closed = once(server, 'close');
-  server.close();
-  server.closeIdleConnections();
-  await closed;
-}
--- a/src/distribution/section.ts
+++ b/src/distribution/section.ts
@@ -6,6 +6,7 @@
   Route,
   Service,
 } from '../configuration/configuration.js';
+import {sortKeys} from '../configuration/sort-keys.js';
 import {distributionCodes} from './codes.js';
 import {failure, success} from '../result/failure.js';
 import type {Result} from '../result/failure.js';
@@ -121,15 +122,6 @@
   return left.name < right.name ? -1 : 1;
 }
 
-/** Rebuilds a value with its keys in order, as items may come from two codecs. */
-function sortKeys(value: unknown): unknown {
-  if (Array.isArray(value)) return value.map(sortKeys);
-  if (typeof value !== 'object' || value === null) return value;
-  const entries = Object.entries(value).filter(([, one]) => one !== undefined);
-  entries.sort(([left], [right]) => (left < right ? -1 : 1));
-  return Object.fromEntries(entries.map(([key, one]) => [key, sortKeys(one)]));
-}
-
 function malformed(problem: string): Result<never> {
   return failure(distributionCodes.malformed, problem);
 }
--- a/src/endpoints/announce-server.test.ts
+++ b/src/endpoints/announce-server.test.ts
@@ -20,6 +20,7 @@
     address: '127.0.0.1:0',
     announcer,
     timers,
+    log: createSilentLog(),
     lease: 10_000,
     answers,
   });
