A refused caller hears the gate's own wait, not a whole second

Cause: the gate's wait, some tens of milliseconds, went to the entry in retry-after, rounded up to a second. Callers of the platform wait as told up to a third of their time, so they came back when their objective was over. Found in the first traces by request id (retryAfter=1 on each refusal by a distant gate). A header in milliseconds stands beside it now; the new test failed first.

trace: beliefs are those of the processes that the request touched.

--- a/src/request/gate-link.test.ts
+++ b/src/request/gate-link.test.ts
@@ -101,3 +101,27 @@
   answers.forEach((text, part) => t.is(text, `part /stock/${part}`));
   await mesh.close();
 });
+
+test('a refused caller hears the gate’s own wait, not a whole second', async t => {
+  // The gate has a free slot in 40 ms. Its word travels in a header of seconds;
+  // rounded up to one, the caller comes back when its time is nearly over.
+  const gate = await createRawServer(socket =>
+    socket.write(
+      [
+        'HTTP/1.1 503 Refused',
+        'foxbarrow-code: 5004',
+        'retry-after: 1',
+        'foxbarrow-wait: 40',
+        'content-length: 0',
+        '\r\n',
+      ].join('\r\n'),
+    ),
+  );
+  const mesh = await createMesh({upstreams: [() => {}]});
+  replaceGate(mesh, gate.address);
+  const answer = await book(mesh);
+  t.is(answer.headers['foxbarrow-code'], '5004');
+  t.is(answer.headers['foxbarrow-wait'], '40');
+  await mesh.close();
+  await gate.close();
+});
--- a/src/trace/trace.ts
+++ b/src/trace/trace.ts
@@ -33,9 +33,8 @@
   return {
     decisions,
     beliefs: around.filter(line => {
-      if (isGap(line)) return false;
-      if (line.instance !== undefined) return instances.has(line.instance);
-      return processes.has(line.process);
+      if (isGap(line) || !processes.has(line.process)) return false;
+      return line.instance === undefined || instances.has(line.instance);
     }),
     gaps: around.filter(line => isGap(line) && processes.has(line.process)),
   };
