A caller that breaks off or goes silent ends its call, not the process

A body that is cut while it is read rejects the handler's promise, which nobody took: an unhandled rejection ends the process. The new tests failed with 'Error: aborted' first.

A listener's close waits for connections that never carried a call or carry half of one. They are cut after 250 ms now.

--- a/src/endpoints/announce-server.test.ts
+++ b/src/endpoints/announce-server.test.ts
@@ -3,6 +3,7 @@
 import {createSilentLog} from '../log/log.js';
 import {createFakeTimers} from '../time/fakes/fake-timers.js';
 import {createAnnounceServer} from './announce-server.js';
+import {openRaw} from '../request/fakes/raw-client.js';
 import {createAnnouncer} from './announcer.js';
 import {upstream} from './fakes/mesh.js';
 
@@ -84,3 +85,13 @@
     await server.close();
   }
 });
+
+test('an upstream that breaks off in the middle does not end the node', async t => {
+  const {server, send} = await start();
+  const head = 'POST /upstream HTTP/1.1\r\nhost: a\r\ncontent-length: 99';
+  const socket = openRaw(server.address, `${head}\r\n\r\n{`);
+  t.is((await send('POST', upstream())).status, 200);
+  socket.resetAndDestroy();
+  t.is((await send('GET')).status, 200);
+  await server.close();
+});
--- a/src/link/http-server.ts
+++ b/src/link/http-server.ts
@@ -1,6 +1,9 @@
 /** What the small HTTP listeners of a process share: opening, closing, bodies. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Log} from '../log/log.js';
+import {createTimers} from '../time/timers.js';
+import type {Timers} from '../time/timers.js';
 import {parseAddress} from './address.js';
 import type {Address} from './link.js';
 
@@ -17,10 +20,24 @@
   });
 }
 
-/** Closes a server; resolves when the last request has been answered. */
-export function closeServer(server: Server): Promise<void> {
+/**
+ * Milliseconds in which calls under way are answered when a listener closes.
+ * A peer whose connection has gone silent would hold up the stop of the whole
+ * process: one that sent nothing yet, or half a request, counts as busy.
+ */
+const closeTime = 250;
+
+/** Closes a server; resolves when the last call is answered or was cut. */
+export function closeServer(
+  server: Server,
+  timers: Timers = createTimers(),
+): Promise<void> {
   return new Promise(resolve => {
-    server.close(() => resolve());
+    const cut = timers.after(closeTime, () => server.closeAllConnections());
+    server.close(() => {
+      cut.cancel();
+      resolve();
+    });
     server.closeIdleConnections();
   });
 }
@@ -50,3 +67,20 @@
   }
   return length > limit ? undefined : Buffer.concat(chunks).toString('utf8');
 }
+
+/**
+ * Makes a listener's handler of one that may fail. A caller that breaks off in
+ * the middle of its body makes the reading of it fail; taken by nobody, that
+ * error would end the process.
+ */
+export function guard<Incoming, Answering>(
+  log: Log,
+  handle: (incoming: Incoming, response: Answering) => Promise<void>,
+): (incoming: Incoming, response: Answering) => void {
+  return (incoming, response) => {
+    handle(incoming, response).catch((error: Error) => {
+      log.warn('call not answered', {reason: error.message});
+      (response as ServerResponse).destroy();
+    });
+  };
+}
