A link that ends with bytes unsent no longer ends the process

A socket counts bytes as written when they are queued and takes back the unsent ones when it closes; the byte counter was asked to go back and throws in the close event, which ends the process. Any node or control process with a backlog on a cut link could end so. The new test failed with 'It is not possible to decrease a counter'.

--- a/src/metrics/metered-network.test.ts
+++ b/src/metrics/metered-network.test.ts
@@ -1,4 +1,9 @@
+import {createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import test from 'ava';
+import {Registry} from 'prom-client';
+import {createMetrics} from '../admin/metrics.js';
+import {createTcpNetwork} from '../link/tcp-network.js';
 import {createFakeNetwork} from '../link/fakes/fake-network.js';
 import type {Link} from '../link/link.js';
 import {createFakeTimers} from '../time/fakes/fake-timers.js';
@@ -46,3 +51,37 @@
   t.is(total.sent, link.bytesOut, 'a closed link is not counted again');
   t.deepEqual(got, ['first', 'second']);
 });
+
+test('a link that ends with bytes unsent does not end the process', async t => {
+  // The other VM is cut off: it takes nothing more, and the link is given up.
+  // The system then counts only what it has sent, less than was counted before.
+  // A counter that is asked to go back throws, in the middle of an event.
+  const timers = createFakeTimers();
+  const registry = new Registry();
+  const server = createServer(socket => {
+    socket.pause();
+    socket.on('error', () => {});
+    accepted(socket);
+  });
+  let accepted: (socket: Socket) => void = () => {};
+  const far = new Promise<Socket>(resolve => (accepted = resolve));
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const network = createMeteredNetwork(
+    createTcpNetwork(),
+    'distribution',
+    createMetrics({registry}),
+    timers,
+  );
+  const link = await network.connect(address);
+  const ended = new Promise<void>(resolve => link.onClose(resolve));
+  const message = 'x'.repeat(1024 * 1024);
+  for (let count = 0; count < 32; count++) link.send(message);
+  timers.advance(1_000);
+  (await far).resetAndDestroy();
+  await ended;
+  const text = await registry.metrics();
+  const sent = /direction="out"\} (\d+)/.exec(text)?.[1];
+  t.true(Number(sent) >= 32 * 1024 * 1024, text);
+  await new Promise(resolve => server.close(resolve));
+});
--- a/src/metrics/metered-network.ts
+++ b/src/metrics/metered-network.ts
@@ -50,7 +50,10 @@
   let sent = 0;
   return {
     count() {
-      const {bytesIn, bytesOut} = link;
+      // A link that has ended takes back what it could not send any more, and
+      // a counter that is asked to go back throws.
+      const bytesIn = Math.max(received, link.bytesIn);
+      const bytesOut = Math.max(sent, link.bytesOut);
       metrics.traffic(traffic, bytesIn - received, bytesOut - sent);
       received = bytesIn;
       sent = bytesOut;
