--- a/src/request/gate-link.test.ts
+++ b/src/request/gate-link.test.ts
@@ -1,3 +1,4 @@
+import {createHash, randomBytes} from 'node:crypto';
 import test from 'ava';
 import {request} from 'undici';
 import {createMesh} from './fakes/mesh.js';
@@ -125,3 +126,41 @@
   await mesh.close();
   await gate.close();
 });
+
+test('an upload refused in the moment of its admission reaches the next gate whole', async t => {
+  // The first gate admits an upload and refuses it in one breath: its upstream
+  // answered before it read. Both words come at once, and the connection to the
+  // next gate takes a moment to open. Meanwhile the first attempt, which was let
+  // go on, takes the body's second part, and the next upstream gets the third in
+  // its place.
+  const refusing = await createRawServer(socket =>
+    socket.write(
+      [
+        'HTTP/1.1 102 Processing',
+        '',
+        'HTTP/1.1 503 Refused',
+        'foxbarrow-code: 5025',
+        'content-length: 0',
+        '\r\n',
+      ].join('\r\n'),
+    ),
+  );
+  const mesh = await createMesh({
+    upstreams: [
+      () => {},
+      (req, res) => {
+        const hash = createHash('sha256');
+        req.on('data', part => hash.update(part));
+        req.on('end', () => res.end(hash.digest('hex')));
+      },
+    ],
+    entry: {balancer: {choose: candidates => candidates[0]!}},
+  });
+  replaceGate(mesh, refusing.address);
+  const body = randomBytes(3 * 1024 * 1024);
+  const answer = await request(`${mesh.url}/stock/7`, {method: 'PUT', body});
+  const digest = createHash('sha256').update(body).digest('hex');
+  t.is(await answer.body.text(), digest);
+  await mesh.close();
+  await refusing.close();
+});
