--- a/scenarios/processes/control.test.ts
+++ b/scenarios/processes/control.test.ts
@@ -8,6 +8,7 @@
 import {until} from '../../bench/deployment/until.js';
 import type {Command} from '../../src/configuration/messages.js';
 import type {OperatorClient} from '../../src/operator/create-operator-client.js';
+import {putService} from './put-service.js';
 
 const limit = 60_000;
 
@@ -20,21 +21,6 @@
   return deployment;
 }
 
-let lastSequence = Date.now() * 1000;
-
-function putService(name: string): Command {
-  return {
-    operator: 'tester',
-    sequence: ++lastSequence,
-    edits: [
-      {
-        action: 'put',
-        item: {kind: 'service', value: {name, slowStart: 0}},
-      },
-    ],
-  };
-}
-
 /** What an answer says of the change, whether or not it came before. */
 function answerOf(reply: Awaited<ReturnType<OperatorClient['change']>>) {
   if (!reply.ok) return undefined;
--- /dev/null
+++ b/scenarios/processes/put-service.ts
@@ -0,0 +1,14 @@
+import type {Command} from '../../src/configuration/messages.js';
+
+let lastSequence = Date.now() * 1000;
+
+/** The command that puts one service; each has a sequence of its own. */
+export function putService(name: string): Command {
+  return {
+    operator: 'tester',
+    sequence: ++lastSequence,
+    edits: [
+      {action: 'put', item: {kind: 'service', value: {name, slowStart: 0}}},
+    ],
+  };
+}
--- a/scenarios/processes/replaced-member.test.ts
+++ b/scenarios/processes/replaced-member.test.ts
@@ -9,26 +9,14 @@
 import {connectOperator, findLeader} from '../../bench/deployment/setup.js';
 import {startSmall} from '../../bench/deployment/small.js';
 import {until} from '../../bench/deployment/until.js';
-import type {Command} from '../../src/configuration/messages.js';
 import type {OperatorClient} from '../../src/operator/create-operator-client.js';
 import {createOperatorClient} from '../../src/operator/create-operator-client.js';
 import {createTimers} from '../../src/time/timers.js';
+import {putService} from './put-service.js';
 
 const limit = 60_000;
 const nodes = 3;
 
-let lastSequence = Date.now() * 1000;
-
-function putService(name: string): Command {
-  return {
-    operator: 'tester',
-    sequence: ++lastSequence,
-    edits: [
-      {action: 'put', item: {kind: 'service', value: {name, slowStart: 0}}},
-    ],
-  };
-}
-
 /** Starts a fourth control process, which the others' settings do not name. */
 async function startFourth(t: ExecutionContext, {data, ...rest}: Deployment) {
   const ports = await reservePorts();
--- a/scenarios/steps/control.ts
+++ b/scenarios/steps/control.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import type {ControlVm} from '../control-vm.js';
 import type {Stage} from '../stage.js';
 import {createSteps} from '../step.js';
 
@@ -9,6 +10,12 @@
 const statusOf = (stage: Stage, name: string) =>
   stage.control(name).life()!.consensus.status();
 
+async function startAgain(stage: Stage, vm: ControlVm): Promise<void> {
+  const starting = vm.start();
+  await stage.until('a start', () => vm.life() !== undefined);
+  await starting;
+}
+
 /** Whether a VM votes and has applied all that the leader has. */
 function isWhole(stage: Stage, name: string): boolean {
   const leader = stage.leader();
@@ -50,9 +57,7 @@
     const vm = stage.control(name);
     vm.kill();
     vm.loseDisk();
-    const starting = vm.start();
-    await stage.until('a start', () => vm.life() !== undefined);
-    await starting;
+    await startAgain(stage, vm);
   },
 );
 
@@ -60,19 +65,15 @@
 
 action('{word} dies', (stage, name) => stage.control(name).kill());
 
-action('{word} starts again', async (stage, name) => {
-  const starting = stage.control(name).start();
-  await stage.until('a start', () => stage.control(name).life() !== undefined);
-  await starting;
-});
+action('{word} starts again', (stage, name) =>
+  startAgain(stage, stage.control(name)),
+);
 
 action('{word} loses its disk and starts again', async (stage, name) => {
   const vm = stage.control(name);
   vm.kill();
   vm.loseDisk();
-  const starting = vm.start();
-  await stage.until('a start', () => vm.life() !== undefined);
-  await starting;
+  await startAgain(stage, vm);
 });
 
 action('{word} loses its disk for good', (stage, name) => {
--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -2,7 +2,7 @@
 import type {RequestListener, ServerResponse} from 'node:http';
 import polka from 'polka';
 import type {Registry} from 'prom-client';
-import {answerJson, closeServer, openServer} from '../link/http-server.js';
+import {answerJson, openServer} from '../link/http-server.js';
 import type {Address} from '../link/link.js';
 import {commonCodes} from '../result/codes.js';
 import type {Result} from '../result/failure.js';
@@ -73,10 +73,7 @@
   addActions(app, options.actions ?? {});
 
   server.on('request', app.handler as RequestListener);
-  return {
-    address: await openServer(server, options.address),
-    close: () => closeServer(server),
-  };
+  return openServer(server, options.address);
 }
 
 function isRead(request: {method?: string | undefined}): boolean {
--- a/src/link/http-server.test.ts
+++ b/src/link/http-server.test.ts
@@ -17,7 +17,7 @@
     // more. The listener closes in a planned stop; waiting for that connection,
     // the process would be killed at the end of its grace, with its last work.
     const server = createServer(() => {});
-    const address = await openServer(server, '127.0.0.1:0');
+    const {address} = await openServer(server, '127.0.0.1:0');
     const accepted = once(server, 'connection');
     openRaw(address, sent);
     await accepted;
@@ -34,7 +34,7 @@
   const server = createServer((_request, response) => {
     answer = () => response.end('done');
   });
-  const address = await openServer(server, '127.0.0.1:0');
+  const {address} = await openServer(server, '127.0.0.1:0');
   const asked = once(server, 'request');
   const socket = openRaw(address, 'GET / HTTP/1.1\r\nhost: a\r\n\r\n');
   await asked;
--- a/src/link/http-server.ts
+++ b/src/link/http-server.ts
@@ -5,17 +5,23 @@
 import {createTimers} from '../time/timers.js';
 import type {Timers} from '../time/timers.js';
 import {parseAddress} from './address.js';
-import type {Address} from './link.js';
+import type {Address, Listener} from './link.js';
 
-/** Opens a server; resolves to where it listens, rejects when the port is taken. */
-export function openServer(server: Server, address: Address): Promise<Address> {
+/** Opens a server; rejects when the port is taken. */
+export function openServer(
+  server: Server,
+  address: Address,
+): Promise<Listener> {
   const {host, port} = parseAddress(address);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
       server.off('error', reject);
       const bound = (server.address() as AddressInfo).port;
-      resolve(`${host.includes(':') ? `[${host}]` : host}:${bound}`);
+      resolve({
+        address: `${host.includes(':') ? `[${host}]` : host}:${bound}`,
+        close: () => closeServer(server),
+      });
     });
   });
 }
--- a/src/node/code-warm-up.ts
+++ b/src/node/code-warm-up.ts
@@ -15,7 +15,7 @@
 import type {Configuration} from '../configuration/configuration.js';
 import type {Upstream} from '../endpoints/announcer.js';
 import type {Announcement} from '../endpoints/messages.js';
-import {closeServer, openServer} from '../link/http-server.js';
+import {openServer} from '../link/http-server.js';
 import type {Address} from '../link/link.js';
 import {createSilentLog} from '../log/log.js';
 import type {Random} from '../random/random.js';
@@ -90,11 +90,11 @@
 /** Runs it; resolves with the number of requests that were answered. */
 export async function warmUpCode(options: CodeWarmUpOptions): Promise<number> {
   if (options.requests === 0) return 0;
-  const upstream = createServer(answerSample(options.traffic));
-  const gate = await createSampleGate(
-    options,
-    await openServer(upstream, anyPort),
+  const upstream = await openServer(
+    createServer(answerSample(options.traffic)),
+    anyPort,
   );
+  const gate = await createSampleGate(options, upstream.address);
   const entry = createSampleEntry(options, gate.address);
   await entry.listen();
   const connections = createConnections({
@@ -105,7 +105,7 @@
   const answered = await sendAll(connections, options);
   await connections.close();
   await Promise.all([entry.stop(0), gate.stop()]);
-  await closeServer(upstream);
+  await upstream.close();
   return answered;
 }
 
--- a/src/operator/router.ts
+++ b/src/operator/router.ts
@@ -6,6 +6,7 @@
 import type {Refusal} from './messages.js';
 import {refuse} from './refusal.js';
 import type {OperatorService} from './service.js';
+import {firstProblem} from '../result/first-problem.js';
 
 /** What one request to the operators' API brings. */
 export interface RequestContext {
@@ -93,11 +94,11 @@
 function describeInput(error: TRPCError): string {
   if (!(error.cause instanceof ZodError)) return error.message;
   const issue = error.cause.issues[0]!;
-  const path = issue.path.join('.') || 'the request';
   if (issue.code === 'unrecognized_keys') {
+    const path = issue.path.join('.') || 'the request';
     return `${path}: unknown key ${issue.keys[0]}`;
   }
-  return `${path}: ${issue.message}`;
+  return firstProblem(error.cause, 'the request');
 }
 
 function logUnexpected(log: Log, error: TRPCError): void {
