--- a/src/node/code-warm-up.ts
+++ b/src/node/code-warm-up.ts
@@ -67,6 +67,7 @@
 
 const configuration: Configuration = {
   ...emptyConfiguration,
+  version: 1,
   services: new Map([[name, {name, slowStart: 0}]]),
   policies: new Map([
     [
--- a/src/request/route-finder.ts
+++ b/src/request/route-finder.ts
@@ -1,5 +1,6 @@
 /** Which route takes a caller's request, or why none does. */
 import type {IncomingMessage} from 'node:http';
+import {isBeforeFirst} from '../configuration/configuration.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {Random} from '../random/random.js';
 import type {Code} from '../result/code.js';
@@ -54,7 +55,10 @@
       return {refused: refusal(requestCodes.badRequest, fault)};
     }
     const configuration = options.configuration();
-    if (configuration === undefined) return {refused: noConfiguration()};
+    // Its `no-route` would be believed for routes that are about to come.
+    if (configuration === undefined || isBeforeFirst(configuration)) {
+      return {refused: noConfiguration()};
+    }
     const match = routerOf(configuration).match({
       method: request.method!,
       path: request.url!,
