--- a/src/request/attempt-answer.ts
+++ b/src/request/attempt-answer.ts
@@ -13,16 +13,19 @@
 /**
  * Passes an answer on; a refusal goes to `refused` instead. A deadline that a
  * caller in a hurry set is not held against the peer: one caller could have
- * every instance ejected by asking for a millisecond.
+ * every instance ejected by asking for a millisecond. `sized` hears of the bytes
+ * of a whole answer.
  */
 export function createAttemptAnswer(
   answer: Answer,
   peer: Peer,
   refused: (reason: Refusal) => void,
   isHurried: boolean,
+  sized: (bytes: number) => void = () => {},
 ): AttemptAnswer {
   let status = 0;
   let settled = false;
+  let bytes = 0;
 
   function settle(code: Code | undefined): boolean {
     if (settled) return false;
@@ -38,10 +41,15 @@
       status = head.status;
       answer.start(head);
     },
-    write: chunk => answer.write(chunk),
+    write: chunk => {
+      bytes += chunk.length;
+      return answer.write(chunk);
+    },
     onDrain: resume => answer.onDrain(resume),
     end: () => {
-      if (settle(undefined)) answer.end();
+      if (!settle(undefined)) return;
+      sized(bytes);
+      answer.end();
     },
     refuse: reason => {
       if (settle(reason.code)) refused(reason);
