Callers that vary their time have the objective all the same

Cause: an entry believed a usual timeout only where most callers tell exactly the same one.

Now a time near the longest of late is a first attempt's; a shorter one is of a caller that comes back, as long as failures explain it, else of an upstream's call. A value that most tell is still believed exactly.

Hypothesis: late work refused at once makes room for work in time.

--- a/src/request/time-limits.ts
+++ b/src/request/time-limits.ts
@@ -1,4 +1,5 @@
 /** How long a request may take, and until when its answer counts as good. */
+import type {Route} from '../configuration/configuration.js';
 import type {Timers} from '../time/timers.js';
 import type {CallerTerms} from './caller-protocol.js';
 import type {Match} from './router.js';
@@ -12,8 +13,13 @@
   readonly goodUntil: number;
 }
 
-/** Works out the limits of a request that has just come. */
-export type LimitTime = (terms: CallerTerms, match: Match) => TimeLimits;
+/** Works out the limits of requests. */
+export interface TimeLimiter {
+  /** The limits of a request that has just come. */
+  limit(terms: CallerTerms, match: Match): TimeLimits;
+  /** A request of the route was refused or failed. */
+  failed(route: Route): void;
+}
 
 /**
  * Milliseconds of the objective that are kept for the request's way to the
@@ -21,8 +27,8 @@
  */
 const wayBack = 10;
 
-/** Creates the limits of one entry; they learn from its callers. */
-export function createTimeLimits(timers: Timers): LimitTime {
+/** Creates the limiter of one entry; it learns from its callers. */
+export function createTimeLimiter(timers: Timers): TimeLimiter {
   const usualTimeouts = createUsualTimeouts();
 
   /**
@@ -33,15 +39,18 @@
   function goodFor({timeout}: CallerTerms, {route, policy}: Match): number {
     const good = policy.objective.latency - wayBack;
     if (timeout === undefined) return good;
-    const waited = usualTimeouts.waited(route, timeout);
+    const longest = Math.min(timeout, policy.deadline);
+    const waited = usualTimeouts.waited(route, longest);
     return waited === undefined ? Infinity : good - waited;
   }
 
-  return (terms, match) => {
+  function limit(terms: CallerTerms, match: Match): TimeLimits {
     const now = timers.now();
     const {deadline: longest} = match.policy;
     const deadline = now + Math.min(terms.timeout ?? Infinity, longest);
     const goodUntil = Math.min(deadline, now + goodFor(terms, match));
     return {deadline, goodUntil};
-  };
+  }
+
+  return {limit, failed: usualTimeouts.failed};
 }
