A move from a crowded gate draws on a budget of its own

Cause: a gate that has no room in time refuses before its instance has seen the work, yet the move to another gate drew on the share of second attempts that the operators bound, and was seldom made.

Hypothesis: an entry's knowledge of loads is late, so another gate often has room.

--- a/src/request/retry.test.ts
+++ b/src/request/retry.test.ts
@@ -13,6 +13,7 @@
     left: 100,
     replayable: true,
     budget: createRetryBudget(),
+    moves: createRetryBudget(),
     ...changes,
   };
 }
@@ -47,7 +48,8 @@
     for (let request = 0; request < 1000; request++) {
       budget.earn();
       for (let attempts = 1; attempts < 4; attempts++) {
-        if (!shouldRetry(refused({attempts, budget}))) break;
+        const attempt = refused({attempts, budget, moves: budget});
+        if (!shouldRetry(attempt)) break;
         retries++;
       }
     }
@@ -58,6 +60,19 @@
 
 test('leaving an instance that drains does not draw on the budget', t => {
   const budget = createRetryBudget({most: 0});
-  t.true(shouldRetry(refused({code: requestCodes.draining, budget})));
-  t.false(shouldRetry(refused({code: requestCodes.full, budget})));
+  const empty = {budget, moves: budget};
+  t.true(shouldRetry(refused({code: requestCodes.draining, ...empty})));
+  t.false(shouldRetry(refused({code: requestCodes.full, ...empty})));
+});
+
+test('a move from a crowded gate is no second attempt at an instance', t => {
+  // One gate has no room in time and another has; the operators' bound on second
+  // attempts counts what reaches an instance, and this reaches none.
+  const empty = createRetryBudget({most: 0});
+  const code = requestCodes.deadlineUnreachable;
+  t.true(shouldRetry(refused({code, budget: empty})));
+  t.false(shouldRetry(refused({code, moves: empty})));
+  const reached = requestCodes.upstreamRefused;
+  t.true(shouldRetry(refused({code: reached, moves: empty})));
+  t.false(shouldRetry(refused({code: reached, budget: empty})));
 });
