--- a/src/request/durations.test.ts
+++ b/src/request/durations.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {createRandom} from '../random/random.js';
 import {createKindDurations} from './durations.js';
 
 test('a kind is judged by its own work, all work by every kind', t => {
@@ -20,3 +21,14 @@
   durations.doubt('one more');
   t.is(durations.mean(), 13.5);
 });
+
+test('what three in four take is above the mean where some take long', t => {
+  const durations = createKindDurations();
+  const random = createRandom(5);
+  for (let count = 0; count < 4_000; count++) {
+    durations.add(100 * random.fraction() * 2, 'lookup');
+  }
+  const {mean, mostly} = durations.of('lookup');
+  t.true(mean() > 85 && mean() < 115, String(mean()));
+  t.true(mostly() > 130 && mostly() < 170, String(mostly()));
+});
