--- a/src/request/attempts.test.ts
+++ b/src/request/attempts.test.ts
@@ -1,17 +1,13 @@
 import {createServer} from 'node:http';
 import test from 'ava';
 import {request} from 'undici';
+import {hopCases} from './fakes/hop-cases.js';
 import {createMesh, listen} from './fakes/mesh.js';
 import type {Mesh} from './fakes/mesh.js';
 
 const depth = 11;
 
-for (const [framedLinks, internalHeaders] of [
-  [false, false],
-  [false, true],
-  [true, false],
-  [true, true],
-] as const) {
+for (const {framedLinks, isGuarded: internalHeaders} of hopCases) {
   test(`a chain ${depth} deep whose bottom refuses, internal headers dropped: ${internalHeaders}, framed links: ${framedLinks}`, async t => {
     // Each upstream calls the next through its own entry and passes on what it
     // got, headers and all. If an entry took a refusal from further down for
--- a/src/request/gate-link.test.ts
+++ b/src/request/gate-link.test.ts
@@ -1,6 +1,7 @@
 import {createHash, randomBytes} from 'node:crypto';
 import test from 'ava';
 import {request} from 'undici';
+import {hopCases} from './fakes/hop-cases.js';
 import {createMesh} from './fakes/mesh.js';
 import type {Mesh} from './fakes/mesh.js';
 import {framedProtocol} from './frames.js';
@@ -37,12 +38,7 @@
   return request(`${mesh.url}/bookings`, {method: 'POST', body: 'book'});
 }
 
-for (const [framedLinks, doubt] of [
-  [false, false],
-  [false, true],
-  [true, false],
-  [true, true],
-] as const) {
+for (const {framedLinks, isGuarded: doubt} of hopCases) {
   test(`a gate lost after the head was sent, doubt kept: ${doubt}, framed links: ${framedLinks}`, async t => {
     // The gate's process dies with a booking in hand, which may have reached
     // the upstream. Called `not-run`, the entry sends it to the other gate and
