A model search is bounded by states and memory, not by the clock

The search takes 69 s of one core (run by itself at load 20: all 5,736,643 states, holds) and was ended at 180 s of wall time, with four searches and 24 other busy processes on 8 cores. The bound on time now only ends a search that hangs; what a search must show is as it was.

--- a/model/model.test.ts
+++ b/model/model.test.ts
@@ -10,8 +10,8 @@
 const limit = pLimit(searchesAtOnce);
 for (const check of checks) {
   test(`${check.specification}: ${check.name}`, async t => {
-    // The searches before it take their time; its own is bounded by `run`.
-    t.timeout(600_000);
+    // It waits for the searches before it; its own end is bounded by `run`.
+    t.timeout(7_200_000);
     const outcome = await limit(() => run(check));
     const line = describe(check, outcome);
     t.log(line);
--- a/model/run.ts
+++ b/model/run.ts
@@ -27,10 +27,12 @@
 export const searchesAtOnce = 4;
 
 /**
- * Longest search in milliseconds, and its memory in megabytes. The longest
- * takes under a minute by itself, and up to twice that beside others.
+ * Longest search in milliseconds, and its memory in megabytes. A search is
+ * bounded by its states and its memory; the time only ends one that hangs. The
+ * longest takes under a minute by itself, and over three beside programs that
+ * take four times the machine's cores.
  */
-const searchTimeout = 180_000;
+const searchTimeout = 1_800_000;
 const searchMemory = 1400;
 const searchDepth = 20_000;
 const compilerFlags = ['-w', '-DSAFETY', '-DCOLLAPSE'];
