--- a/src/request/framed-link.ts
+++ b/src/request/framed-link.ts
@@ -3,19 +3,14 @@
  * one connection: over a connection for each call an HTTP client and a server
  * took more of a node's processor than all of its decisions.
  */
-import {request} from 'node:http';
-import type {IncomingMessage} from 'node:http';
-import {createConnection} from 'node:net';
-import type {Socket} from 'node:net';
-import {parseAddress} from '../link/address.js';
-import type {Address} from '../link/link.js';
 import {createSocketLink} from '../link/socket-link.js';
 import type {SocketLink} from '../link/socket-link.js';
 import type {Log} from '../log/log.js';
 import {createSilenceWatch} from '../time/silence-watch.js';
-import type {Subscription, Timers} from '../time/timers.js';
-import {answerWindow, framedProtocol} from './frames.js';
+import {answerWindow} from './frames.js';
 import type {EntryFrame, GateFrame} from './frames.js';
+import {upgradeToLink} from './link-upgrade.js';
+import type {LinkUpgradeOptions, Unopened} from './link-upgrade.js';
 
 /** Hears what a gate says about one call. */
 export abstract class FrameReceiver {
@@ -61,12 +56,8 @@
   close(): void;
 }
 
-/** Options of `openFramedLink`; times in milliseconds. */
-export interface FramedLinkOptions {
-  readonly address: Address;
-  /** Longest wait for the connection. */
-  readonly connectTimeout: number;
-  readonly timers: Timers;
+/** Options of `openFramedLink`. */
+export interface FramedLinkOptions extends LinkUpgradeOptions {
   readonly log: Log;
 }
 
@@ -80,12 +71,6 @@
  */
 const longestSilence = 1000;
 
-/**
- * Milliseconds that a gate whose system took the connection may take to answer
- * the upgrade; its process may be starting.
- */
-const upgradeTimeout = 1000;
-
 /** Largest frame of a gate: a part of an answer and its wrapping. */
 const messageLimit = 1024 * 1024;
 
@@ -112,7 +97,7 @@
   let lastCall = 0;
   let heardAt = 0;
 
-  const opening = upgrade(options, result => {
+  const opening = upgradeToLink(options, result => {
     if (result.kind !== 'open') return fail(result);
     link = createSocketLink(result.socket, {
       messageLimit,
@@ -238,54 +223,3 @@
     },
   };
 }
-
-/** Why there is no link. */
-type Unopened =
-  | {readonly kind: 'failed'; readonly error: Error}
-  | {readonly kind: 'unsupported'};
-
-/** What became of the opening of a link. */
-type Opening = {readonly kind: 'open'; readonly socket: Socket} | Unopened;
-
-/** Connects and asks for a framed link; `done` is called once. */
-function upgrade(
-  options: FramedLinkOptions,
-  done: (opening: Opening) => void,
-): Subscription {
-  const {timers, connectTimeout} = options;
-  const {host, port} = parseAddress(options.address);
-  const socket = createConnection({host, port});
-  let isDone = false;
-  let limit = timers.after(connectTimeout, () =>
-    socket.destroy(new Error(`no connection in ${connectTimeout} ms`)),
-  );
-
-  function finish(opening: Opening): void {
-    if (isDone) return;
-    isDone = true;
-    limit.cancel();
-    if (opening.kind !== 'open') socket.destroy();
-    done(opening);
-  }
-
-  socket.once('connect', () => {
-    limit.cancel();
-    limit = timers.after(upgradeTimeout, () =>
-      socket.destroy(new Error(`no link in ${upgradeTimeout} ms`)),
-    );
-  });
-  const asking = request({
-    host,
-    port,
-    headers: {connection: 'upgrade', upgrade: framedProtocol},
-    createConnection: () => socket,
-  });
-  asking.on('upgrade', (_answer: IncomingMessage, opened: Socket, head) => {
-    if (head.length > 0) opened.unshift(head);
-    finish({kind: 'open', socket: opened});
-  });
-  asking.on('response', () => finish({kind: 'unsupported'}));
-  asking.on('error', error => finish({kind: 'failed', error}));
-  asking.end();
-  return {cancel: () => socket.destroy(new Error('the link was closed'))};
-}
