An entry that has gone silent does not hold up the stop of a gate

Cause: found by reading. A stopping gate closes the framed links that carry nothing and waits for the entries to close their halves; one that is cut off never does, and the stop lasted until its deadline, near the platform's kill. Such a link is broken off 250 ms later. The new test fails without it.

--- a/src/request/framed-gate.ts
+++ b/src/request/framed-gate.ts
@@ -54,6 +54,9 @@
 /** Milliseconds between two looks for such links. */
 const sweepPeriod = 30_000;
 
+/** Milliseconds that an entry has to close its half of a link that was closed. */
+const closeTime = 250;
+
 /** Creates the gate's end; links are handed to it as they open. */
 export function createFramedGate(options: FramedGateOptions): FramedGate {
   const {gate, timers, safeguards} = options;
@@ -160,8 +163,13 @@
     return instance === gate.instance && service === gate.service;
   }
 
+  /** An entry that has gone silent closes no link; it must not hold up the stop. */
   function closeFree(): void {
-    for (const one of served) if (isFree(one)) one.link.close();
+    for (const one of served) {
+      if (!isFree(one)) continue;
+      one.link.close();
+      timers.after(closeTime, () => one.link.destroy());
+    }
   }
 
   return {
--- a/src/request/gate-link.test.ts
+++ b/src/request/gate-link.test.ts
@@ -1,4 +1,6 @@
 import {createHash, randomBytes} from 'node:crypto';
+import {once} from 'node:events';
+import {createConnection} from 'node:net';
 import test from 'ava';
 import {request} from 'undici';
 import {hopCases} from './fakes/hop-cases.js';
@@ -272,3 +274,32 @@
   await stopped;
   await mesh.close();
 });
+
+test('an entry that has gone silent does not hold up the stop of a gate', async t => {
+  // The entry's VM is cut off: its link stays open, carries nothing and is never
+  // closed from there. Waited for, the gate's process is still there at the end
+  // of its grace and is killed with the rest of its work.
+  const mesh = await createMesh({upstreams: [() => {}]});
+  const {server} = mesh.members[0]!;
+  const [host, port] = server.address.split(':');
+  const silent = createConnection({
+    host,
+    port: Number(port),
+    allowHalfOpen: true,
+  });
+  silent.write(
+    `GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: ${framedProtocol}\r\n\r\n`,
+  );
+  await once(silent, 'data');
+  silent.pause();
+  const stopped = server.stop(60_000);
+  let isStopped = false;
+  void stopped.then(() => (isStopped = true));
+  for (let step = 0; step < 20 && !isStopped; step++) {
+    mesh.timers.advance(50);
+    await settle();
+  }
+  t.true(isStopped);
+  silent.destroy();
+  await mesh.close();
+});
