--- a/src/request/framed-gate.ts
+++ b/src/request/framed-gate.ts
@@ -61,7 +61,7 @@
 export function createFramedGate(options: FramedGateOptions): FramedGate {
   const {gate, timers, safeguards} = options;
   const served = new Set<Served>();
-  let sweeping = timers.every(sweepPeriod, sweep);
+  const sweeping = timers.every(sweepPeriod, sweep);
   let isPastGrace = false;
 
   /** An entry without power never closes; its link would be kept for good. */
@@ -177,12 +177,12 @@
     stop: (grace, deadline) => {
       sweeping.cancel();
       for (const one of served) send(one, {type: 'leaving'});
-      sweeping = timers.after(Math.min(grace, deadline), () => {
+      const closing = timers.after(Math.min(grace, deadline), () => {
         isPastGrace = true;
         closeFree();
       });
       timers.after(deadline, () => {
-        sweeping.cancel();
+        closing.cancel();
         for (const {link} of served) link.destroy();
       });
     },
