--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -120,9 +120,21 @@
     if (state.log.membership === followed) return;
     followed = state.log.membership;
     links.follow(followed);
+    logMembers();
     observeMembers();
   }
 
+  function logMembers(): void {
+    const {voters, learners, replacement} = followed;
+    log.info('members', {
+      voters: namesOf(voters),
+      learners: namesOf(learners),
+      leaving: replacement?.leaving,
+      // Voters that may be lost at once with their disks.
+      bearable: Math.ceil(voters.length / 2) - 1,
+    });
+  }
+
   function observeMembers(): void {
     for (const observe of memberObservers) observe();
   }
@@ -317,3 +329,7 @@
     },
   };
 }
+
+function namesOf(members: readonly Member[]): string {
+  return members.map(({name}) => name).join(' ');
+}
