The group grows until it bears the losses that settings ask for

Cause: the founders are the three processes that everyone is told of, and a formed group only ever replaced voters. Where two lost disks are to be borne, two lost of three left no quorum for good: no node proves a configuration, all callers are refused (RECOVER). A fourth control process, where there is one, stayed outside the group. Ruled out: larger founding sets, which need an address list that nobody has; more seeds, which the platform caps at three. Change: settings name the losses to bear; the leader takes in processes that have called, one at a time as learners, where fewest voters stand. The deploy file has two control VMs in a failure domain of three or four, one of two.

--- a/src/consensus/core-state.ts
+++ b/src/consensus/core-state.ts
@@ -97,6 +97,8 @@
   readonly electionTimeout: number;
   /** Milliseconds of silence after which a voter is replaced; absent for never. */
   readonly replaceLostAfter?: number | undefined;
+  /** Voters that may be lost at once; absent to keep the number of founders. */
+  readonly faultTolerance?: number | undefined;
   readonly safeguards: Safeguards;
 }
 
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -31,6 +31,7 @@
   replication: Replication,
 ): MembershipChanges {
   const {self, electionTimeout, replaceLostAfter, safeguards} = state.options;
+  const votersWanted = votersFor(state.options.faultTolerance);
   const met = new Map<string, Voter>();
 
   const isLeader = () => state.role.current === 'leader';
@@ -122,7 +123,7 @@
     const {voters, learners, replacement} = membershipOf(state);
     if (replaceLostAfter === undefined || !isLeader()) return false;
     if (replacement !== undefined) return false;
-    const joining = [...met.values()].find(peer => !isMember(peer.name));
+    const joining = chooseJoining();
     if (joining === undefined) return false;
     const isLost = (member: Voter) => silenceOf(member) >= replaceLostAfter;
     // A voter that came back empty and fell silent again leaves at once.
@@ -143,6 +144,33 @@
     return true;
   }
 
+  /**
+   * A group is founded by the few processes that every one is told of, which may
+   * be fewer than the losses to be borne need: with two disks of three lost no
+   * quorum ever comes again, and every node refuses its callers for good. So the
+   * group takes in processes that have called, one at a time, until it bears
+   * them; a learner counts only once it holds the whole log.
+   */
+  function grow(): boolean {
+    const {voters, learners, replacement} = membershipOf(state);
+    if (!isLeader() || replacement !== undefined) return false;
+    if (learners.length > 0 || voters.length >= votersWanted) return false;
+    const joining = chooseJoining();
+    if (joining === undefined) return false;
+    propose({voters, learners: [joining]});
+    return true;
+  }
+
+  /** A process that has called and is no member, where fewest voters stand. */
+  function chooseJoining(): Voter | undefined {
+    const {voters} = membershipOf(state);
+    const neighbours = ({failureDomain}: Voter) =>
+      voters.filter(voter => voter.failureDomain === failureDomain).length;
+    return [...met.values()]
+      .filter(peer => !isMember(peer.name))
+      .sort((left, right) => neighbours(left) - neighbours(right))[0];
+  }
+
   function silenceOf({name}: Voter): number {
     return state.now - (replication.progressOf(name)?.heardAt ?? state.now);
   }
@@ -182,7 +210,13 @@
       if (promoteReady()) return;
       if (finishReplacement()) return;
       if (abandonSilent()) return;
+      if (grow()) return;
       replaceLost();
     },
   };
 }
+
+/** Voters of which so many may be lost while a majority is left. */
+function votersFor(faultTolerance: number | undefined): number {
+  return faultTolerance === undefined ? 0 : 2 * faultTolerance + 1;
+}
--- a/src/consensus/tolerance.test.ts
+++ b/src/consensus/tolerance.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava';
-import {startTestGroup} from './fakes/group.js';
+import {createTestGroup, startTestGroup} from './fakes/group.js';
 import type {TestGroup} from './fakes/group.js';
 
 /** A deployment that must bear two lost disks, as its settings say. */
-const bearsTwo: object = {faultTolerance: 2};
+const bearsTwo = {faultTolerance: 2};
 
 async function startFive(): Promise<TestGroup> {
   const group = await startTestGroup(3, bearsTwo);
@@ -36,3 +36,38 @@
     .journal.entries.map(({text}) => text);
   t.deepEqual(texts, ['before', 'after']);
 });
+
+test('a group takes in those that call until it bears its losses, and no more', async t => {
+  const group = await startFive();
+  for (const name of ['f', 'g']) {
+    group.add(name);
+    await group.start(name);
+  }
+  await group.run(5_000);
+  const {voters, learners} = group.member(group.leader()!).consensus!.status();
+  t.is(voters.length, 5);
+  t.deepEqual(learners, []);
+});
+
+test('without the setting a group stays as it was founded', async t => {
+  const group = await startTestGroup(3);
+  group.add('d');
+  await group.start('d');
+  await group.run(5_000);
+  t.is(group.member(group.leader()!).consensus!.status().voters.length, 3);
+});
+
+// A failure domain is lost with two voters of five in it, where another process
+// stood ready in a domain of its own: the group would bear only one loss more.
+test('a group grows into failure domains that hold no voter yet', async t => {
+  const group = createTestGroup(3, {faultTolerance: 2});
+  for (const name of ['d', 'e', 'f']) group.add(name);
+  const {failureDomain} = group.member('a').member;
+  Object.assign(group.member('d').member, {failureDomain});
+  for (const name of ['d', 'e', 'f', 'a', 'b', 'c']) await group.start(name);
+  await group.elect();
+  await group.run(5_000);
+  const {voters} = group.member(group.leader()!).consensus!.status();
+  const names = voters.map(({name}) => name).sort();
+  t.deepEqual(names, ['a', 'b', 'c', 'e', 'f']);
+});
