--- a/src/control/member-directory.test.ts
+++ b/src/control/member-directory.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import type {Member, Status} from '../consensus/consensus.js';
+import {createRandom} from '../random/random.js';
 import {createMemberDirectory} from './member-directory.js';
 
 const founder = (number: number) => ({
@@ -27,6 +28,8 @@
       onMembers: observe => void observers.push(observe),
     },
     founders,
+    'control-9',
+    createRandom(1),
   );
   let changes = 0;
   directory.onChange(() => changes++);
@@ -90,3 +93,16 @@
   t.is(changes(), 1);
   t.is(directory.homes(), homes);
 });
+
+// Four control processes run and three form the group. Operators that ask the
+// fourth were told that nobody is known, or kept waiting for a majority that it
+// is no part of; each such call cost them a second and more.
+test('a process outside the group names a member, a member names none', t => {
+  const {directory, become} = stage();
+  const addresses = founders.map(one => one.operatorAddress);
+  t.true(addresses.includes(directory.memberAddress()!));
+  become([old(2)]);
+  t.is(directory.memberAddress(), '10.0.0.2:7001');
+  become([old(2), {...old(9), name: 'control-9'}]);
+  t.is(directory.memberAddress(), undefined);
+});
--- a/src/control/member-directory.ts
+++ b/src/control/member-directory.ts
@@ -5,6 +5,7 @@
 import type {Consensus, Member} from '../consensus/consensus.js';
 import type {HomeAddress} from '../fleet/messages.js';
 import type {Address} from '../link/link.js';
+import type {Random} from '../random/random.js';
 import type {ControlSettings} from '../settings/schema.js';
 
 /** The present members' addresses. */
@@ -15,6 +16,11 @@
   fellows(): readonly Address[];
   /** The voters as homes of nodes; the same array until they change. */
   homes(): readonly HomeAddress[];
+  /**
+   * Where operators reach a member, for a process that is none: it can neither
+   * decide nor read, and a caller that it kept waiting would find that out late.
+   */
+  memberAddress(): Address | undefined;
   /** Calls `observe` after each change. */
   onChange(observe: () => void): void;
 }
@@ -23,6 +29,8 @@
 export function createMemberDirectory(
   consensus: Pick<Consensus, 'status' | 'onMembers'>,
   founders: ControlSettings['members'],
+  self: string,
+  random: Random,
 ): MemberDirectory {
   const founderOf = (name: string) =>
     founders.find(founder => founder.name === name);
@@ -62,7 +70,29 @@
     for (const observe of observers) observe();
   });
 
+  /** The members as far as this process knows, the founders if it knows none. */
+  function listOperatorAddresses(): Address[] {
+    const {voters} = consensus.status();
+    if (voters.length === 0) {
+      return founders
+        .filter(founder => founder.name !== self)
+        .map(founder => founder.operatorAddress);
+    }
+    return voters.flatMap(({name, operatorAddress}) => {
+      const address = operatorAddress ?? founderOf(name)?.operatorAddress;
+      return address === undefined ? [] : [address];
+    });
+  }
+
+  function memberAddress(): Address | undefined {
+    const {voters, learners} = consensus.status();
+    if ([...voters, ...learners].some(({name}) => name === self)) return;
+    const addresses = listOperatorAddresses();
+    return addresses[random.integer(addresses.length)];
+  }
+
   return {
+    memberAddress,
     operatorAddress(name) {
       const {voters, learners} = consensus.status();
       const member = [...voters, ...learners].find(one => one.name === name);
