--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -105,9 +105,7 @@
     const {voters, learners, replacement} = membershipOf(state);
     if (replacement === undefined) return false;
     const {joining} = replacement;
-    const heardAt = replication.progressOf(joining)?.heardAt ?? state.now;
-    const silence = state.now - heardAt;
-    if (silence < abandonTimeouts * electionTimeout) return false;
+    if (silenceOf(joining) < abandonTimeouts * electionTimeout) return false;
     propose({voters, learners: without(learners, joining)});
     return true;
   }
@@ -125,7 +123,7 @@
     if (replacement !== undefined) return false;
     const joining = chooseJoining();
     if (joining === undefined) return false;
-    const isLost = (member: Voter) => silenceOf(member) >= replaceLostAfter;
+    const isLost = ({name}: Voter) => silenceOf(name) >= replaceLostAfter;
     // A voter that came back empty and fell silent again leaves at once.
     if (learners.length > 0) {
       if (!learners.every(isLost)) return false;
@@ -171,7 +169,7 @@
       .sort((left, right) => neighbours(left) - neighbours(right))[0];
   }
 
-  function silenceOf({name}: Voter): number {
+  function silenceOf(name: string): number {
     return state.now - (replication.progressOf(name)?.heardAt ?? state.now);
   }
 
--- a/src/link/tcp-network.test.ts
+++ b/src/link/tcp-network.test.ts
@@ -48,3 +48,21 @@
   }
   t.true(bytes[1]! < bytes[0]! / 2, `${bytes}`);
 });
+
+test('a message that can’t be handled ends its link, and its owner hears why', async t => {
+  const faults: string[] = [];
+  const network = createTcpNetwork({
+    onFault: error => void faults.push(error.message),
+  });
+  const listener = await network.listen('127.0.0.1:0', link => {
+    link.onMessage(() => {
+      throw new Error('no such kind');
+    });
+  });
+  const link = await network.connect(listener.address);
+  const ended = new Promise<void>(done => link.onClose(done));
+  link.send({kind: 'odd'});
+  await ended;
+  t.deepEqual(faults, ['no such kind']);
+  await listener.close();
+});
--- a/src/link/tcp-network.ts
+++ b/src/link/tcp-network.ts
@@ -16,6 +16,8 @@
    * then referred to by number; both ends must agree. Default true.
    */
   readonly sharesKeys?: boolean;
+  /** Hears why a link was ended over a message that can't be read or handled. */
+  readonly onFault?: (error: Error) => void;
 }
 
 const defaultConnectTimeout = 2000;
@@ -26,8 +28,9 @@
   const connectTimeout = options.connectTimeout ?? defaultConnectTimeout;
   const messageLimit = options.messageLimit ?? defaultMessageLimit;
   const sharesKeys = options.sharesKeys ?? true;
+  const onFault = options.onFault ?? (() => {});
   const open = (socket: Socket) =>
-    createSocketLink(socket, {messageLimit, sharesKeys});
+    createSocketLink(socket, {messageLimit, sharesKeys, onFault});
 
   return new (class extends Network {
     listen(address: Address, accept: (link: Link) => void): Promise<Listener> {
--- a/src/process/process.ts
+++ b/src/process/process.ts
@@ -28,10 +28,13 @@
 
 /** Creates them; processes without a seed must not choose alike. */
 export function createProcess(settings: ProcessSettings): Process {
+  const log = createLog(settings.name, settings.logLevel);
   return {
     timers: createTimers(),
     random: createRandom(settings.seed ?? randomInt(seedLimit)),
-    network: createTcpNetwork(),
-    log: createLog(settings.name, settings.logLevel),
+    network: createTcpNetwork({
+      onFault: error => log.error('link ended', {reason: error.message}),
+    }),
+    log,
   };
 }
