--- a/src/control/member-directory.test.ts
+++ b/src/control/member-directory.test.ts
@@ -106,3 +106,16 @@
   become([old(2), {...old(9), name: 'control-9'}]);
   t.is(directory.memberAddress(), undefined);
 });
+
+test('a process that is its only founder names nobody before it has formed', t => {
+  const directory = createMemberDirectory(
+    {
+      status: () => ({voters: [], learners: []}) as unknown as Status,
+      onMembers: () => {},
+    },
+    [founder(1)],
+    'control-1',
+    createRandom(1),
+  );
+  t.is(directory.memberAddress(), undefined);
+});
--- a/src/control/member-directory.ts
+++ b/src/control/member-directory.ts
@@ -88,7 +88,7 @@
     const {voters, learners} = consensus.status();
     if ([...voters, ...learners].some(({name}) => name === self)) return;
     const addresses = listOperatorAddresses();
-    return addresses[random.integer(addresses.length)];
+    return addresses.length === 0 ? undefined : random.pick(addresses);
   }
 
   return {
