--- a/src/distribution/section.ts
+++ b/src/distribution/section.ts
@@ -19,7 +19,7 @@
 /**
  * Routes in a section, about. A change of one route sends its section to each
  * node: with 1,700 routes in one section 114 kB, a tenth of a second of a node's
- * link, in parts of this size 4 kB.
+ * link, in parts of this size 3 to 5 kB.
  */
 const routesPerSection = 64;
 
