--- a/src/control/member-directory.ts
+++ b/src/control/member-directory.ts
@@ -70,6 +70,15 @@
     for (const observe of observers) observe();
   });
 
+  function memberOf(name: string): Member | undefined {
+    const {voters, learners} = consensus.status();
+    return [...voters, ...learners].find(member => member.name === name);
+  }
+
+  function operatorAddress(name: string): Address | undefined {
+    return memberOf(name)?.operatorAddress ?? founderOf(name)?.operatorAddress;
+  }
+
   /** The members as far as this process knows, the founders if it knows none. */
   function listOperatorAddresses(): Address[] {
     const {voters} = consensus.status();
@@ -78,26 +87,20 @@
         .filter(founder => founder.name !== self)
         .map(founder => founder.operatorAddress);
     }
-    return voters.flatMap(({name, operatorAddress}) => {
-      const address = operatorAddress ?? founderOf(name)?.operatorAddress;
-      return address === undefined ? [] : [address];
-    });
+    return voters
+      .map(({name}) => operatorAddress(name))
+      .filter(address => address !== undefined);
   }
 
   function memberAddress(): Address | undefined {
-    const {voters, learners} = consensus.status();
-    if ([...voters, ...learners].some(({name}) => name === self)) return;
+    if (memberOf(self) !== undefined) return undefined;
     const addresses = listOperatorAddresses();
     return addresses.length === 0 ? undefined : random.pick(addresses);
   }
 
   return {
     memberAddress,
-    operatorAddress(name) {
-      const {voters, learners} = consensus.status();
-      const member = [...voters, ...learners].find(one => one.name === name);
-      return member?.operatorAddress ?? founderOf(name)?.operatorAddress;
-    },
+    operatorAddress,
     fellows: () => fellows,
     homes: () => homes,
     onChange: observe => void observers.push(observe),
--- a/src/operator/item-shaper.ts
+++ b/src/operator/item-shaper.ts
@@ -4,6 +4,7 @@
 import {itemShape} from '../configuration/shape.js';
 import {failure, success} from '../result/failure.js';
 import type {Result} from '../result/failure.js';
+import {firstProblem} from '../result/first-problem.js';
 import {nextTurn} from '../time/turn.js';
 
 /** Shapes items. */
@@ -48,9 +49,6 @@
 function shapeItem(item: Item, at: number): Result<Item> {
   const parsed = itemShape.safeParse(item, {path: [at]});
   if (parsed.success) return success(parsed.data);
-  const {path, message} = parsed.error.issues[0]!;
-  return failure(
-    configurationCodes.invalidInput,
-    `${path.join('.')}: ${message}`,
-  );
+  const problem = firstProblem(parsed.error, 'the item');
+  return failure(configurationCodes.invalidInput, problem);
 }
