Request path: decisions, transport and messages in folders of their own (moves only)

Cause: src/request had 49 files in one folder; a line of placing stood beside frames and sockets, and whoever changed a decision read both. decisions/: admission, placing, ejection, budgets, durations, retry, time limits. transport/: connections, links, frames, uploads, listeners, headers. messages/: what both say to each other. entry, exchange, gate and route-finder, which put the two together, stay in the folder's root; deadline.ts is of time. Files are moved and import lines follow; no other line changed, in tests too.

--- a/bench/experiments/request-balance.ts
+++ b/bench/experiments/request-balance.ts
@@ -2,18 +2,18 @@
  * Balancing rules at the agency's size: crewbook's nine instances of ten slots
  * behind their gates, thirty entries. Decisions only, on timers moved by hand.
  */
-import {createAdmission} from '../../src/request/admission.js';
-import type {Admission} from '../../src/request/admission.js';
+import {createAdmission} from '../../src/request/decisions/admission.js';
+import type {Admission} from '../../src/request/decisions/admission.js';
 import {
   createLeastOutstandingBalancer,
   createPowerOfTwoBalancer,
   createRandomBalancer,
   createRoundRobinBalancer,
-} from '../../src/request/balancer.js';
-import type {Balancer} from '../../src/request/balancer.js';
-import {requestCodes} from '../../src/request/codes.js';
-import {createPeers} from '../../src/request/peers.js';
-import type {Peers} from '../../src/request/peers.js';
+} from '../../src/request/decisions/balancer.js';
+import type {Balancer} from '../../src/request/decisions/balancer.js';
+import {requestCodes} from '../../src/request/messages/codes.js';
+import {createPeers} from '../../src/request/decisions/peers.js';
+import type {Peers} from '../../src/request/decisions/peers.js';
 import type {Configuration} from '../../src/configuration/configuration.js';
 import {createSilentLog} from '../../src/log/log.js';
 import type {Code} from '../../src/result/code.js';
--- a/bench/experiments/request-overload.ts
+++ b/bench/experiments/request-overload.ts
@@ -2,8 +2,8 @@
  * The gate's queue from half to three times its upstream's capacity. Decisions
  * only, on timers moved by hand: the figures do not depend on the machine.
  */
-import {createAdmission} from '../../src/request/admission.js';
-import type {Order} from '../../src/request/admission.js';
+import {createAdmission} from '../../src/request/decisions/admission.js';
+import type {Order} from '../../src/request/decisions/admission.js';
 import type {Priority} from '../../src/configuration/configuration.js';
 import {createRandom} from '../../src/random/random.js';
 import type {Random} from '../../src/random/random.js';
--- a/bench/requests/process.ts
+++ b/bench/requests/process.ts
@@ -7,7 +7,7 @@
 import {createRandom} from '../../src/random/random.js';
 import {createEntry} from '../../src/request/entry.js';
 import {createGate} from '../../src/request/gate.js';
-import {createGateServer} from '../../src/request/gate-server.js';
+import {createGateServer} from '../../src/request/transport/gate-server.js';
 import {createTimers} from '../../src/time/timers.js';
 import {benchConfiguration} from './messages.js';
 import type {Order, Report} from './messages.js';
--- a/scenarios/processes/restart.test.ts
+++ b/scenarios/processes/restart.test.ts
@@ -12,7 +12,7 @@
 import {until} from '../../bench/deployment/until.js';
 import {call} from '../../bench/demo/calls.js';
 import type {Reply} from '../../bench/demo/calls.js';
-import {requestCodes} from '../../src/request/codes.js';
+import {requestCodes} from '../../src/request/messages/codes.js';
 import {metricNames} from '../../src/admin/metric-names.js';
 import type {Command, Edit} from '../../src/configuration/messages.js';
 
--- a/src/node/code-warm-up.ts
+++ b/src/node/code-warm-up.ts
@@ -19,13 +19,13 @@
 import type {Address} from '../link/link.js';
 import {createSilentLog} from '../log/log.js';
 import type {Random} from '../random/random.js';
-import type {CallerProtocol} from '../request/caller-protocol.js';
-import {createConnections} from '../request/connections.js';
-import type {Connections} from '../request/connections.js';
+import type {CallerProtocol} from '../request/transport/caller-protocol.js';
+import {createConnections} from '../request/transport/connections.js';
+import type {Connections} from '../request/transport/connections.js';
 import {createEntry} from '../request/entry.js';
 import {createGate} from '../request/gate.js';
-import {createGateServer} from '../request/gate-server.js';
-import type {UpstreamProtocol} from '../request/upstream-protocol.js';
+import {createGateServer} from '../request/transport/gate-server.js';
+import type {UpstreamProtocol} from '../request/transport/upstream-protocol.js';
 import type {Timers} from '../time/timers.js';
 
 /** What requests and answers of the deployment look like. */
--- a/src/node/planned-stop.ts
+++ b/src/node/planned-stop.ts
@@ -3,7 +3,7 @@
 import type {Announcer} from '../endpoints/announcer.js';
 import type {Entry} from '../request/entry.js';
 import type {Gate} from '../request/gate.js';
-import type {Listener} from '../request/listener.js';
+import type {Listener} from '../request/transport/listener.js';
 import type {Timers} from '../time/timers.js';
 
 /** What stops in order; times in milliseconds. */
--- a/src/node/upstream-gate.ts
+++ b/src/node/upstream-gate.ts
@@ -4,11 +4,11 @@
  */
 import type {Announcer, Upstream} from '../endpoints/announcer.js';
 import type {Announcement} from '../endpoints/messages.js';
-import type {Answer} from '../request/answer.js';
-import {requestCodes} from '../request/codes.js';
+import type {Answer} from '../request/messages/answer.js';
+import {requestCodes} from '../request/messages/codes.js';
 import type {Gate} from '../request/gate.js';
-import type {Call, Cancel} from '../request/messages.js';
-import {refusal} from '../request/refusal.js';
+import type {Call, Cancel} from '../request/messages/call.js';
+import {refusal} from '../request/messages/refusal.js';
 
 /** Options of `createUpstreamGate`; times in milliseconds. */
 export interface UpstreamGateOptions {
--- a/src/request/attempt-answer.test.ts
+++ b/src/request/decisions/attempt-answer.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava';
 import {createAttemptAnswer} from './attempt-answer.js';
-import {requestCodes} from './codes.js';
-import {announcementOf} from './fakes/fake-endpoints.js';
-import {createFakeAnswer} from './fakes/fake-answer.js';
-import {refusal} from './refusal.js';
+import {requestCodes} from '../messages/codes.js';
+import {announcementOf} from '../fakes/fake-endpoints.js';
+import {createFakeAnswer} from '../fakes/fake-answer.js';
+import {refusal} from '../messages/refusal.js';
 
 function stage(isHurried: boolean) {
   const judged: string[] = [];
--- a/src/request/attempt-answer.ts
+++ b/src/request/decisions/attempt-answer.ts
@@ -1,8 +1,8 @@
-import {Answer} from './answer.js';
-import {requestCodes} from './codes.js';
-import type {Refusal} from './messages.js';
+import {Answer} from '../messages/answer.js';
+import {requestCodes} from '../messages/codes.js';
+import type {Refusal} from '../messages/call.js';
 import type {Peer} from './peers.js';
-import type {Code} from '../result/code.js';
+import type {Code} from '../../result/code.js';
 
 /** The answer to one attempt; tells its peer once how the attempt went. */
 export abstract class AttemptAnswer extends Answer {
--- a/src/request/attempts.test.ts
+++ b/src/request/decisions/attempts.test.ts
@@ -1,9 +1,9 @@
 import {createServer} from 'node:http';
 import test from 'ava';
 import {request} from 'undici';
-import {hopCases} from './fakes/hop-cases.js';
-import {createMesh, listen} from './fakes/mesh.js';
-import type {Mesh} from './fakes/mesh.js';
+import {hopCases} from '../fakes/hop-cases.js';
+import {createMesh, listen} from '../fakes/mesh.js';
+import type {Mesh} from '../fakes/mesh.js';
 
 const depth = 11;
 
--- a/src/request/durations.test.ts
+++ b/src/request/decisions/durations.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createRandom} from '../random/random.js';
+import {createRandom} from '../../random/random.js';
 import {createKindDurations} from './durations.js';
 
 test('a kind is judged by its own work, all work by every kind', t => {
--- a/src/request/ejection.test.ts
+++ b/src/request/decisions/ejection.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import {createSilentLog} from '../log/log.js';
-import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import {createSilentLog} from '../../log/log.js';
+import {createFakeTimers} from '../../time/fakes/fake-timers.js';
 import {createEjection} from './ejection.js';
 import type {Ejection} from './ejection.js';
 
--- a/src/request/ejection.ts
+++ b/src/request/decisions/ejection.ts
@@ -2,8 +2,8 @@
  * Which instances are left out on an entry's own evidence. What an upstream
  * says of its health may lag or be untrue; failed work does not lie.
  */
-import type {Log} from '../log/log.js';
-import type {Clock} from '../time/clock.js';
+import type {Log} from '../../log/log.js';
+import type {Clock} from '../../time/clock.js';
 
 /** Options of `createEjection`; times in milliseconds. */
 export interface EjectionOptions {
--- a/src/request/fingerprint.ts
+++ b/src/request/decisions/fingerprint.ts
@@ -1,5 +1,5 @@
 import {createHash} from 'node:crypto';
-import type {Call} from './messages.js';
+import type {Call} from '../messages/call.js';
 
 /**
  * Digest of what a key was used for. A streamed body is known by its length
--- a/src/request/keyed-run.test.ts
+++ b/src/request/decisions/keyed-run.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava';
 import {request} from 'undici';
-import {createFakeClaims} from './fakes/fake-claims.js';
-import {createMesh} from './fakes/mesh.js';
-import type {Mesh} from './fakes/mesh.js';
-import {openRaw} from './fakes/raw-client.js';
+import {createFakeClaims} from '../fakes/fake-claims.js';
+import {createMesh} from '../fakes/mesh.js';
+import type {Mesh} from '../fakes/mesh.js';
+import {openRaw} from '../fakes/raw-client.js';
 
 async function book(mesh: Mesh, key = 'order-7') {
   const answer = await request(`${mesh.url}/bookings`, {
--- a/src/request/keyed-run.ts
+++ b/src/request/decisions/keyed-run.ts
@@ -9,12 +9,12 @@
   Claims,
   Header,
   StoredAnswer,
-} from '../claims/claims.js';
-import type {Answer} from './answer.js';
-import {requestCodes} from './codes.js';
+} from '../../claims/claims.js';
+import type {Answer} from '../messages/answer.js';
+import {requestCodes} from '../messages/codes.js';
 import {fingerprintOf} from './fingerprint.js';
-import type {AnswerHead, Call, Cancel, Refusal} from './messages.js';
-import {refusal} from './refusal.js';
+import type {AnswerHead, Call, Cancel, Refusal} from '../messages/call.js';
+import {refusal} from '../messages/refusal.js';
 
 /** Largest answer body, in bytes, that is gathered for resends. */
 const keptLimit = 1024 * 1024;
--- a/src/request/peers.test.ts
+++ b/src/request/decisions/peers.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava';
-import {createSilentLog} from '../log/log.js';
-import {createRandom} from '../random/random.js';
-import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import {createSilentLog} from '../../log/log.js';
+import {createRandom} from '../../random/random.js';
+import {createFakeTimers} from '../../time/fakes/fake-timers.js';
 import {createPowerOfTwoBalancer} from './balancer.js';
-import {requestCodes} from './codes.js';
-import {configurationOf, stockConfiguration} from './fakes/configurations.js';
-import {announcementOf, createFakeEndpoints} from './fakes/fake-endpoints.js';
+import {requestCodes} from '../messages/codes.js';
+import {configurationOf, stockConfiguration} from '../fakes/configurations.js';
+import {announcementOf, createFakeEndpoints} from '../fakes/fake-endpoints.js';
 import {createPeers} from './peers.js';
 import type {Peer, PeersOptions} from './peers.js';
 
--- a/src/request/retry.test.ts
+++ b/src/request/decisions/retry.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import {requestCodes} from './codes.js';
-import {policyOf} from './fakes/configurations.js';
+import {requestCodes} from '../messages/codes.js';
+import {policyOf} from '../fakes/configurations.js';
 import {shouldRetry} from './retry.js';
 import type {RefusedAttempt} from './retry.js';
 import {createRetryBudget} from './retry-budget.js';
--- a/src/request/stories.test.ts
+++ b/src/request/decisions/stories.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import {createRecordedLog} from '../log/fakes/recorded-log.js';
-import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import {createRecordedLog} from '../../log/fakes/recorded-log.js';
+import {createFakeTimers} from '../../time/fakes/fake-timers.js';
 import {createStories} from './stories.js';
 import type {StoriesOptions} from './stories.js';
 
--- a/src/request/stories.ts
+++ b/src/request/decisions/stories.ts
@@ -5,9 +5,9 @@
  * same ones in every process, so that a good request can be compared with.
  */
 import murmurhash from 'murmurhash';
-import {createLineBudget} from '../log/line-budget.js';
-import type {Fields, Log} from '../log/log.js';
-import type {Timers} from '../time/timers.js';
+import {createLineBudget} from '../../log/line-budget.js';
+import type {Fields, Log} from '../../log/log.js';
+import type {Timers} from '../../time/timers.js';
 
 /** What was decided; docs/LOGS.md tells the fields of each. */
 export type Decision =
--- a/src/request/time-limits.test.ts
+++ b/src/request/decisions/time-limits.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import {createFakeTimers} from '../time/fakes/fake-timers.js';
-import {policyOf, routeOf} from './fakes/configurations.js';
+import {createFakeTimers} from '../../time/fakes/fake-timers.js';
+import {policyOf, routeOf} from '../fakes/configurations.js';
 import {createTimeLimiter} from './time-limits.js';
 
 /** A policy of 5000 ms with an objective of 100. */
--- a/src/request/fakes/calls.ts
+++ b/src/request/fakes/calls.ts
@@ -1,4 +1,4 @@
-import type {Call} from '../messages.js';
+import type {Call} from '../messages/call.js';
 
 /** A lookup whose time is up at 5000 ms of fake timers; `changes` go over the defaults. */
 export function callOf(changes: Partial<Call> = {}): Call {
--- a/src/request/fakes/fake-answer.ts
+++ b/src/request/fakes/fake-answer.ts
@@ -1,5 +1,5 @@
-import {Answer} from '../answer.js';
-import type {AnswerHead, Refusal} from '../messages.js';
+import {Answer} from '../messages/answer.js';
+import type {AnswerHead, Refusal} from '../messages/call.js';
 
 /** How an answer ended. */
 export type AnswerEnd = 'whole' | 'refused' | 'cut';
--- a/src/request/fakes/fake-claims.ts
+++ b/src/request/fakes/fake-claims.ts
@@ -5,7 +5,7 @@
   ClaimRequest,
   StoredAnswer,
 } from '../../claims/claims.js';
-import {requestCodes} from '../codes.js';
+import {requestCodes} from '../messages/codes.js';
 
 type Held = 'running' | 'abandoned' | StoredAnswer;
 
--- a/src/request/answer.ts
+++ b/src/request/messages/answer.ts
@@ -1,4 +1,4 @@
-import type {AnswerHead, Refusal} from './messages.js';
+import type {AnswerHead, Refusal} from './call.js';
 
 /**
  * Where the answer to one request goes. Exactly one of `end`, `refuse` and
--- a/src/request/route-finder.test.ts
+++ b/src/request/route-finder.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import type {Configuration} from '../configuration/configuration.js';
 import {createRandom} from '../random/random.js';
-import {requestCodes} from './codes.js';
+import {requestCodes} from './messages/codes.js';
 import {
   emptyConfiguration,
   stockConfiguration,
--- a/src/request/route-finder.ts
+++ b/src/request/route-finder.ts
@@ -4,12 +4,12 @@
 import type {Configuration} from '../configuration/configuration.js';
 import type {Random} from '../random/random.js';
 import type {Code} from '../result/code.js';
-import {requestCodes} from './codes.js';
-import {findFault} from './inspection.js';
-import type {Refusal} from './messages.js';
-import {noConfiguration, refusal} from './refusal.js';
-import {createRouter, isMatch} from './router.js';
-import type {Match, Router} from './router.js';
+import {requestCodes} from './messages/codes.js';
+import {findFault} from './transport/inspection.js';
+import type {Refusal} from './messages/call.js';
+import {noConfiguration, refusal} from './messages/refusal.js';
+import {createRouter, isMatch} from './decisions/router.js';
+import type {Match, Router} from './decisions/router.js';
 
 /** Options of `createRouteFinder`. */
 export interface RouteFinderOptions {
--- a/src/request/framed-call.ts
+++ b/src/request/transport/framed-call.ts
@@ -1,17 +1,17 @@
 /** One call to a gate on the framed link that all calls to it share. */
-import {Failure} from '../result/failure.js';
-import type {Timers} from '../time/timers.js';
-import type {Answer} from './answer.js';
-import {requestCodes} from './codes.js';
-import {delayUntil} from './deadline.js';
+import {Failure} from '../../result/failure.js';
+import type {Timers} from '../../time/timers.js';
+import type {Answer} from '../messages/answer.js';
+import {requestCodes} from '../messages/codes.js';
+import {delayUntil} from '../../time/deadline.js';
 import type {FramedLink, FrameReceiver} from './framed-link.js';
 import type {CallFrame} from './frames.js';
 import {codeOf, decisionMargin, reasonOf, timeLeft} from './gate-call.js';
 import {endToEnd} from './headers.js';
-import type {Call, Cancel} from './messages.js';
-import type {Peer} from './peers.js';
-import {refusal} from './refusal.js';
-import type {Safeguards} from './safeguards.js';
+import type {Call, Cancel} from '../messages/call.js';
+import type {Peer} from '../decisions/peers.js';
+import {refusal} from '../messages/refusal.js';
+import type {Safeguards} from '../messages/safeguards.js';
 
 /** A call and the link that carries it. */
 export interface FramedCallOptions {
--- a/src/request/framed-gate.ts
+++ b/src/request/transport/framed-gate.ts
@@ -2,17 +2,17 @@
  * The gate's end of the framed links from the entries of other nodes. Each link
  * carries the calls of one entry; a link that ends cancels those that it carried.
  */
-import type {SocketLink} from '../link/socket-link.js';
-import type {Log} from '../log/log.js';
-import type {Timers} from '../time/timers.js';
-import type {Answer} from './answer.js';
-import {requestCodes} from './codes.js';
+import type {SocketLink} from '../../link/socket-link.js';
+import type {Log} from '../../log/log.js';
+import type {Timers} from '../../time/timers.js';
+import type {Answer} from '../messages/answer.js';
+import {requestCodes} from '../messages/codes.js';
 import {answerWindow} from './frames.js';
 import type {CallFrame, EntryFrame, GateFrame} from './frames.js';
-import type {Gate} from './gate.js';
-import type {Call, Cancel} from './messages.js';
-import {refusal, refusalOf} from './refusal.js';
-import type {Safeguards} from './safeguards.js';
+import type {Gate} from '../gate.js';
+import type {Call, Cancel} from '../messages/call.js';
+import {refusal, refusalOf} from '../messages/refusal.js';
+import type {Safeguards} from '../messages/safeguards.js';
 
 /** Options of `createFramedGate`; times in milliseconds. */
 export interface FramedGateOptions {
--- a/src/request/framed-link.ts
+++ b/src/request/transport/framed-link.ts
@@ -3,10 +3,10 @@
  * one connection: over a connection for each call an HTTP client and a server
  * took more of a node's processor than all of its decisions.
  */
-import {createSocketLink} from '../link/socket-link.js';
-import type {SocketLink} from '../link/socket-link.js';
-import type {Log} from '../log/log.js';
-import {createSilenceWatch} from '../time/silence-watch.js';
+import {createSocketLink} from '../../link/socket-link.js';
+import type {SocketLink} from '../../link/socket-link.js';
+import type {Log} from '../../log/log.js';
+import {createSilenceWatch} from '../../time/silence-watch.js';
 import {answerWindow} from './frames.js';
 import type {EntryFrame, GateFrame} from './frames.js';
 import {upgradeToLink} from './link-upgrade.js';
--- a/src/request/frames.ts
+++ b/src/request/transport/frames.ts
@@ -3,7 +3,10 @@
  * many calls, told apart by a number that the entry gives; a call is ended by
  * exactly one `end`, `refused` or `cut` of the gate, or a `cancel` of the entry.
  */
-import type {Priority, Repeatability} from '../configuration/configuration.js';
+import type {
+  Priority,
+  Repeatability,
+} from '../../configuration/configuration.js';
 
 /** Name of the protocol in the upgrade that opens a link, with its version. */
 export const framedProtocol = 'foxbarrow-link/1';
--- a/src/request/gate-call.ts
+++ b/src/request/transport/gate-call.ts
@@ -1,11 +1,11 @@
 /** What calls to gates have in common, whatever carries them. */
-import type {Code} from '../result/code.js';
-import {Failure} from '../result/failure.js';
-import {resultTable} from '../result/table.js';
-import type {Clock} from '../time/clock.js';
-import {requestCodes} from './codes.js';
-import type {Call, Refusal} from './messages.js';
-import {refusal} from './refusal.js';
+import type {Code} from '../../result/code.js';
+import {Failure} from '../../result/failure.js';
+import {resultTable} from '../../result/table.js';
+import type {Clock} from '../../time/clock.js';
+import {requestCodes} from '../messages/codes.js';
+import type {Call, Refusal} from '../messages/call.js';
+import {refusal} from '../messages/refusal.js';
 
 /**
  * Milliseconds beyond the deadline for which an entry waits: the gate decides
--- a/src/request/gate-link.test.ts
+++ b/src/request/transport/gate-link.test.ts
@@ -3,13 +3,13 @@
 import {createConnection} from 'node:net';
 import test from 'ava';
 import {request} from 'undici';
-import {hopCases} from './fakes/hop-cases.js';
-import {createMesh} from './fakes/mesh.js';
-import type {Mesh} from './fakes/mesh.js';
+import {hopCases} from '../fakes/hop-cases.js';
+import {createMesh} from '../fakes/mesh.js';
+import type {Mesh} from '../fakes/mesh.js';
 import {framedProtocol} from './frames.js';
-import {announcementOf} from './fakes/fake-endpoints.js';
-import {createRawServer, unusedAddress} from './fakes/raw-server.js';
-import {settle} from '../time/fakes/fake-timers.js';
+import {announcementOf} from '../fakes/fake-endpoints.js';
+import {createRawServer, unusedAddress} from '../fakes/raw-server.js';
+import {settle} from '../../time/fakes/fake-timers.js';
 
 const upgraded = [
   'HTTP/1.1 101 Switching Protocols',
--- a/src/request/http-call.ts
+++ b/src/request/transport/http-call.ts
@@ -3,18 +3,18 @@
  * the connection's back-pressure, which would hold up other calls on a shared
  * link.
  */
-import {Failure} from '../result/failure.js';
-import type {Subscription, Timers} from '../time/timers.js';
-import type {Answer} from './answer.js';
-import {requestCodes} from './codes.js';
+import {Failure} from '../../result/failure.js';
+import type {Subscription, Timers} from '../../time/timers.js';
+import type {Answer} from '../messages/answer.js';
+import {requestCodes} from '../messages/codes.js';
 import type {Connections} from './connections.js';
-import {delayUntil} from './deadline.js';
+import {delayUntil} from '../../time/deadline.js';
 import {codeOf, decisionMargin, reasonOf, timeLeft} from './gate-call.js';
 import {endToEnd, findHeader, headerNames} from './headers.js';
-import type {Call, Cancel, Refusal} from './messages.js';
-import type {Peer} from './peers.js';
-import {refusal} from './refusal.js';
-import type {Safeguards} from './safeguards.js';
+import type {Call, Cancel, Refusal} from '../messages/call.js';
+import type {Peer} from '../decisions/peers.js';
+import {refusal} from '../messages/refusal.js';
+import type {Safeguards} from '../messages/safeguards.js';
 import {send} from './sending.js';
 import type {Receiver, Sending} from './sending.js';
 
--- a/src/request/link-upgrade.ts
+++ b/src/request/transport/link-upgrade.ts
@@ -3,9 +3,9 @@
 import type {IncomingMessage} from 'node:http';
 import {createConnection} from 'node:net';
 import type {Socket} from 'node:net';
-import {parseAddress} from '../link/address.js';
-import type {Address} from '../link/link.js';
-import type {Subscription, Timers} from '../time/timers.js';
+import {parseAddress} from '../../link/address.js';
+import type {Address} from '../../link/link.js';
+import type {Subscription, Timers} from '../../time/timers.js';
 import {framedProtocol} from './frames.js';
 
 /** Options of `upgradeToLink`; times in milliseconds. */
--- a/src/request/listener.test.ts
+++ b/src/request/transport/listener.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava';
 import {request} from 'undici';
-import {createTimers} from '../time/timers.js';
-import {createMesh, passTime} from './fakes/mesh.js';
-import type {Mesh} from './fakes/mesh.js';
-import {openRaw, readAll, sendRaw} from './fakes/raw-client.js';
+import {createTimers} from '../../time/timers.js';
+import {createMesh, passTime} from '../fakes/mesh.js';
+import type {Mesh} from '../fakes/mesh.js';
+import {openRaw, readAll, sendRaw} from '../fakes/raw-client.js';
 import {createListener} from './listener.js';
 
 const host = 'host: stock\r\n';
--- a/src/result/table.ts
+++ b/src/result/table.ts
@@ -5,7 +5,7 @@
 import {configurationCodes} from '../configuration/codes.js';
 import {commonCodes} from './codes.js';
 import {distributionCodes} from '../distribution/codes.js';
-import {requestCodes} from '../request/codes.js';
+import {requestCodes} from '../request/messages/codes.js';
 import type {Code} from './code.js';
 
 /**
