One interface between deciding and carrying, no circles, an order of slices; the linter keeps them

Cause: decisions/run.ts spoke undici and header lists, attempts.ts named the links' module, transport named Peer and Gate; cli/loaders.ts and the three roles, digest and messages, caller-protocol and http-answer imported each other; 13 imports ran from a lower slice to a higher one. messages/hops.ts is what the two say to each other. An upstream's dialect and its headers are put on and taken off in transport/upstream-link.ts. RunningRole and the exit codes are of process/, the table of all result codes of admin/, a gate's refusal is read by the codes that gates refuse with. dependency-cruiser (a development dependency) runs in npm run lint: no circle, no import to a higher slice, no I/O below decisions/, no decision below transport/. scripts/import-rules.test.ts shows each rule red on a violation. Ruled out: eslint's restricted imports, which see no circles and no paths behind relative imports.

--- a/scripts/docs.test.ts
+++ b/scripts/docs.test.ts
@@ -2,7 +2,7 @@
 import {join} from 'node:path';
 import test from 'ava';
 import {resolveSettings} from '../src/settings/resolve.js';
-import {resultTable} from '../src/result/table.js';
+import {resultTable} from '../src/admin/result-table.js';
 import {renderResultCodes} from './result-codes-page.js';
 import {renderSettings} from './settings-page.js';
 
--- a/scripts/docs.ts
+++ b/scripts/docs.ts
@@ -1,5 +1,5 @@
 import {writeFileSync} from 'node:fs';
-import {resultTable} from '../src/result/table.js';
+import {resultTable} from '../src/admin/result-table.js';
 import {renderResultCodes} from './result-codes-page.js';
 import {renderSettings} from './settings-page.js';
 
--- a/scripts/result-codes-page.ts
+++ b/scripts/result-codes-page.ts
@@ -4,7 +4,7 @@
 
 const head = `# Result codes
 
-Made from \`src/result/table.ts\` by \`npm run docs\`; a test keeps it so. Every refusal, answer and log line of the program names one of these numbers. A number is never reused for another meaning.
+Made from \`src/admin/result-table.ts\` by \`npm run docs\`; a test keeps it so. Every refusal, answer and log line of the program names one of these numbers. A number is never reused for another meaning.
 
 \`effect\` says what is known of the work:
 
--- a/src/result/table.ts
+++ b/src/admin/result-table.ts
@@ -1,12 +1,12 @@
 import {claimCodes} from '../claims/codes.js';
 import {endpointCodes} from '../endpoints/codes.js';
-import {adminCodes} from '../admin/codes.js';
+import {adminCodes} from './codes.js';
 import {consensusCodes} from '../consensus/codes.js';
 import {configurationCodes} from '../configuration/codes.js';
-import {commonCodes} from './codes.js';
+import {commonCodes} from '../result/codes.js';
 import {distributionCodes} from '../distribution/codes.js';
 import {requestCodes} from '../request/messages/codes.js';
-import type {Code} from './code.js';
+import type {Code} from '../result/code.js';
 
 /**
  * Every result code of the program. Ranges: 1000 common, 2000 configuration
--- a/src/burn/command.ts
+++ b/src/burn/command.ts
@@ -1,7 +1,7 @@
 import {writeFile} from 'node:fs/promises';
 import process from 'node:process';
 import {adminCodes} from '../admin/codes.js';
-import {exitCodes} from '../cli/exit-codes.js';
+import {exitCodes} from '../process/exit-codes.js';
 import {failure, success} from '../result/failure.js';
 import type {Result} from '../result/failure.js';
 import {createTimers} from '../time/timers.js';
--- a/src/burn/format.ts
+++ b/src/burn/format.ts
@@ -1,4 +1,4 @@
-import {resultTable} from '../result/table.js';
+import {resultTable} from '../admin/result-table.js';
 import type {ServiceBurn, Spending, WindowBurn} from './burn.js';
 
 /** Wording that the table and the page share. */
--- a/src/cli/stop-signals.ts
+++ b/src/cli/stop-signals.ts
@@ -1,6 +1,6 @@
 import type {EventEmitter} from 'node:events';
-import {exitCodes, signalExitCode, stopSignals} from './exit-codes.js';
-import type {StopSignal} from './exit-codes.js';
+import {exitCodes, signalExitCode, stopSignals} from '../process/exit-codes.js';
+import type {StopSignal} from '../process/exit-codes.js';
 import type {Log} from '../log/log.js';
 
 /** What a stop signal acts on. */
--- a/src/endpoints/digest.ts
+++ b/src/endpoints/digest.ts
@@ -1,5 +1,4 @@
 import murmurhash from 'murmurhash';
-import type {KnownInstance} from './messages.js';
 
 /**
  * A digest of a set, independent of order: the exclusive or of the hashes of
@@ -36,11 +35,3 @@
 export function equalDigests(left: Digest, right: Digest): boolean {
   return left.low === right.low && left.high === right.high;
 }
-
-/** The digest of an instance as nodes see it; gone instances have none. */
-export function digestKnown(known: KnownInstance): Digest {
-  if (known.state === 'gone') return emptyDigest;
-  const {instance, incarnation, sequence, gate} = known;
-  const suspect = known.suspect === true ? 's' : '';
-  return digestText(`${instance} ${incarnation} ${sequence} ${gate}${suspect}`);
-}
--- a/src/endpoints/endpoint-table.ts
+++ b/src/endpoints/endpoint-table.ts
@@ -1,5 +1,6 @@
 import type {Timers} from '../time/timers.js';
-import {digestKnown, emptyDigest, equalDigests, toggle} from './digest.js';
+import {emptyDigest, equalDigests, toggle} from './digest.js';
+import {digestKnown} from './known-digest.js';
 import type {Digest} from './digest.js';
 import {allowedExpiries, defaultExpiryShare} from './expiry-share.js';
 import type {EndpointView, KnownInstance, ServiceDigest} from './messages.js';
--- a/src/endpoints/record-store.ts
+++ b/src/endpoints/record-store.ts
@@ -1,6 +1,7 @@
 import murmurhash from 'murmurhash';
 import type {Timers} from '../time/timers.js';
-import {digestKnown, digestText, emptyDigest, toggle} from './digest.js';
+import {digestText, emptyDigest, toggle} from './digest.js';
+import {digestKnown} from './known-digest.js';
 import type {Digest} from './digest.js';
 import type {
   Announcement,
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -2,7 +2,7 @@
 import {createAdmin} from '../admin/create-admin.js';
 import {createHome} from '../distribution/home.js';
 import {createSubscriber} from '../distribution/subscriber.js';
-import type {RunningRole} from '../cli/loaders.js';
+import type {RunningRole} from '../process/role.js';
 import type {Hello} from '../fleet/messages.js';
 import {createMeteredNetwork} from '../metrics/metered-network.js';
 import type {RelaySettings} from '../settings/schema.js';
--- a/src/request/decisions/time-limits.ts
+++ b/src/request/decisions/time-limits.ts
@@ -1,7 +1,7 @@
 /** How long a request may take, and until when its answer counts as good. */
 import type {Route} from '../../configuration/configuration.js';
 import type {Timers} from '../../time/timers.js';
-import type {CallerTerms} from '../transport/caller-protocol.js';
+import type {CallerTerms} from '../messages/call.js';
 import type {Match} from './router.js';
 import {createUsualTimeouts} from './usual-timeout.js';
 
--- /dev/null
+++ b/src/request/messages/upload.ts
@@ -0,0 +1,28 @@
+/** The body of a request, as it is handed from part to part. */
+
+/** A body that streams from its sender. */
+export interface StreamUpload {
+  readonly kind: 'stream';
+  /** Bytes announced, where they were. */
+  readonly length: number | undefined;
+  /** Whether an attempt took more than the first part; then it can't be resent. */
+  consumed(): boolean;
+  /** Lets the parts after the first through; called once work is admitted. */
+  release(): void;
+  /** The parts; each call starts again from the first part. */
+  parts(): AsyncIterable<Buffer>;
+  /**
+   * The attempt that reads the parts was refused, and another follows. Called at
+   * once: the refused one may have been let through in the same moment, and would
+   * take a part away before the next attempt's connection is open.
+   */
+  rewind(): void;
+  /** Reads on and forgets what comes; for a sender that writes on after its answer. */
+  discard(): void;
+}
+
+/** The body of a request. */
+export type Upload =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'whole'; readonly bytes: Buffer}
+  | StreamUpload;
--- a/src/request/transport/framed-call.ts
+++ b/src/request/transport/framed-call.ts
@@ -9,14 +9,14 @@
 import {codeOf, decisionMargin, reasonOf, timeLeft} from './gate-call.js';
 import {endToEnd} from './headers.js';
 import type {Call, Cancel} from '../messages/call.js';
-import type {Peer} from '../decisions/peers.js';
+import type {GateTarget} from '../messages/hops.js';
 import {refusal} from '../messages/refusal.js';
 import type {Safeguards} from '../messages/safeguards.js';
 
 /** A call and the link that carries it. */
 export interface FramedCallOptions {
   readonly call: Call;
-  readonly peer: Peer;
+  readonly peer: GateTarget;
   readonly answer: Answer;
   readonly link: FramedLink;
   readonly timers: Timers;
--- a/src/request/transport/framed-gate.ts
+++ b/src/request/transport/framed-gate.ts
@@ -9,14 +9,14 @@
 import {requestCodes} from '../messages/codes.js';
 import {answerWindow} from './frames.js';
 import type {CallFrame, EntryFrame, GateFrame} from './frames.js';
-import type {Gate} from '../gate.js';
+import type {CallHandler} from '../messages/hops.js';
 import type {Call, Cancel} from '../messages/call.js';
 import {refusal, refusalOf} from '../messages/refusal.js';
 import type {Safeguards} from '../messages/safeguards.js';
 
 /** Options of `createFramedGate`; times in milliseconds. */
 export interface FramedGateOptions {
-  readonly gate: Gate;
+  readonly gate: CallHandler;
   readonly timers: Timers;
   readonly log: Log;
   readonly safeguards: Safeguards;
--- a/src/request/transport/gate-call.ts
+++ b/src/request/transport/gate-call.ts
@@ -1,7 +1,8 @@
 /** What calls to gates have in common, whatever carries them. */
 import type {Code} from '../../result/code.js';
 import {Failure} from '../../result/failure.js';
-import {resultTable} from '../../result/table.js';
+import {commonCodes} from '../../result/codes.js';
+import {claimCodes} from '../../claims/codes.js';
 import type {Clock} from '../../time/clock.js';
 import {requestCodes} from '../messages/codes.js';
 import type {Call, Refusal} from '../messages/call.js';
@@ -28,8 +29,11 @@
   return codes.get(number) ?? requestCodes.gateLost;
 }
 
+/** The codes that gates refuse with. */
 const codes: ReadonlyMap<number, Code> = new Map(
-  resultTable.map(code => [code.number, code]),
+  [commonCodes, claimCodes, requestCodes]
+    .flatMap<Code>(Object.values)
+    .map(code => [code.number, code]),
 );
 
 /** Why a call has failed; `began` tells whether the gate may have read it. */
--- a/src/request/transport/http-call.ts
+++ b/src/request/transport/http-call.ts
@@ -12,11 +12,11 @@
 import {codeOf, decisionMargin, reasonOf, timeLeft} from './gate-call.js';
 import {endToEnd, findHeader, headerNames} from './headers.js';
 import type {Call, Cancel, Refusal} from '../messages/call.js';
-import type {Peer} from '../decisions/peers.js';
+import type {GateTarget, Sending} from '../messages/hops.js';
 import {refusal} from '../messages/refusal.js';
 import type {Safeguards} from '../messages/safeguards.js';
 import {send} from './sending.js';
-import type {Receiver, Sending} from './sending.js';
+import type {Receiver} from './sending.js';
 
 const millisecondsPerSecond = 1000;
 
@@ -24,7 +24,7 @@
 export interface HttpCall {
   readonly call: Call;
   readonly bodyLimit: number;
-  readonly peer: Peer;
+  readonly peer: GateTarget;
   readonly answer: Answer;
   readonly link: Connections;
   readonly timers: Timers;
--- /dev/null
+++ b/src/request/transport/upstream-link.ts
@@ -0,0 +1,55 @@
+/** The connections between a gate and its upstream, in the upstream's dialect. */
+import type {
+  Sending,
+  UpstreamLink,
+  UpstreamReceiver,
+} from '../messages/hops.js';
+import type {Call} from '../messages/call.js';
+import type {Safeguards} from '../messages/safeguards.js';
+import type {Connections} from './connections.js';
+import {endToEnd} from './headers.js';
+import {send} from './sending.js';
+import type {Receiver} from './sending.js';
+import type {UpstreamProtocol} from './upstream-protocol.js';
+
+/** Options of `createUpstreamLink`. */
+export interface UpstreamLinkOptions {
+  readonly connections: Connections;
+  readonly protocol: UpstreamProtocol;
+  readonly safeguards: Pick<Safeguards, 'framing' | 'internalHeaders'>;
+}
+
+/** Creates the link to one upstream. */
+export function createUpstreamLink(options: UpstreamLinkOptions): UpstreamLink {
+  const {connections, protocol, safeguards} = options;
+  const passing = {
+    dropsInternal: safeguards.internalHeaders,
+    foreign: protocol.foreign,
+  };
+
+  function translate(call: Call, receiver: UpstreamReceiver): Receiver {
+    return {
+      began: () => receiver.began(),
+      interim: () => {},
+      head: (status, reason, raw) => {
+        const judgement = safeguards.framing
+          ? protocol.judge(call, {status, headers: raw})
+          : undefined;
+        if (judgement !== undefined) return receiver.unfit(judgement);
+        receiver.head({status, reason, headers: endToEnd(raw, passing)});
+      },
+      data: chunk => receiver.data(chunk),
+      end: () => receiver.end(),
+      failed: (error, began) => receiver.failed(error, began),
+    };
+  }
+
+  return {
+    send: (call, left, receiver): Sending | undefined => {
+      const {method, path, body} = call;
+      const headers = [...call.headers, ...protocol.headers(call, left)];
+      const outgoing = {method, path, headers, body};
+      return send(connections, outgoing, translate(call, receiver));
+    },
+  };
+}
