--- /dev/null
+++ b/src/node/request-path.ts
@@ -0,0 +1,91 @@
+/** The listeners of a node: for its callers, and for the entries of others. */
+import {reportAttempt, reportOutcome} from '../admin/report-outcome.js';
+import type {Configuration} from '../configuration/configuration.js';
+import type {Home} from '../distribution/home.js';
+import type {EndpointTable} from '../endpoints/endpoint-table.js';
+import type {Membership} from '../endpoints/membership.js';
+import type {Metrics} from '../metrics/metrics.js';
+import type {Process} from '../process/process.js';
+import {createEntry} from '../request/entry.js';
+import type {Entry} from '../request/entry.js';
+import type {Gate} from '../request/gate.js';
+import {createGateServer} from '../request/transport/gate-server.js';
+import type {Listener} from '../request/transport/listener.js';
+import {defaults} from '../settings/defaults.js';
+import type {NodeSettings} from '../settings/schema.js';
+import type {Timers} from '../time/timers.js';
+import type {NodeParts} from './parts.js';
+
+/** Options of `openRequestPath`. */
+export interface RequestPathOptions {
+  readonly settings: NodeSettings;
+  readonly parts: NodeParts;
+  readonly process: Pick<Process, 'timers' | 'random' | 'log'>;
+  readonly metrics: Metrics;
+  /** The configuration in force, undefined until one is proved fresh. */
+  readonly configuration: () => Configuration | undefined;
+  readonly home: Home;
+  readonly table: EndpointTable;
+  readonly membership: Membership;
+  readonly gate: Gate;
+}
+
+/** The listeners, open. */
+export interface RequestPath {
+  readonly entry: Entry;
+  readonly gateServer: Listener;
+}
+
+/** Opens the listeners; the gate's first, since entries may send to it at once. */
+export async function openRequestPath(
+  options: RequestPathOptions,
+): Promise<RequestPath> {
+  const {settings, parts, metrics, configuration} = options;
+  const {home, table, membership, gate} = options;
+  const {timers, random, log} = options.process;
+  const gateServer = createGateServer({
+    address: settings.gateAddress,
+    gate,
+    headerLimit: settings.headerLimit,
+    bodyLimit: settings.bodyLimit,
+    bodyIdle: defaults.bodyIdle,
+    ...(parts.callers !== undefined && {foreign: parts.callers.foreign}),
+    timers,
+    log,
+  });
+  const entry = createEntry({
+    name: settings.name,
+    failureDomain: settings.failureDomain,
+    region: settings.region,
+    address: settings.callerAddress,
+    configuration,
+    isConfirmed: () => isConfirmed(home, timers, settings.homeFreshness),
+    endpoints: table,
+    gate,
+    headerLimit: settings.headerLimit,
+    bodyLimit: settings.bodyLimit,
+    bodyIdle: defaults.bodyIdle,
+    grace: settings.stopGrace,
+    callerService: settings.callerService,
+    ...(parts.callers !== undefined && {protocol: parts.callers}),
+    timers,
+    random,
+    log,
+    peers: {
+      retryBudget: settings.retryBudget,
+      onAttempt: attempt => reportAttempt(metrics, attempt),
+      onUnreachable: ({instance, incarnation}) =>
+        membership.reportUnreachable(instance, incarnation),
+    },
+    onOutcome: outcome => reportOutcome(metrics, configuration(), outcome),
+  });
+  await gateServer.listen();
+  await entry.listen();
+  return {entry, gateServer};
+}
+
+/** Whether a quorum has confirmed of late that no newer configuration is known. */
+function isConfirmed(home: Home, timers: Timers, freshness: number): boolean {
+  const asOf = home.asOf();
+  return asOf !== undefined && timers.now() - asOf <= freshness;
+}
