--- a/scripts/docs.test.ts
+++ b/scripts/docs.test.ts
@@ -1,4 +1,4 @@
-import {readFileSync, readdirSync} from 'node:fs';
+import {existsSync, readFileSync, readdirSync} from 'node:fs';
 import {join} from 'node:path';
 import test from 'ava';
 import {resolveSettings} from '../src/settings/resolve.js';
@@ -72,3 +72,15 @@
   }
   t.true(files >= 28);
 });
+
+test('every source file that docs/CODE.md names exists', t => {
+  const page = readFileSync('docs/CODE.md', 'utf8');
+  const files = readdirSync('src', {recursive: true}).map(String);
+  const named = [...page.matchAll(/`([\w/-]+\.ts)`/g)].map(match => match[1]!);
+  t.true(named.length > 50);
+  for (const name of named) {
+    const isThere =
+      existsSync(name) || files.some(file => `/${file}`.endsWith(`/${name}`));
+    t.true(isThere, name);
+  }
+});
