Members tell who they are: a leader that is no founder replaces lost voters too

Cause: a process outside the group called only those that its settings name, and whoever called it. A leader that isn't named there never meets it, and can neither replace a lost voter nor grow the group. Change: a hello tells the members; who is none of them calls them all, and passes on what it was told to those that are told of no member. Such a process names them to nodes and operators too: seeds that all stand beside the group led nowhere. A joining member that falls silent gives way after the time that replaces a voter, not 60 election timeouts. The successor is chosen without counting the voter that leaves.

--- a/src/consensus/consensus.ts
+++ b/src/consensus/consensus.ts
@@ -36,6 +36,8 @@
   readonly voters: readonly Member[];
   /** Members that receive the log and do not count yet. */
   readonly learners: readonly Member[];
+  /** The members that others told a process which is none; else empty. */
+  readonly told: readonly Member[];
   /** Bytes sent to the other members since the start. */
   readonly bytesOut: number;
   /** Size of the log on disk in bytes. */
--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -269,6 +269,7 @@
       snapshotIndex: state.snapshot.index,
       voters: voters.map(view),
       learners: learners.map(view),
+      told: links.told,
       bytesOut: links.bytesOut,
       logBytes: storage.logBytes,
     };
--- a/src/consensus/fakes/fake-consensus.ts
+++ b/src/consensus/fakes/fake-consensus.ts
@@ -67,6 +67,7 @@
       snapshotIndex: 0,
       voters,
       learners: [],
+      told: [],
       bytesOut: 0,
       logBytes: 0,
     };
--- a/src/consensus/fakes/group.ts
+++ b/src/consensus/fakes/group.ts
@@ -68,8 +68,8 @@
   readonly network: FakeNetwork;
   member(name: string): TestMember;
   readonly names: readonly string[];
-  /** Starts a life of a member. */
-  start(name: string): Promise<void>;
+  /** Starts a life of a member, with settings of its own where given. */
+  start(name: string, own?: Partial<ConsensusOptions>): Promise<void>;
   /** Ends a life at once; unsynced bytes are lost, with `random` some stay. */
   kill(name: string, random?: Random): void;
   /** Ends a life in order. */
@@ -141,7 +141,10 @@
   const founders = [...all.values()].map(({member}) => member);
   const running = () => [...all.values()].filter(({consensus}) => consensus);
 
-  async function start(name: string): Promise<void> {
+  async function start(
+    name: string,
+    own: Partial<ConsensusOptions> = {},
+  ): Promise<void> {
     const one = all.get(name)!;
     one.journal = createJournal();
     one.failure = undefined;
@@ -162,6 +165,7 @@
         if (one.clock === clock) one.failure = failure;
       },
       ...options,
+      ...own,
     });
     one.consensus = await settled(starting);
   }
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -31,6 +31,7 @@
   replication: Replication,
 ): MembershipChanges {
   const {self, electionTimeout, replaceLostAfter, safeguards} = state.options;
+  const patience = replaceLostAfter ?? abandonTimeouts * electionTimeout;
   const votersWanted = votersFor(state.options.faultTolerance);
   const met = new Map<string, Voter>();
 
@@ -100,12 +101,15 @@
     return true;
   }
 
-  /** A joining member that stays silent would block every later change. */
+  /**
+   * A joining member that stays silent would block every later change, the
+   * replacement of a lost voter above all.
+   */
   function abandonSilent(): boolean {
     const {voters, learners, replacement} = membershipOf(state);
     if (replacement === undefined) return false;
     const {joining} = replacement;
-    if (silenceOf(joining) < abandonTimeouts * electionTimeout) return false;
+    if (silenceOf(joining) < patience) return false;
     propose({voters, learners: without(learners, joining)});
     return true;
   }
@@ -121,19 +125,20 @@
     const {voters, learners, replacement} = membershipOf(state);
     if (replaceLostAfter === undefined || !isLeader()) return false;
     if (replacement !== undefined) return false;
-    const joining = chooseJoining();
-    if (joining === undefined) return false;
     const isLost = ({name}: Voter) => silenceOf(name) >= replaceLostAfter;
     // A voter that came back empty and fell silent again leaves at once.
     if (learners.length > 0) {
-      if (!learners.every(isLost)) return false;
-      propose({voters, learners: [joining]});
+      const next = chooseJoining();
+      if (next === undefined || !learners.every(isLost)) return false;
+      propose({voters, learners: [next]});
       return true;
     }
     const lost = voters.find(
       voter => voter.name !== self.name && isLost(voter),
     );
     if (lost === undefined) return false;
+    const joining = chooseJoining(lost.name);
+    if (joining === undefined) return false;
     propose({
       voters,
       learners: [joining],
@@ -159,11 +164,15 @@
     return true;
   }
 
-  /** A process that has called and is no member, where fewest voters stand. */
-  function chooseJoining(): Voter | undefined {
-    const {voters} = membershipOf(state);
+  /**
+   * A process that has called and is no member, where fewest voters stand that
+   * stay: counted with the leaving one, its failure domain would look taken and
+   * lose its only voter to a domain that has one.
+   */
+  function chooseJoining(leaving?: string): Voter | undefined {
+    const staying = without(membershipOf(state).voters, leaving ?? '');
     const neighbours = ({failureDomain}: Voter) =>
-      voters.filter(voter => voter.failureDomain === failureDomain).length;
+      staying.filter(voter => voter.failureDomain === failureDomain).length;
     return [...met.values()]
       .filter(peer => !isMember(peer.name))
       .sort((left, right) => neighbours(left) - neighbours(right))[0];
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -73,6 +73,8 @@
   readonly group?: string;
   /** The first voters of the group; absent together with `group`. */
   readonly founders?: readonly Voter[];
+  /** The group's members, as far as the sender knows them. */
+  readonly members?: readonly Member[];
 }
 
 /** Asks the other end of a link for a sign of life; it comes back as it is. */
--- a/src/control/member-directory.test.ts
+++ b/src/control/member-directory.test.ts
@@ -21,10 +21,11 @@
 
 function stage() {
   let voters: Member[] = [];
+  let told: Member[] = [];
   const observers: Array<() => void> = [];
   const directory = createMemberDirectory(
     {
-      status: () => ({voters, learners: []}) as unknown as Status,
+      status: () => ({voters, learners: [], told}) as unknown as Status,
       onMembers: observe => void observers.push(observe),
     },
     founders,
@@ -40,6 +41,10 @@
       voters = next;
       for (const observe of observers) observe();
     },
+    tell(next: Member[]) {
+      told = next;
+      for (const observe of observers) observe();
+    },
   };
 }
 
@@ -110,7 +115,7 @@
 test('a process that is its only founder names nobody before it has formed', t => {
   const directory = createMemberDirectory(
     {
-      status: () => ({voters: [], learners: []}) as unknown as Status,
+      status: () => ({voters: [], learners: [], told: []}) as unknown as Status,
       onMembers: () => {},
     },
     [founder(1)],
@@ -119,3 +124,24 @@
   );
   t.is(directory.memberAddress(), undefined);
 });
+
+// Nodes refuse all callers after a restart. The control VMs that settings name
+// were exchanged for others, which run beside the group and are no members: a
+// node went from one to the next, none of them could prove a configuration, and
+// none said who can.
+test('a process outside the group tells nodes and operators of its members', t => {
+  const {directory, tell, changes} = stage();
+  const member = (number: number): Member => ({
+    ...old(number),
+    operatorAddress: `10.0.0.${number}:7001`,
+    distributionAddress: `10.0.0.${number}:7002`,
+  });
+  tell([4, 5].map(member));
+  t.deepEqual(
+    directory.homes().map(({address}) => address),
+    ['10.0.0.4:7002', '10.0.0.5:7002'],
+  );
+  t.deepEqual(directory.fellows(), ['10.0.0.4:7002', '10.0.0.5:7002']);
+  t.true(/^10\.0\.0\.[45]:7001$/.test(directory.memberAddress() ?? ''));
+  t.is(changes(), 1);
+});
--- a/src/control/member-directory.ts
+++ b/src/control/member-directory.ts
@@ -44,8 +44,19 @@
     );
   }
 
+  /**
+   * The members: of the own log, or as they were told to a process that is none.
+   * Its own log may be empty or years old; nodes and operators whose settings
+   * name only such processes would go round them and never find a member.
+   */
+  function listMembers() {
+    const {voters, learners, told} = consensus.status();
+    if (told.length > 0) return {voters: told, learners: []};
+    return {voters, learners};
+  }
+
   function listFellows(): Address[] {
-    const {voters, learners} = consensus.status();
+    const {voters, learners} = listMembers();
     if (voters.length === 0) {
       return founders.map(founder => founder.distributionAddress);
     }
@@ -55,7 +66,7 @@
   }
 
   function listHomes(): HomeAddress[] {
-    return consensus.status().voters.flatMap(member => {
+    return listMembers().voters.flatMap(member => {
       const address = distributionAddress(member);
       const {failureDomain} = member;
       return address === undefined ? [] : [{address, failureDomain}];
@@ -71,7 +82,7 @@
   });
 
   function memberOf(name: string): Member | undefined {
-    const {voters, learners} = consensus.status();
+    const {voters, learners} = listMembers();
     return [...voters, ...learners].find(member => member.name === name);
   }
 
@@ -81,7 +92,7 @@
 
   /** The members as far as this process knows, the founders if it knows none. */
   function listOperatorAddresses(): Address[] {
-    const {voters} = consensus.status();
+    const {voters} = listMembers();
     if (voters.length === 0) {
       return founders
         .filter(founder => founder.name !== self)
