--- a/model/checks.ts
+++ b/model/checks.ts
@@ -9,7 +9,7 @@
 export interface Check {
   /** Unique; a mutant's says which safeguard is taken out. */
   readonly name: string;
-  readonly specification: 'consensus' | 'claims';
+  readonly specification: 'consensus' | 'claims' | 'meeting';
   readonly bounds: Bounds;
   /**
    * - `holds`: no reachable state breaks a claim; all states are searched.
@@ -26,6 +26,7 @@
 const acceptedEntry = 'accepted';
 const floor = 'roundIndex>=owed';
 const runs = 'runs<=1';
+const everyMet = 'met[0]';
 
 const small = {TERMS: 2, LENGTH: 2};
 const disks = {...small, JOINS: 1, LOSSES: 1};
@@ -76,6 +77,11 @@
   holdClaims('keyed work, handover, two keepers lost', {EPOCHS: 2, DEATHS: 2}),
   holdClaims('keyed work, two handovers', threeSets),
   holdClaims('keyed work, sets named without asking the last', unasked),
+  holdMeeting('who stands ready is met, two members lost', {LOSSES: 2}),
+  holdMeeting('who stands ready is met, one of them joins', {
+    LOSSES: 2,
+    JOIN: true,
+  }),
 ];
 
 const mutants: readonly Check[] = [
@@ -99,6 +105,8 @@
   refuteClaims('ONE_SEAL_IS_ENOUGH', handover),
   refuteClaims('SKIP_FORGETS', unasked),
   refuteClaims('NO_ACTIVE_NEEDED', unasked),
+  refuteMeeting('SETTINGS_ONLY'),
+  refuteMeeting('OUTSIDERS_SILENT'),
 ];
 
 const witnesses: readonly Check[] = [
@@ -110,6 +118,7 @@
     ...reach('RUN_IN_LAST_EPOCH', {EPOCHS: 2, DEATHS: 0}, 'asked'),
     specification: 'claims',
   },
+  {...reach('MET', {LOSSES: 0}, 'met[3]'), specification: 'meeting'},
 ];
 
 /** All checks, the quick ones last. */
@@ -123,6 +132,10 @@
   return {...hold(name, bounds), specification: 'claims'};
 }
 
+function holdMeeting(name: string, bounds: Bounds): Check {
+  return {...hold(name, bounds), specification: 'meeting'};
+}
+
 function refute(mutant: string, bounds: Bounds, assertion: string): Check {
   return {
     name: `MUTANT_${mutant}`,
@@ -137,6 +150,11 @@
   return {...refute(mutant, bounds, runs), specification: 'claims'};
 }
 
+function refuteMeeting(mutant: string): Check {
+  const check = refute(mutant, {LOSSES: 0}, everyMet);
+  return {...check, specification: 'meeting'};
+}
+
 function reach(witness: string, bounds: Bounds, assertion: string): Check {
   return {
     name: `WITNESS_${witness}`,
--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -97,7 +97,7 @@
     epoch: () => state.log.epoch,
     write: job => writer.push(job),
   });
-  links.follow(followed);
+  links.follow(followed, state.log.membershipIndex);
   links.formAlone();
   const ticking = timers.every(Math.max(1, heartbeat / 2), tick);
 
@@ -119,7 +119,7 @@
     isPerforming = false;
     if (state.log.membership === followed) return;
     followed = state.log.membership;
-    links.follow(followed);
+    links.follow(followed, state.log.membershipIndex);
     logMembers();
     observeMembers();
   }
--- a/src/consensus/known-members.ts
+++ b/src/consensus/known-members.ts
@@ -1,17 +1,17 @@
-/** Which members the group has, for this process and those that call it. */
+/** Which members the group has, for this process and those that it talks to. */
 import type {Member} from './consensus.js';
-import type {Hello} from './messages.js';
+import type {MemberList} from './messages.js';
 
 /** The members that one process knows. */
 export interface KnownMembers {
   /** Takes the members of the own log; returns whether others are to hear. */
-  follow(members: readonly Member[]): boolean;
+  follow(logged: MemberList): boolean;
   /** Takes what a hello tells; returns whether others are to hear. */
-  learn(hello: Hello): boolean;
-  /** Those that were told, while this process is none of them. */
+  learn(told: MemberList | undefined): boolean;
+  /** Those that were told, while the own log does not know them. */
   told(): readonly Member[];
-  /** All that is known, to be told to others. */
-  list(): readonly Member[];
+  /** The newest that is known, to be told to others. */
+  newest(): MemberList | undefined;
 }
 
 /**
@@ -23,40 +23,26 @@
  * passes on what it was told, for those that are told of no member at all.
  */
 export function createKnownMembers(self: string): KnownMembers {
-  let logged: readonly Member[] = [];
-  let told: readonly Member[] = [];
+  let logged: MemberList | undefined;
+  let told: MemberList | undefined;
 
-  const lists = (members: readonly Member[]) =>
-    members.some(({name}) => name === self);
-
-  const list = () => (lists(logged) || told.length === 0 ? logged : told);
+  const indexOf = (list: MemberList | undefined) => list?.index ?? -1;
+  const newest = () => (indexOf(told) > indexOf(logged) ? told : logged);
 
   return {
-    list,
-    told: () => (lists(logged) ? [] : told),
-    follow(members) {
-      const before = list();
-      logged = members;
-      return !isSameList(before, list());
+    newest,
+    told: () => (newest() === told ? (told?.members ?? []) : []),
+    follow(list) {
+      logged = list;
+      return list.members.length > 0 && newest() === logged;
     },
-    learn({group, members}) {
-      if (members === undefined || members.length === 0) return false;
-      if (lists(members) || lists(logged)) return false;
-      // Who is no member itself may pass on what is out of date.
-      const isFirstHand = group !== undefined;
-      if (!isFirstHand && list().length > 0) return false;
-      const before = list();
-      told = members;
-      return !isSameList(before, list());
+    learn(list) {
+      if (list === undefined || list.members.length === 0) return false;
+      if (list.index <= indexOf(newest())) return false;
+      // Its own log will tell it soon.
+      if (list.members.some(({name}) => name === self)) return false;
+      told = list;
+      return true;
     },
   };
 }
-
-function isSameList(
-  left: readonly Member[],
-  right: readonly Member[],
-): boolean {
-  const namesOf = (members: readonly Member[]) =>
-    members.map(({name, address}) => `${name} ${address}`).join(' ');
-  return namesOf(left) === namesOf(right);
-}
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -62,6 +62,12 @@
 /** Rises with each change of these messages that older code misreads. */
 export const protocolVersion = 1;
 
+/** The members of the group, as they are from one entry of its log on. */
+export interface MemberList {
+  readonly index: number;
+  readonly members: readonly Member[];
+}
+
 /** The first message on each link, sent again when the group is formed. */
 export interface Hello {
   readonly kind: 'hello';
@@ -73,8 +79,8 @@
   readonly group?: string;
   /** The first voters of the group; absent together with `group`. */
   readonly founders?: readonly Voter[];
-  /** The group's members, as far as the sender knows them. */
-  readonly members?: readonly Member[];
+  /** The newest members that the sender knows of; absent while it knows none. */
+  readonly members?: MemberList;
 }
 
 /** Asks the other end of a link for a sign of life; it comes back as it is. */
--- a/src/consensus/peers.ts
+++ b/src/consensus/peers.ts
@@ -31,8 +31,8 @@
   keep(member: Member): void;
   /** Sends if there is a link that takes it; else drops the message. */
   send(name: string, message: Message): void;
-  /** Sends the current hello again on all links. */
-  announce(): void;
+  /** Sends the current hello again, to all or to those that `concerns` chooses. */
+  announce(concerns?: (name: string) => boolean): void;
   /** Bytes sent to all members so far. */
   readonly bytesOut: number;
   stop(): Promise<void>;
@@ -201,8 +201,10 @@
       if (link === undefined || link.pending > pendingLimit) return;
       link.send(message);
     },
-    announce() {
-      for (const {link} of outgoing.values()) link?.send(options.hello());
+    announce(concerns = () => true) {
+      for (const {member, link} of outgoing.values()) {
+        if (concerns(member.name)) link?.send(options.hello());
+      }
     },
     get bytesOut() {
       let sum = closedBytes;
