--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -130,6 +130,8 @@
       voters: namesOf(voters),
       learners: namesOf(learners),
       leaving: replacement?.leaving,
+      // Of these the leader chooses who takes a lost voter's place.
+      ready: namesOf(links.ready),
       // Voters that may be lost at once with their disks.
       bearable: Math.ceil(voters.length / 2) - 1,
     });
