A process outside the group keeps its links to fellow homes as they were

A process that stands ready linked to each member's distribution as well, at the moment of the return; no node gains by it. Homes and operators' addresses are told as before.

--- a/src/control/member-directory.ts
+++ b/src/control/member-directory.ts
@@ -55,8 +55,9 @@
     return {voters, learners};
   }
 
+  /** Of the own log: links to a process outside would carry nobody's nodes. */
   function listFellows(): Address[] {
-    const {voters, learners} = listMembers();
+    const {voters, learners} = consensus.status();
     if (voters.length === 0) {
       return founders.map(founder => founder.distributionAddress);
     }
