--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -1,5 +1,4 @@
-import type {Failure} from '../result/failure.js';
-import {failure} from '../result/failure.js';
+import {Failure, failure} from '../result/failure.js';
 import type {Result} from '../result/failure.js';
 import {createApplier} from './applier.js';
 import {consensusCodes} from './codes.js';
@@ -157,7 +156,7 @@
         applier.restore(action.snapshot);
         return reads.onApplied(applier.index);
       case 'commit':
-        applier.apply(action.index);
+        apply(action.index);
         reads.onApplied(applier.index);
         return replacements.check();
       case 'proposed':
@@ -172,6 +171,19 @@
     }
   }
 
+  /**
+   * A machine that can't follow the others must not go on beside them: it would
+   * answer with a state that nobody accepted.
+   */
+  function apply(index: number): void {
+    try {
+      applier.apply(index);
+    } catch (error) {
+      if (!(error instanceof Failure)) throw error;
+      fail(error);
+    }
+  }
+
   function observeRole(): void {
     const view = status();
     const {role, term, leader} = view;
--- a/src/consensus/durability.test.ts
+++ b/src/consensus/durability.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {Failure} from '../result/failure.js';
 import {consensusCodes} from './codes.js';
 import {readIdentity} from './folder.js';
 import type {VoteAnswer} from './messages.js';
@@ -158,3 +159,20 @@
   const unsafe = await catchVote(false);
   t.true(unsafe.kept < unsafe.sent);
 });
+
+// A process whose state was damaged answers with a text that nobody sent, and
+// hands it on as a snapshot. It is to end with a number instead, and the others
+// go on without it.
+test('a member whose machine can not follow ends, and the others go on', async t => {
+  const group = await startTestGroup(3);
+  const leader = await group.elect();
+  const damaged = group.names.find(name => name !== leader)!;
+  const {journal} = group.member(damaged);
+  journal.apply = () => {
+    throw new Failure(consensusCodes.snapshotDamaged, 'the state is damaged');
+  };
+  t.true((await group.propose(leader, 'one')).ok);
+  await group.run(500);
+  t.is(group.member(damaged).failure?.code, consensusCodes.snapshotDamaged);
+  t.true((await group.propose(leader, 'two')).ok);
+});
