--- a/src/configuration/logged-revisions.test.ts
+++ b/src/configuration/logged-revisions.test.ts
@@ -5,42 +5,23 @@
 import type {Item} from './configuration.js';
 import {decodeAnswer, decodeEntry, encodeEntry} from './entry.js';
 import type {ReplacementEntry} from './entry.js';
-import {createSampleMachine} from './fakes/sample.js';
+import {
+  createSampleMachine,
+  putPolicy,
+  putRoute,
+  putService,
+} from './fakes/sample.js';
 import type {Replacement} from './messages.js';
 
 const routeCount = 2_400;
 
-function routeOf(name: string, prefix: string): Item {
-  const value = {
-    name,
-    prefix,
-    methods: [],
-    service: 'stock-desk',
-    policy: 'lookups',
-  };
-  return {kind: 'route', value};
-}
-
 function itemsOf(changed: number): Item[] {
-  const routes = Array.from({length: routeCount}, (_, at) =>
-    routeOf(`route-${at}`, at === 7 ? `/changed/${changed}` : `/r/${at}`),
-  );
-  return [
-    {kind: 'service', value: {name: 'stock-desk', slowStart: 0}},
-    {
-      kind: 'policy',
-      value: {
-        name: 'lookups',
-        priority: 'normal',
-        deadline: 500,
-        attempts: 2,
-        repeatability: 'idempotent',
-        bodyLimit: 1024,
-        objective: {target: 0.99, latency: 100},
-      },
-    },
-    ...routes,
-  ];
+  const routes = Array.from({length: routeCount}, (_, at) => {
+    const prefix = at === 7 ? `/changed/${changed}` : `/r/${at}`;
+    return putRoute(`route-${at}`, 'stock-desk', 'lookups', prefix);
+  });
+  const edits = [putService('stock-desk'), putPolicy('lookups'), ...routes];
+  return edits.flatMap(edit => (edit.action === 'put' ? [edit.item] : []));
 }
 
 /** A revision of 2,400 routes and some 400 kB, of which `changed` changes one. */
