--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -15,6 +15,7 @@
 import {createReplacements, refuseReplacement} from './replacements.js';
 import {openStorage} from './storage.js';
 import {toFailure} from './storage-failure.js';
+import {createStatusView} from './status-view.js';
 import {createWriter} from './writer.js';
 
 export type {ConsensusOptions} from './options.js';
@@ -96,6 +97,12 @@
     epoch: () => state.log.epoch,
     write: job => writer.push(job),
   });
+  const status = createStatusView({
+    me,
+    state,
+    links,
+    logBytes: () => storage.logBytes,
+  });
   links.follow(followed, state.log.membershipIndex);
   links.formAlone();
   const ticking = timers.every(Math.max(1, heartbeat / 2), tick);
@@ -260,35 +267,6 @@
     return refuseReplacement(answer, leaving, joining.name);
   }
 
-  /** A member as it last told of itself, where it stands at other ports now. */
-  function view(member: Voter): Voter {
-    const told = member.name === self.name ? me : links.find(member.name);
-    if (told?.storage !== member.storage) return member;
-    const {operatorAddress, distributionAddress} = told;
-    return {
-      ...member,
-      ...(operatorAddress !== undefined && {operatorAddress}),
-      ...(distributionAddress !== undefined && {distributionAddress}),
-    };
-  }
-
-  function status(): Status {
-    const {voters, learners} = state.log.membership;
-    return {
-      role: state.role.current,
-      term: state.term,
-      leader: state.leader,
-      commitIndex: state.commitIndex,
-      lastIndex: state.log.lastIndex,
-      snapshotIndex: state.snapshot.index,
-      voters: voters.map(view),
-      learners: learners.map(view),
-      told: links.told,
-      bytesOut: links.bytesOut,
-      logBytes: storage.logBytes,
-    };
-  }
-
   /**
    * A leader that stops lets its open changes end, then has another member lead,
    * so that a planned stop costs no election timeout. A bound keeps a group
