A node tells when its configuration has not been confirmed, and what its home said

Its link, the age and version of the home's mark and what it waits for tell a lost home, a home without a quorum, a push that does not come and a slow node apart. A histogram sums the times.

--- a/src/admin/metrics.test.ts
+++ b/src/admin/metrics.test.ts
@@ -92,6 +92,7 @@
     snapshotBytes: 50,
   });
   metrics.fleet(12);
+  metrics.unconfirmed(1400);
   const text = await registry.metrics();
   for (const line of [
     'foxbarrow_gate_requests{kind="queued"} 2',
@@ -101,6 +102,7 @@
     'foxbarrow_control_bytes_total{link="distribution",direction="out"} 22',
     'foxbarrow_control_group{kind="leader"} 1',
     'foxbarrow_nodes{kind="known"} 12',
+    'foxbarrow_unconfirmed_seconds_sum 1.4',
   ]) {
     t.true(text.includes(line), line);
   }
--- a/src/distribution/home-marks.ts
+++ b/src/distribution/home-marks.ts
@@ -22,6 +22,8 @@
   confirm(mark: Mark): void;
   /** `version` is in force here. */
   acknowledge(version: number): void;
+  /** The last mark of this home; undefined before the first. */
+  last(): Mark | undefined;
   /** Local time at which the home's state was confirmed; undefined before. */
   homeAsOf(): number | undefined;
   /** Local time at which the own state was confirmed; undefined before. */
@@ -33,12 +35,14 @@
   /** When each unanswered ping was sent, by its number. */
   const pings = new Map<number, number>();
   let pingNumber = 0;
+  let last: Mark | undefined;
   let homeAsOf: number | undefined;
   let ownAsOf: number | undefined;
   let version: number | undefined;
 
   return {
     begin() {
+      last = undefined;
       homeAsOf = undefined;
       pings.clear();
     },
@@ -59,7 +63,8 @@
       // Counted from the ping, so that a delayed answer never looks fresher.
       const asOf = pong.age === undefined ? undefined : sentAt - pong.age;
       homeAsOf = asOf ?? homeAsOf;
-      return {asOf, version: pong.version};
+      last = {asOf, version: pong.version};
+      return last;
     },
     confirm(mark) {
       const isInStep = version !== undefined && version >= (mark.version ?? 0);
@@ -68,6 +73,7 @@
     acknowledge(next) {
       version = next;
     },
+    last: () => last,
     homeAsOf: () => homeAsOf,
     ownAsOf: () => ownAsOf,
   };
