Other homes are asked beside a doubted one, and take its place only once they answer

What callers saw: an entry chose by a version whose successor had been accepted 2.5 s before. A node that had not heard from its home, or heard of an old mark, ended the link first and then tried its homes one after the other: 1.2 to 1.6 s until it noticed, up to 2 s for a connection, a delay, and 1.2 to 1.6 s more for a home that takes the connection and stands still. Each step had its bound and nothing bounded the sum.

Now a node watches how long ago its own state was confirmed, which any fault on the way makes old. At two thirds of homeFreshness it asks its other homes, each 250 ms one more beside those that have not answered, with a ping before the hello. It keeps its link until one with a fresh mark answers. Why it holds: noticing (1.2 s at most), two homes that are lost (0.5 s) and an answer end within the 2 s promised, whichever way a home fails; three homes at once are one more than may be lost together.

in-force.test.ts, 30 moments of the fault each, longest: two homes cut off 3380 ms, two standing still 3040 ms, one without a quorum and one standing still 3400 ms before; all within 2000 ms now. Without a better home: 3 links before, 1 now. The test's homes without a quorum now really learn of no change; so one more of its tests was red before.

--- /dev/null
+++ b/src/distribution/home-candidate.ts
@@ -0,0 +1,84 @@
+/** One home that is asked how fresh it is, before anything depends on it. */
+import type {FleetMessage, HomeAddress} from '../fleet/messages.js';
+import {createChannels} from '../link/channel.js';
+import type {Channels} from '../link/channel.js';
+import type {Link, Network} from '../link/link.js';
+import type {Timers} from '../time/timers.js';
+import {markOf} from './mark.js';
+import type {Mark} from './mark.js';
+
+/** A home that has answered, on a link that is not used yet. */
+export interface Candidate {
+  readonly home: HomeAddress;
+  /** The home's own name; undefined where it did not tell. */
+  readonly name: string | undefined;
+  readonly channels: Channels;
+  readonly mark: Mark;
+}
+
+/** What `askCandidate` works with. */
+export interface CandidateOptions {
+  readonly home: HomeAddress;
+  readonly network: Network;
+  readonly timers: Timers;
+  /** Milliseconds that an open link may stay without an answer. */
+  readonly timeout: number;
+  readonly onAnswer: (candidate: Candidate) => void;
+  readonly onFailure: (problem: string) => void;
+}
+
+/** A question under way. */
+export interface Question {
+  /** Ends it without an answer or a failure. */
+  abandon(): void;
+}
+
+/**
+ * Opens a link to a home and pings it. A VM that stands still takes connections
+ * all the same, so only the answer shows that its process works.
+ */
+export function askCandidate(options: CandidateOptions): Question {
+  const {home, network, timers, timeout} = options;
+  let isOver = false;
+  let link: Link | undefined;
+
+  function fail(problem: string): void {
+    if (isOver) return;
+    isOver = true;
+    link?.close();
+    options.onFailure(problem);
+  }
+
+  function ask(opened: Link): void {
+    link = opened;
+    const channels = createChannels(opened);
+    const fleet = channels.on('fleet');
+    const sentAt = timers.now();
+    const late = timers.after(timeout, () => fail('no answer in time'));
+    channels.onClose(() => fail('the link ended'));
+    fleet.onMessage(body => {
+      const message = body as FleetMessage;
+      if (isOver || message.kind !== 'pong') return;
+      isOver = true;
+      late.cancel();
+      const mark = markOf(message, sentAt);
+      options.onAnswer({home, name: message.home, channels, mark});
+    });
+    fleet.send({kind: 'ping', number: 0});
+  }
+
+  network.connect(home.address).then(
+    opened => {
+      if (isOver) opened.close();
+      else ask(opened);
+    },
+    (error: Error) => fail(error.message),
+  );
+
+  return {
+    abandon() {
+      isOver = true;
+      link?.close();
+    },
+  };
+}
--- a/src/distribution/home-choice.ts
+++ b/src/distribution/home-choice.ts
@@ -18,16 +18,16 @@
 
 /** The homes of a process, and those under suspicion. */
 export interface HomeChoice extends Pick<KnownHomes, 'configure' | 'learn'> {
-  /** The nearest home without suspicion, else the one longest out of it. */
-  choose(): HomeAddress;
-  /** Whether another home than this one is without suspicion. */
-  hasOther(home: HomeAddress): boolean;
+  /** The homes without suspicion, the nearest first. */
+  trusted(): HomeAddress[];
+  /** All homes: those without suspicion, then those longest out of it. */
+  order(): HomeAddress[];
   isNearer(home: HomeAddress, than: HomeAddress): boolean;
   /** A home failed; it is tried after all others for a while. */
   suspect(home: HomeAddress): void;
-  /** A home was left since its mark was old. */
+  /** A home was left since it did not confirm the own state. */
   foundOld(): void;
-  /** A home has shown a fresh mark. */
+  /** A home has confirmed the own state. */
   trust(home: HomeAddress): void;
 }
 
@@ -36,28 +36,26 @@
   const {clock, random} = options;
   const known = createKnownHomes(options.self, options.homes);
   const suspectUntil = new Map<Address, number>();
-  /** Homes left in a row since their marks were old. */
+  /** Homes left in a row since they did not confirm the own state. */
   let oldMarks = 0;
 
   const until = (home: HomeAddress) => suspectUntil.get(home.address) ?? 0;
   const isSuspect = (home: HomeAddress) => until(home) > clock.now();
+  const trusted = () => known.list().filter(home => !isSuspect(home));
 
   return {
     configure: known.configure,
     learn: known.learn,
-    choose() {
-      const trusted = known.list().find(home => !isSuspect(home));
-      if (trusted !== undefined) return trusted;
-      return known
-        .list()
-        .reduce((best, home) => (until(home) < until(best) ? home : best));
+    trusted,
+    order() {
+      const suspects = known.list().filter(isSuspect);
+      suspects.sort((left, right) => until(left) - until(right));
+      return [...trusted(), ...suspects];
     },
-    hasOther: ({address}) =>
-      known.list().some(home => home.address !== address && !isSuspect(home)),
     isNearer: (home, than) => known.rankOf(home) < known.rankOf(than),
     /**
-     * Grows while no home shows a fresh mark: in a region without a quorum all
-     * are old, and nodes that went round them would only load them.
+     * Grows while no home confirms the own state, as for a node that can't read
+     * what it is sent: going round its homes would only load them.
      */
     suspect(home) {
       const doubled = 2 ** Math.min(oldMarks, limits.suspicionDoublings);
--- a/src/distribution/home-marks.ts
+++ b/src/distribution/home-marks.ts
@@ -1,19 +1,13 @@
 /** How fresh a home's state and the own one are, learnt from pings. */
 import type {Ping, Pong} from '../fleet/messages.js';
 import type {Clock} from '../time/clock.js';
-
-/** What a home last told of its state. */
-export interface Mark {
-  /** Local time at which the home's state was still confirmed by a quorum. */
-  readonly asOf: number | undefined;
-  /** The version that the home last sent to all. */
-  readonly version: number | undefined;
-}
+import {markOf} from './mark.js';
+import type {Mark} from './mark.js';
 
 /** The marks of the home that is attached. */
 export interface HomeMarks {
-  /** Forgets what the home before told of itself. */
-  begin(): void;
+  /** Forgets what the home before told of itself, for the first mark of another. */
+  begin(first: Mark): void;
   /** The next ping. */
   ping(): Ping;
   /** The mark in the answer to a ping; undefined where none is due. */
@@ -24,8 +18,6 @@
   acknowledge(version: number): void;
   /** The last mark of this home; undefined before the first. */
   last(): Mark | undefined;
-  /** Local time at which the home's state was confirmed; undefined before. */
-  homeAsOf(): number | undefined;
   /** Local time at which the own state was confirmed; undefined before. */
   ownAsOf(): number | undefined;
 }
@@ -36,14 +28,12 @@
   const pings = new Map<number, number>();
   let pingNumber = 0;
   let last: Mark | undefined;
-  let homeAsOf: number | undefined;
   let ownAsOf: number | undefined;
   let version: number | undefined;
 
   return {
-    begin() {
-      last = undefined;
-      homeAsOf = undefined;
+    begin(first) {
+      last = first;
       pings.clear();
     },
     ping() {
@@ -60,10 +50,7 @@
       for (const number of pings.keys()) {
         if (number <= pong.number) pings.delete(number);
       }
-      // Counted from the ping, so that a delayed answer never looks fresher.
-      const asOf = pong.age === undefined ? undefined : sentAt - pong.age;
-      homeAsOf = asOf ?? homeAsOf;
-      last = {asOf, version: pong.version};
+      last = markOf(pong, sentAt);
       return last;
     },
     confirm(mark) {
@@ -74,7 +61,6 @@
       version = next;
     },
     last: () => last,
-    homeAsOf: () => homeAsOf,
     ownAsOf: () => ownAsOf,
   };
 }
--- /dev/null
+++ b/src/distribution/home-search.ts
@@ -0,0 +1,131 @@
+/**
+ * Looks for a home by asking several beside each other. Asked one after the
+ * other, each that is cut off or stands still costs its whole timeout, and the
+ * sum is what keeps an accepted change from a node.
+ */
+import type {HomeAddress} from '../fleet/messages.js';
+import type {Address, Network} from '../link/link.js';
+import type {Log} from '../log/log.js';
+import type {Subscription, Timers} from '../time/timers.js';
+import {askCandidate} from './home-candidate.js';
+import type {Candidate, Question} from './home-candidate.js';
+import {distributionLimits as limits} from './limits.js';
+
+/** What a search works with. */
+export interface HomeSearchOptions {
+  readonly network: Network;
+  readonly timers: Timers;
+  readonly log: Log;
+  /** The homes to ask in a round, in this order; empty to leave it out. */
+  readonly homes: () => readonly HomeAddress[];
+  /**
+   * Takes the link of a home that answered, or leaves it. `round` counts from 0
+   * since the search began.
+   */
+  readonly take: (candidate: Candidate, round: number) => boolean;
+  /** A home has no connection or no answer. */
+  readonly onFailure: (home: HomeAddress) => void;
+  /** Milliseconds until the next round; undefined to end the search. */
+  readonly pause: () => number | undefined;
+}
+
+/** A search for a home. */
+export interface HomeSearch {
+  /** Begins a round after `delay` milliseconds, unless one is under way. */
+  begin(delay: number): void;
+  /** Whether a round is under way or due. */
+  isOn(): boolean;
+  /** Ends it, with all questions under way. */
+  end(): void;
+}
+
+/** Creates a search that asks nobody yet. */
+export function createHomeSearch(options: HomeSearchOptions): HomeSearch {
+  const {network, timers, log} = options;
+  const underWay = new Map<Address, Question>();
+  let queue: HomeAddress[] = [];
+  let round = 0;
+  let isAsking = false;
+  let timer: Subscription | undefined;
+
+  function end(): void {
+    timer?.cancel();
+    timer = undefined;
+    for (const question of underWay.values()) question.abandon();
+    underWay.clear();
+    queue = [];
+    isAsking = false;
+    round = 0;
+  }
+
+  function beginRound(): void {
+    isAsking = true;
+    queue = [...options.homes()];
+    askNext();
+  }
+
+  /** Asks one more home, and after a while another beside it. */
+  function askNext(): void {
+    timer?.cancel();
+    timer = undefined;
+    if (underWay.size >= limits.askedAtOnce) return;
+    const home = queue.shift();
+    if (home !== undefined) {
+      ask(home);
+      timer = timers.after(limits.askPatience, askNext);
+    } else if (underWay.size === 0) {
+      endRound();
+    }
+  }
+
+  function endRound(): void {
+    isAsking = false;
+    const delay = options.pause();
+    if (delay === undefined) {
+      end();
+      return;
+    }
+    round++;
+    timer = timers.after(delay, beginRound);
+  }
+
+  function ask(home: HomeAddress): void {
+    const question = askCandidate({
+      home,
+      network,
+      timers,
+      timeout: limits.answerTimeout,
+      onAnswer(candidate) {
+        underWay.delete(home.address);
+        receive(candidate);
+      },
+      onFailure(problem) {
+        log.debug('no answer of home', {home: home.address, problem});
+        underWay.delete(home.address);
+        options.onFailure(home);
+        askNext();
+      },
+    });
+    underWay.set(home.address, question);
+  }
+
+  function receive(candidate: Candidate): void {
+    if (options.take(candidate, round)) {
+      end();
+      return;
+    }
+    candidate.channels.link.close();
+    askNext();
+  }
+
+  return {
+    begin(delay) {
+      round = 0;
+      if (isAsking) return;
+      timer?.cancel();
+      timer = timers.after(delay, beginRound);
+    },
+    isOn: () => isAsking || timer !== undefined,
+    end,
+  };
+}
--- a/src/distribution/in-force.test.ts
+++ b/src/distribution/in-force.test.ts
@@ -10,6 +10,7 @@
 
 /** Milliseconds between the moments at which a fault is tried. */
 const step = 40;
+const names = ['control-1', 'control-2', 'control-3'];
 const offsets = Array.from({length: 30}, (_, index) => index * step);
 
 /** A node, its homes in the order in which it prefers them, and their operator. */
@@ -18,8 +19,14 @@
   const operator = createOperator();
   operator.accept({put: ['crewbook']});
   const homes: StagedHome[] = [];
-  for (const name of ['control-1', 'control-2', 'control-3']) {
-    homes.push(await stage.control(name, operator));
+  const isolated = new Set<number>();
+  for (const [index, name] of names.entries()) {
+    let shown = operator.current();
+    const current = () => {
+      if (!isolated.has(index)) shown = operator.current();
+      return shown;
+    };
+    homes.push(await stage.control(name, {...operator, current}));
   }
   const places = ['a', 'b', 'c'].map((failureDomain, index) => ({
     address: homes[index]!.address,
@@ -41,6 +48,15 @@
       stage.network.cut('node-1', name);
       stage.network.cut(name, 'node-1');
     },
+    /** No quorum answers the home, and it learns of no change. */
+    isolate(index: number): void {
+      isolated.add(index);
+      homes[index]!.quorum = false;
+    },
+    rejoin(index: number): void {
+      isolated.delete(index);
+      homes[index]!.quorum = true;
+    },
     /** The process takes connections and says nothing. */
     standStill: (name: string) => void still.add(name),
     /** Milliseconds until a change that is accepted now is in force. */
@@ -73,10 +89,7 @@
 const faults: Array<[string, (attached: Attached) => Promise<void> | void]> = [
   ['its home cut off from it', ({cut}) => cut('control-1')],
   ['its home standing still', ({standStill}) => standStill('control-1')],
-  [
-    'its home cut off from the quorum',
-    ({homes}) => void (homes[0]!.quorum = false),
-  ],
+  ['its home cut off from the quorum', ({isolate}) => isolate(0)],
   // Callers are sent where operators no longer want them, for 3 s and more.
   // The node notices that its home is silent, then waits for a connection that
   // a cut swallows, then for a delay, and only then asks the home that works.
@@ -98,8 +111,8 @@
   ],
   [
     'its home without a quorum and the next one standing still',
-    ({homes, standStill}) => {
-      homes[0]!.quorum = false;
+    ({isolate, standStill}) => {
+      isolate(0);
       standStill('control-2');
     },
   ],
@@ -108,12 +121,12 @@
   // one that stands still, and is without any when the next change is accepted.
   [
     'its home working all the while that another one leads',
-    async ({homes, stage, standStill}) => {
+    async ({isolate, rejoin, stage, standStill}) => {
       standStill('control-2');
-      for (const home of homes) home.quorum = false;
+      for (const index of names.keys()) isolate(index);
       await stage.timers.advanceAsync(1300);
-      homes[0]!.quorum = true;
-      homes[2]!.quorum = true;
+      rejoin(0);
+      rejoin(2);
     },
   ],
 ];
--- a/src/distribution/limits.ts
+++ b/src/distribution/limits.ts
@@ -6,8 +6,21 @@
   relayHeartbeat: 250,
   /** Period of the quorum rounds that renew control's freshness mark. */
   freshnessRound: 250,
-  /** Age of a mark after which a home is left for another. */
+  /** Age of a confirmation after which it no longer counts as fresh. */
   freshness: 3000,
+  /**
+   * Share of that age at which other homes are asked. More than two pings and a
+   * quorum round apart, so that a home that answers is not doubted.
+   */
+  doubt: 2 / 3,
+  /** Time after which another home is asked beside one that has not answered. */
+  askPatience: 250,
+  /** How long an open link may stay without an answer. */
+  answerTimeout: 2000,
+  /** Homes asked at once: one more than may be lost together. */
+  askedAtOnce: 3,
+  /** Pause between rounds while the present home is doubted and none is better. */
+  doubtPause: {first: 1000, most: 10_000},
   /** Pings without an answer after which a link counts as dead. */
   missedHeartbeats: 3,
   /** How long a home that failed is tried after all others. */
--- /dev/null
+++ b/src/distribution/mark.ts
@@ -0,0 +1,19 @@
+/** How fresh a home's state is, as it tells in its answer to a ping. */
+import type {Pong} from '../fleet/messages.js';
+
+/** What a home last told of its state. */
+export interface Mark {
+  /** Local time at which the home's state was still confirmed by a quorum. */
+  readonly asOf: number | undefined;
+  /** The version that the home last sent to all. */
+  readonly version: number | undefined;
+}
+
+/**
+ * The mark that an answer tells. Its age counts from the ping, so that an
+ * answer that was held back never looks fresher than it is.
+ */
+export function markOf({age, version}: Pong, sentAt: number): Mark {
+  const asOf = age === undefined ? undefined : sentAt - age;
+  return {asOf, version};
+}
--- a/src/distribution/subscriber.ts
+++ b/src/distribution/subscriber.ts
@@ -12,7 +12,7 @@
 import type {CandidateSafeguards, HeldState} from './candidate.js';
 import {distributionCodes} from './codes.js';
 import type {Home} from './home.js';
-import type {Mark} from './home-marks.js';
+import type {Mark} from './mark.js';
 import {distributionLimits} from './limits.js';
 import type {Interest, Later, Push, Request, Response} from './messages.js';
 import {createProofRequests, makeNonce} from './proof-requests.js';
--- a/src/fleet/fleet.test.ts
+++ b/src/fleet/fleet.test.ts
@@ -7,6 +7,7 @@
 import {joinSummaries} from './summary.js';
 import type {HomeSummary} from './messages.js';
 import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import {createChannels} from '../link/channel.js';
 import type {Channels} from '../link/channel.js';
 
 // Operators would be told that a version is in force while callers still meet
@@ -288,3 +289,35 @@
   t.true(homes.find(({home}) => home === second.name)!.age > 4000);
   mesh.stop();
 });
+
+/** Opens a bare link to a new control process and returns what it answers. */
+async function openLink() {
+  const stage = createStage();
+  const control = await stage.control('control-1', createOperator());
+  const opening = stage.network.from('node-1').connect(control.address);
+  await stage.timers.advanceAsync(10);
+  const channels = createChannels(await opening);
+  const answers: unknown[] = [];
+  channels.on('fleet').onMessage(answer => void answers.push(answer));
+  return {stage, control, channels, answers};
+}
+
+// A node that looks for a home asks several, and links to one of them. The
+// others would count it as theirs, and then as lost.
+test('who only asks is answered and does not count as a node', async t => {
+  const {stage, control, channels, answers} = await openLink();
+  channels.on('fleet').send({kind: 'ping', number: 0});
+  await stage.timers.advanceAsync(500);
+  t.like(answers, [{kind: 'pong', number: 0, home: 'control-1'}]);
+  t.is(control.fleet.summary().nodes, 0);
+});
+
+// A node asks and is cut off. Nothing ever ends its link at this end.
+test('a link without a hello is closed once it is silent', async t => {
+  const {stage, channels} = await openLink();
+  let isClosed = false;
+  channels.onClose(() => (isClosed = true));
+  channels.on('fleet').send({kind: 'ping', number: 0});
+  await stage.timers.advanceAsync(6000);
+  t.true(isClosed);
+});
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -74,21 +74,27 @@
 
   function accept(channels: Channels): void {
     const fleet = channels.on('fleet');
-    receiveHello(
-      fleet,
-      hello => greet(hello, channels),
-      () => {
+    let name = channels.link.peer;
+    const watch = watchSilence(channels, () => name);
+    receiveHello(fleet, {
+      // Other homes are not told: a fellow that asks keeps its link to this one.
+      answer: ping => answer(fleet, ping, noHomes),
+      greet(hello) {
+        name = hello.name;
+        return greet(hello, channels, watch);
+      },
+      refuse() {
         log.warn('link without a hello', {peer: channels.link.peer});
         channels.link.close();
       },
-    );
+    });
   }
 
   function greet(
     hello: Hello,
     channels: Channels,
+    watch: SilenceWatch,
   ): (message: FleetMessage) => void {
-    const watch = watchSilence(channels, hello);
     const receiveFrom =
       hello.kind === 'node'
         ? greetNode(hello, channels)
@@ -101,13 +107,13 @@
   }
 
   /** A link that died without a word keeps its end open; silence tells. */
-  function watchSilence(channels: Channels, hello: Hello): SilenceWatch {
+  function watchSilence(channels: Channels, name: () => string): SilenceWatch {
     const {silence} = fleetLimits;
     const watch = createSilenceWatch(timers, silence / 2, silence);
     const timer: Subscription = timers.every(silence / 2, () => {
       if (watch.look() !== 'silent') return;
       timer.cancel();
-      log.warn('link is silent', {name: hello.name});
+      log.warn('link is silent', {name: name()});
       channels.link.close();
     });
     channels.onClose(() => timer.cancel());
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -8,7 +8,7 @@
 /** What a process of the system is. */
 export type ProcessKind = 'node' | 'relay' | 'control';
 
-/** The first message on each link, from the end that opened it. */
+/** From the end that opened a link; only pings may come before. */
 export interface Hello {
   readonly kind: ProcessKind;
   readonly name: string;
