A node whose own link is slow keeps its home

What callers saw: changes came into force late at the instances that take large uploads. Their nodes' links are full of bodies, so pings and marks take 0.5 to 1 s; the node blamed its home, went to another over the same link, and asked it for its state. A home now gives its place up only where it is at fault in sight of the other's answer: an older ping unanswered, a mark that was old when it was told, or a version that it has sent and that does not come.

--- a/src/distribution/home-marks.ts
+++ b/src/distribution/home-marks.ts
@@ -20,20 +20,56 @@
   last(): Mark | undefined;
   /** Local time at which the own state was confirmed; undefined before. */
   ownAsOf(): number | undefined;
+  /**
+   * Whether the home itself is at fault for an old state, in sight of the mark
+   * that another one showed: it has not answered a ping that was sent well
+   * before the other's, it says itself that its state is old, or it has sent a
+   * newer version that has not come. Where none holds, what is slow is the own
+   * link or process, and no other home would be heard any sooner.
+   */
+  isWorseThan(other: Mark): boolean;
+}
+
+/** What marks are judged by; times in milliseconds. */
+export interface HomeMarksOptions {
+  readonly clock: Clock;
+  /** Period of pings. */
+  readonly heartbeat: number;
+  /** Age of a confirmation at which a home is doubted. */
+  readonly doubtAge: number;
 }
 
 /** Creates marks that nothing is known of. */
-export function createHomeMarks(clock: Clock): HomeMarks {
+export function createHomeMarks(options: HomeMarksOptions): HomeMarks {
+  const {clock, heartbeat, doubtAge} = options;
   /** When each unanswered ping was sent, by its number. */
   const pings = new Map<number, number>();
   let pingNumber = 0;
   let last: Mark | undefined;
   let ownAsOf: number | undefined;
   let version: number | undefined;
+  /** Since when the home has sent what has not come. */
+  let behindSince: number | undefined;
+
+  function isSilent(other: Mark): boolean {
+    const [unanswered] = pings.values();
+    return (
+      unanswered !== undefined && unanswered + heartbeat / 2 < other.askedAt
+    );
+  }
+
+  function isOld(mark: Mark): boolean {
+    return mark.asOf === undefined || mark.askedAt - mark.asOf > doubtAge;
+  }
+
+  function isBehind(): boolean {
+    return behindSince !== undefined && clock.now() - behindSince > doubtAge;
+  }
 
   return {
     begin(first) {
       last = first;
+      behindSince = undefined;
       pings.clear();
     },
     ping() {
@@ -56,11 +92,17 @@
     confirm(mark) {
       const isInStep = version !== undefined && version >= (mark.version ?? 0);
       if (isInStep) ownAsOf = mark.asOf ?? ownAsOf;
+      const isBehind = version !== undefined && !isInStep;
+      behindSince = isBehind ? (behindSince ?? clock.now()) : undefined;
     },
     acknowledge(next) {
       version = next;
     },
     last: () => last,
     ownAsOf: () => ownAsOf,
+    isWorseThan(other) {
+      const isAtFault = last === undefined || isOld(last) || isBehind();
+      return isAtFault || isSilent(other);
+    },
   };
 }
--- a/src/distribution/in-force.test.ts
+++ b/src/distribution/in-force.test.ts
@@ -148,3 +148,23 @@
   await stage.timers.advanceAsync(5000);
   t.is(links, 1, 'the link that it had');
 });
+
+// Large bodies fill the link of one VM, so that all that its node sends and
+// gets waits behind them. The node takes its home for one that is silent or
+// cut off, goes to another and another, over the same link, and asks each for
+// its state. What comes over the link that it has is late, but the first.
+for (const extra of [200, 350, 500]) {
+  test(`a node whose own link takes ${extra} ms more each way keeps its home`, async t => {
+    const {accept, node, stage} = await attachNode(0);
+    let links = 0;
+    node.home.onChannels(() => links++);
+    stage.network.slow('node-1', extra);
+    let most = 0;
+    for (let change = 0; change < 20; change++) {
+      most = Math.max(most, await accept());
+      await stage.timers.advanceAsync(500);
+    }
+    t.is(links, 1, 'the link that it had');
+    t.true(most <= promised, `${most} ms`);
+  });
+}
--- a/src/distribution/mark.ts
+++ b/src/distribution/mark.ts
@@ -7,6 +7,8 @@
   readonly asOf: number | undefined;
   /** The version that the home last sent to all. */
   readonly version: number | undefined;
+  /** Local time at which the ping was sent that it answers. */
+  readonly askedAt: number;
 }
 
 /**
@@ -15,5 +17,5 @@
  */
 export function markOf({age, version}: Pong, sentAt: number): Mark {
   const asOf = age === undefined ? undefined : sentAt - age;
-  return {asOf, version};
+  return {asOf, version, askedAt: sentAt};
 }
--- a/src/link/fakes/fake-network.ts
+++ b/src/link/fakes/fake-network.ts
@@ -15,6 +15,8 @@
   cut(source: string, target: string): void;
   /** Lets messages travel again in both directions between all processes. */
   heal(): void;
+  /** Messages of one process take `delay` milliseconds longer each way. */
+  slow(name: string, delay: number): void;
   /** Closes every link of one process, as its death would. */
   kill(name: string): void;
   /** Decides each message's fate; the default delivers all. */
@@ -43,6 +45,7 @@
     {owner: string; accept: (link: Link) => void}
   >();
   const cuts = new Set<string>();
+  const slowed = new Map<string, number>();
   const ends = new Set<End>();
   let held: Array<() => void> = [];
   let rule: (source: string, target: string, message: unknown) => Fate = () =>
@@ -51,6 +54,11 @@
   const isCut = (source: string, target: string) =>
     cuts.has(`${source}>${target}`);
 
+  /** Milliseconds that a message takes one way between two processes. */
+  function delayOf(owner: string, other: string): number {
+    return delay + (slowed.get(owner) ?? 0) + (slowed.get(other) ?? 0);
+  }
+
   function deliver(end: End, bytes: Buffer): void {
     if (!end.open) return;
     const message: unknown = packr.unpack(bytes);
@@ -61,8 +69,9 @@
   function send(end: End, message: unknown): void {
     const other = end.other!;
     if (!end.open || isCut(end.owner, other.owner)) return;
+    const oneWay = delayOf(end.owner, other.owner);
     if (!other.open) {
-      timers.after(delay, () => reset(end));
+      timers.after(oneWay, () => reset(end));
       return;
     }
     const bytes = packr.pack(message);
@@ -71,8 +80,8 @@
       if (!isCut(end.owner, other.owner)) deliver(other, bytes);
     };
     if (fate === 'hold') held.push(arrive);
-    if (fate === 'deliver' || fate === 'double') timers.after(delay, arrive);
-    if (fate === 'double') timers.after(delay * 2, arrive);
+    if (fate === 'deliver' || fate === 'double') timers.after(oneWay, arrive);
+    if (fate === 'double') timers.after(oneWay * 2, arrive);
   }
 
   function end(end: End): void {
@@ -114,7 +123,7 @@
         const other = made.other!;
         end(made);
         // A cut swallows the FIN too: the other end stays open until it sends.
-        timers.after(delay, () => {
+        timers.after(delayOf(made.owner, other.owner), () => {
           if (!isCut(made.owner, other.owner)) end(other);
         });
       }
@@ -135,7 +144,8 @@
         timers.after(defaultConnectTimeout, refuse);
         return;
       }
-      timers.after(delay, () => {
+      const extra = slowed.get(owner) ?? 0;
+      timers.after(delay + 2 * extra, () => {
         if (listener === undefined || listeners.get(address) !== listener) {
           refuse();
           return;
@@ -171,6 +181,7 @@
       })(),
     cut: (source, target) => void cuts.add(`${source}>${target}`),
     heal: () => cuts.clear(),
+    slow: (name, extra) => void slowed.set(name, extra),
     kill(name) {
       for (const [address, listener] of listeners) {
         if (listener.owner === name) listeners.delete(address);
