A node that can't read new versions stays with a home; options of a home in a file of their own

Found in reading the mend: a home was trusted again right after it was attached, before it confirmed anything, which undid the doubling of suspicion. A node that refuses what it is sent then went round its homes: 98 links in ten minutes, at most 30 asked (the test, red before).

--- a/src/distribution/home-marks.ts
+++ b/src/distribution/home-marks.ts
@@ -20,6 +20,12 @@
   last(): Mark | undefined;
   /** Local time at which the own state was confirmed; undefined before. */
   ownAsOf(): number | undefined;
+  /** Whether a home with this mark would not be doubted. */
+  isFresh(mark: Mark): boolean;
+  /** Whether the own state was confirmed of late. */
+  isConfirmed(): boolean;
+  /** Whether it has not been for long, or since this home is the present one. */
+  isDoubtful(): boolean;
   /**
    * Whether the home itself is at fault for an old state, in sight of the mark
    * that another one showed: it has not answered a ping that was sent well
@@ -48,9 +54,12 @@
   let last: Mark | undefined;
   let ownAsOf: number | undefined;
   let version: number | undefined;
+  let begunAt = clock.now();
   /** Since when the home has sent what has not come. */
   let behindSince: number | undefined;
 
+  const isRecent = (asOf: number) => clock.now() - asOf <= doubtAge;
+
   function isSilent(other: Mark): boolean {
     const [unanswered] = pings.values();
     return (
@@ -68,6 +77,7 @@
 
   return {
     begin(first) {
+      begunAt = clock.now();
       last = first;
       behindSince = undefined;
       pings.clear();
@@ -100,6 +110,9 @@
     },
     last: () => last,
     ownAsOf: () => ownAsOf,
+    isFresh: ({asOf}) => asOf !== undefined && isRecent(asOf),
+    isConfirmed: () => ownAsOf !== undefined && isRecent(ownAsOf),
+    isDoubtful: () => !isRecent(Math.max(ownAsOf ?? begunAt, begunAt)),
     isWorseThan(other) {
       const isAtFault = last === undefined || isOld(last) || isBehind();
       return isAtFault || isSilent(other);
--- a/src/distribution/home.test.ts
+++ b/src/distribution/home.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {createOperator, createStage} from './fakes/stage.js';
 import type {HomeAddress} from '../fleet/messages.js';
-import type {HomeOptions} from './home.js';
+import type {HomeOptions} from './home-options.js';
 
 type Safeguards = HomeOptions['safeguards'];
 
@@ -149,3 +149,32 @@
   t.is(node.home.address(), joined.address);
   t.deepEqual(node.versions, [1, 2]);
 });
+
+// A node can't read what its homes send, as after an upgrade that came to
+// control first. Each home is fresh and none is any better, so a node that went
+// round them would ask each for its whole state, again and again.
+test('a node that can’t read new versions seldom changes its home', async t => {
+  const {stage, operator, node} = await attachToThree();
+  stage.network.decide((_source, _target, message) =>
+    JSON.stringify(message).includes('"push"') ? 'drop' : 'deliver',
+  );
+  let links = 0;
+  node.home.onChannels(() => links++);
+  operator.accept({put: ['crewbook']});
+  await stage.timers.advanceAsync(600_000);
+  t.is(node.home.state(), 'attached');
+  t.true(links <= 30, `${links} links`);
+});
+
+async function attachToThree() {
+  const stage = createStage();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const homes: string[] = [];
+  for (const name of ['control-1', 'control-2', 'control-3']) {
+    homes.push((await stage.control(name, operator)).address);
+  }
+  const node = stage.node('node-1', homes);
+  await stage.timers.advanceAsync(3000);
+  return {stage, operator, node};
+}
