On a slow link a home is not silent after 1.2 s, and its own word tells whether it is fresh

Found in a trial on the full links of uploads: two nodes gave their home up as silent, since their own links stood for 1.2 s, and then found none for 4 and 7 s, as the answers of all looked old by the time that they came. A home's link is now given up after 3 s without a word; others are asked from 0.8 s on, as before, so a lost home costs no more. And a home counts as fresh by the age that it tells, not by that plus the way of the answer.

--- a/src/distribution/home-marks.ts
+++ b/src/distribution/home-marks.ts
@@ -20,8 +20,11 @@
   last(): Mark | undefined;
   /** Local time at which the own state was confirmed; undefined before. */
   ownAsOf(): number | undefined;
-  /** Whether a home with this mark would not be doubted. */
-  isFresh(mark: Mark): boolean;
+  /**
+   * Whether a home said that its state was confirmed of late. Its own word
+   * counts, as on a slow link each answer looks old by the time that it comes.
+   */
+  tellsFresh(mark: Mark): boolean;
   /** Whether the own state was confirmed of late. */
   isConfirmed(): boolean;
   /** Whether it has not been for long, or since this home is the present one. */
@@ -67,8 +70,8 @@
     );
   }
 
-  function isOld(mark: Mark): boolean {
-    return mark.asOf === undefined || mark.askedAt - mark.asOf > doubtAge;
+  function tellsFresh({asOf, askedAt}: Mark): boolean {
+    return asOf !== undefined && askedAt - asOf <= doubtAge;
   }
 
   function isBehind(): boolean {
@@ -110,11 +113,11 @@
     },
     last: () => last,
     ownAsOf: () => ownAsOf,
-    isFresh: ({asOf}) => asOf !== undefined && isRecent(asOf),
+    tellsFresh,
     isConfirmed: () => ownAsOf !== undefined && isRecent(ownAsOf),
     isDoubtful: () => !isRecent(Math.max(ownAsOf ?? begunAt, begunAt)),
     isWorseThan(other) {
-      const isAtFault = last === undefined || isOld(last) || isBehind();
+      const isAtFault = last === undefined || !tellsFresh(last) || isBehind();
       return isAtFault || isSilent(other);
     },
   };
--- a/src/distribution/limits.ts
+++ b/src/distribution/limits.ts
@@ -21,8 +21,11 @@
   askedAtOnce: 3,
   /** Pause between rounds while the present home is doubted and none is better. */
   doubtPause: {first: 1000, most: 10_000},
-  /** Pings without an answer after which a link counts as dead. */
-  missedHeartbeats: 3,
+  /**
+   * How long a home may say nothing before its link is given up. Others are
+   * asked long before; on a full link what it said may still be on its way.
+   */
+  silence: 3000,
   /** How long a home that failed is tried after all others. */
   suspicion: 10_000,
   /** How often that time may double while no home shows a fresh mark. */
