Large bodies come in at nine tenths of the link, and a few at once

Senders of bodies filled the link, and each body held a slot for as long as it shared it.

Now a node reads bodies that stream at nine tenths of the platform's link_mbps in all (pace.ts), so they wait in their senders' windows. A gate takes in as many at once as get 512 KiB/s, two at least, and the others wait without a slot (body-places.ts).

--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -11,6 +11,7 @@
 import type {Gate} from '../request/gate.js';
 import {createGateServer} from '../request/transport/gate-server.js';
 import type {Listener} from '../request/transport/listener.js';
+import {bodyRateOf, createPace} from '../request/transport/pace.js';
 import {defaults} from '../settings/defaults.js';
 import type {NodeSettings} from '../settings/schema.js';
 import type {Timers} from '../time/timers.js';
@@ -43,7 +44,13 @@
   const {settings, parts, metrics, configuration} = options;
   const {home, table, membership, gate} = options;
   const {timers, random, log} = options.process;
+  const {linkRate} = settings;
+  const pace =
+    linkRate === undefined
+      ? undefined
+      : createPace(bodyRateOf(linkRate), timers);
   const gateServer = createGateServer({
+    pace,
     address: settings.gateAddress,
     gate,
     headerLimit: settings.headerLimit,
@@ -54,6 +61,7 @@
     log,
   });
   const entry = createEntry({
+    pace,
     name: settings.name,
     failureDomain: settings.failureDomain,
     region: settings.region,
--- /dev/null
+++ b/src/request/decisions/body-places.test.ts
@@ -0,0 +1,202 @@
+import test from 'ava';
+import {createRandom} from '../../random/random.js';
+import {createFakeTimers} from '../../time/fakes/fake-timers.js';
+import {requestCodes} from '../messages/codes.js';
+import {refusal} from '../messages/refusal.js';
+import type {StreamUpload} from '../messages/upload.js';
+import {createAdmission} from './admission.js';
+import type {Ticket} from './admission.js';
+import {placesFor, withBodyPlaces} from './body-places.js';
+
+/** A body whose end the test decides. */
+function createBody() {
+  let observe: (isWhole: boolean) => void = () => {};
+  const body = {
+    kind: 'stream',
+    onEnd: (next: typeof observe) => void (observe = next),
+  } as unknown as StreamUpload;
+  return {body, end: (isWhole: boolean) => observe(isWhole)};
+}
+
+function stage(places = 2, slots = 6) {
+  const clock = createFakeTimers();
+  const events: string[] = [];
+  const admission = withBodyPlaces({
+    admission: createAdmission({slots, queueLength: 36, clock}),
+    places,
+    queueLength: 36,
+    clock,
+  });
+  function offer(name: string, body?: StreamUpload, deadline = 1e6): Ticket {
+    const ticket: Ticket = {
+      priority: 'normal',
+      kind: body === undefined ? 'lookup' : 'upload',
+      body,
+      deadline,
+      start: () => events.push(`${name} starts`),
+      refuse: reason => events.push(`${name} ${reason.code.name}`),
+    };
+    admission.offer(ticket);
+    return ticket;
+  }
+  return {clock, events, admission, offer};
+}
+
+test('uploads beyond the places wait without a slot', t => {
+  const {admission, events, offer} = stage();
+  for (const name of ['a', 'b', 'c', 'd']) offer(name, createBody().body);
+  offer('lookup');
+  t.deepEqual(events, ['a starts', 'b starts', 'lookup starts']);
+  t.is(admission.running, 3);
+  t.is(admission.waiting, 2);
+});
+
+for (const isWhole of [true, false]) {
+  test(`a body that has ended gives its place to the next, whole: ${isWhole}`, t => {
+    const {events, offer} = stage(1);
+    const first = createBody();
+    offer('a', first.body);
+    offer('b', createBody().body);
+    first.end(isWhole);
+    t.deepEqual(events, ['a starts', 'b starts']);
+  });
+}
+
+test('an upload that left its place in the queue does not start', t => {
+  const {admission, events, offer} = stage(1);
+  const first = createBody();
+  offer('a', first.body);
+  const second = offer('b', createBody().body);
+  t.true(admission.withdraw(second));
+  t.false(admission.withdraw(second));
+  first.end(true);
+  t.deepEqual(events, ['a starts']);
+});
+
+test('a drain refuses the uploads that wait for a place', t => {
+  const {admission, events, offer} = stage(1);
+  offer('a', createBody().body);
+  offer('b', createBody().body);
+  admission.refuseWaiting(refusal(requestCodes.draining));
+  t.deepEqual(events, ['a starts', 'b draining']);
+});
+
+test('an upload whose body can’t come in time is refused at once', t => {
+  const {clock, events, offer} = stage(1);
+  const first = createBody();
+  offer('a', first.body);
+  clock.advance(1000);
+  first.end(true);
+  offer('b', createBody().body);
+  offer('c', createBody().body, clock.now() + 1500);
+  t.deepEqual(events.slice(2), ['c deadline-unreachable']);
+});
+
+test('a fast link has places for all, a slow one for two at least', t => {
+  t.is(placesFor(94_000_000), 179);
+  t.is(placesFor(1_600_000), 3);
+  t.is(placesFor(100_000), 2);
+});
+
+interface Transfer {
+  left: number;
+  done(): void;
+}
+
+/**
+ * Sixty seconds of uploads for nearly all of a link and of short lookups, at an
+ * instance with nine slots. Returns the share of lookups that began within
+ * 200 ms, and of uploads that were whole within their deadline of 3 s, and
+ * within 1.2 s (good).
+ */
+function play(places: number) {
+  const clock = createFakeTimers();
+  const random = createRandom(7);
+  const {bytesPerTick, tick} = {bytesPerTick: 9800, tick: 10};
+  const admission = withBodyPlaces({
+    admission: createAdmission({slots: 9, queueLength: 36, clock}),
+    places,
+    queueLength: 36,
+    clock,
+  });
+  const link = new Set<Transfer>();
+  const count = {lookups: 0, inTime: 0, uploads: 0, whole: 0, good: 0};
+
+  function lookUp(): void {
+    count.lookups++;
+    const offeredAt = clock.now();
+    admission.offer({
+      priority: 'normal',
+      kind: 'lookup',
+      deadline: offeredAt + 1000,
+      start() {
+        if (clock.now() - offeredAt <= 200) count.inTime++;
+        clock.after(50, () => admission.done(50, 'lookup'));
+      },
+      refuse() {},
+    });
+  }
+
+  function upload(): void {
+    count.uploads++;
+    const {body, end} = createBody();
+    const offeredAt = clock.now();
+    const deadline = offeredAt + 3000;
+    admission.offer({
+      priority: 'normal',
+      kind: 'upload',
+      body,
+      deadline,
+      start() {
+        const startedAt = clock.now();
+        const left = 560_000 * random.fraction();
+        link.add({
+          left,
+          done() {
+            end(true);
+            if (clock.now() <= deadline) count.whole++;
+            if (clock.now() <= offeredAt + 1200) count.good++;
+            admission.done(clock.now() - startedAt, 'upload');
+          },
+        });
+      },
+      refuse() {},
+    });
+  }
+
+  function carry(): void {
+    const share = bytesPerTick / link.size;
+    for (const transfer of [...link]) {
+      transfer.left -= share;
+      if (transfer.left > 0) continue;
+      link.delete(transfer);
+      transfer.done();
+    }
+  }
+
+  clock.every(tick, () => {
+    carry();
+    if (random.fraction() < 0.04) upload();
+    if (random.fraction() < 0.2) lookUp();
+  });
+  clock.advance(60_000);
+  return {
+    lookups: count.inTime / count.lookups,
+    uploads: count.whole / count.uploads,
+    good: count.good / count.uploads,
+  };
+}
+
+// Callers' lookups at the instances that take uploads are late or refused while
+// the instance is idle: bodies share the link, all take seconds, and each holds
+// a slot. Waiting for a place they take turns, and no fewer are whole in time.
+test('lookups find slots beside uploads that fill the link', t => {
+  const shared = play(9);
+  const inTurn = play(3);
+  t.true(inTurn.lookups > 0.97, `lookups ${inTurn.lookups}`);
+  t.true(inTurn.lookups > shared.lookups, `lookups ${shared.lookups} before`);
+  t.true(
+    inTurn.uploads >= shared.uploads,
+    `uploads ${shared.uploads} to ${inTurn.uploads}`,
+  );
+});
--- a/src/request/messages/upload.ts
+++ b/src/request/messages/upload.ts
@@ -17,6 +17,13 @@
    * take a part away before the next attempt's connection is open.
    */
   rewind(): void;
+  /**
+   * Calls `observe` once when nothing more of it is read: with true when its last
+   * part was, with false when it is given up.
+   */
+  onEnd(observe: (isWhole: boolean) => void): void;
+  /** Its work has ended, whatever was read of it. */
+  close(): void;
   /** Reads on and forgets what comes; for a sender that writes on after its answer. */
   discard(): void;
 }
--- /dev/null
+++ b/src/request/transport/pace.ts
@@ -0,0 +1,48 @@
+/**
+ * The pace at which a VM takes in large bodies. They come from many senders at
+ * once, each as fast as it can, and fill the link: then marks, lookups and
+ * small requests for this VM wait behind them for a second and more. Read no
+ * faster than a share of the link, they wait in their senders' windows.
+ */
+import type {Timers} from '../../time/timers.js';
+
+/** The pace of all bodies of one process. */
+export interface Pace {
+  /** Resolves once so many more bytes may be read. */
+  take(bytes: number): Promise<void>;
+}
+
+const bitsPerByte = 8;
+const bitsPerMegabit = 1e6;
+const millisecondsPerSecond = 1000;
+
+/**
+ * Share of the link that large bodies may take. The rest carries small
+ * requests and control, a few kilobytes each, which wait where it is short.
+ */
+const bodyShare = 0.9;
+
+/** Bytes a second that large bodies may take of a link of `megabits` a second. */
+export function bodyRateOf(megabits: number): number {
+  return (megabits * bitsPerMegabit * bodyShare) / bitsPerByte;
+}
+
+/** Milliseconds' worth of bytes that may come at once after a pause. */
+const burst = 50;
+
+/** Creates a pace of `rate` bytes a second. */
+export function createPace(rate: number, timers: Timers): Pace {
+  /** When all that was let through would have come at the rate. */
+  let paidUntil = Number.NEGATIVE_INFINITY;
+
+  return {
+    take(bytes) {
+      const now = timers.now();
+      const wait = paidUntil - burst - now;
+      const duration = (bytes / rate) * millisecondsPerSecond;
+      paidUntil = Math.max(paidUntil, now) + duration;
+      if (wait <= 0) return Promise.resolve();
+      return new Promise(resolve => void timers.after(wait, resolve));
+    },
+  };
+}
