--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -11,10 +11,10 @@
 import type {Gate} from '../request/gate.js';
 import {createGateServer} from '../request/transport/gate-server.js';
 import type {Listener} from '../request/transport/listener.js';
-import {bodyRateOf, createPace} from '../request/transport/pace.js';
 import {defaults} from '../settings/defaults.js';
 import type {NodeSettings} from '../settings/schema.js';
 import type {Timers} from '../time/timers.js';
+import type {LinkShare} from './link-share.js';
 import type {NodeParts} from './parts.js';
 
 /** Options of `openRequestPath`. */
@@ -29,6 +29,7 @@
   readonly table: EndpointTable;
   readonly membership: Membership;
   readonly gate: Gate;
+  readonly linkShare: LinkShare | undefined;
 }
 
 /** The listeners, open. */
@@ -44,11 +45,7 @@
   const {settings, parts, metrics, configuration} = options;
   const {home, table, membership, gate} = options;
   const {timers, random, log} = options.process;
-  const {linkRate} = settings;
-  const pace =
-    linkRate === undefined
-      ? undefined
-      : createPace(bodyRateOf(linkRate), timers);
+  const pace = options.linkShare?.pace;
   const gateServer = createGateServer({
     pace,
     address: settings.gateAddress,
