Of the uploads that wait for a place the last goes first

Callers of uploads vary the time that they wait, 3 to 4 s, so the gate can't tell until when an answer is good to them, and the queue filled to their deadlines: 840 of 1,041 answered uploads were late, half of them over 2.6 s. In the reverse order as many as the link carries are in time, and those before them are refused once they can't be.

--- a/src/request/decisions/body-places.test.ts
+++ b/src/request/decisions/body-places.test.ts
@@ -199,4 +199,5 @@
     inTurn.uploads >= shared.uploads,
     `uploads ${shared.uploads} to ${inTurn.uploads}`,
   );
+  t.true(inTurn.good > shared.good, `good ${shared.good} to ${inTurn.good}`);
 });
--- a/src/request/decisions/body-places.ts
+++ b/src/request/decisions/body-places.ts
@@ -30,9 +30,13 @@
 /** Has uploads wait for a place before they ask for a slot. */
 export function withBodyPlaces(options: BodyPlacesOptions): Admission {
   const {admission, clock} = options;
+  // Callers of uploads wait for seconds. In the order of arrival all of them
+  // would wait that long and be late once the link is full; the last first, as
+  // many as the link carries are in time, and those before them are refused.
   const places = createAdmission({
     slots: options.places,
     queueLength: options.queueLength,
+    order: 'lifo',
     clock,
   });
   /** The tickets that uploads wait with for a place. */
