Found in reading: a link lost while homes are asked begins a round with all of them

A round that was begun while the home was only doubted leaves out the homes under suspicion, and it went on to its end before the lost one was asked again. Timers of questions that ended are cancelled with them; one name less that stood for two things.

--- a/src/distribution/home-candidate.ts
+++ b/src/distribution/home-candidate.ts
@@ -3,7 +3,7 @@
 import {createChannels} from '../link/channel.js';
 import type {Channels} from '../link/channel.js';
 import type {Link, Network} from '../link/link.js';
-import type {Timers} from '../time/timers.js';
+import type {Subscription, Timers} from '../time/timers.js';
 import {markOf} from './mark.js';
 import type {Mark} from './mark.js';
 
@@ -41,10 +41,16 @@
   const {home, network, timers, timeout} = options;
   let isOver = false;
   let link: Link | undefined;
+  let late: Subscription | undefined;
+
+  function end(): void {
+    isOver = true;
+    late?.cancel();
+  }
 
   function fail(problem: string): void {
     if (isOver) return;
-    isOver = true;
+    end();
     link?.close();
     options.onFailure(problem);
   }
@@ -54,13 +60,12 @@
     const channels = createChannels(opened);
     const fleet = channels.on('fleet');
     const sentAt = timers.now();
-    const late = timers.after(timeout, () => fail('no answer in time'));
+    late = timers.after(timeout, () => fail('no answer in time'));
     channels.onClose(() => fail('the link ended'));
     fleet.onMessage(body => {
       const message = body as FleetMessage;
       if (isOver || message.kind !== 'pong') return;
-      isOver = true;
-      late.cancel();
+      end();
       const mark = markOf(message, sentAt);
       options.onAnswer({home, name: message.home, channels, mark});
     });
@@ -77,7 +82,7 @@
 
   return {
     abandon() {
-      isOver = true;
+      end();
       link?.close();
     },
   };
--- a/src/distribution/home-marks.ts
+++ b/src/distribution/home-marks.ts
@@ -30,8 +30,8 @@
   /** Whether it has not been for long, or since this home is the present one. */
   isDoubtful(): boolean;
   /**
-   * Whether the home itself is at fault for an old state, in sight of the mark
-   * that another one showed: it has not answered a ping that was sent well
+   * Whether the home itself is at fault for an old state, compared with another
+   * that has just answered: it has not answered a ping that was sent well
    * before the other's, it says itself that its state is old, or it has sent a
    * newer version that has not come. Where none holds, what is slow is the own
    * link or process, and no other home would be heard any sooner.
@@ -105,8 +105,8 @@
     confirm(mark) {
       const isInStep = version !== undefined && version >= (mark.version ?? 0);
       if (isInStep) ownAsOf = mark.asOf ?? ownAsOf;
-      const isBehind = version !== undefined && !isInStep;
-      behindSince = isBehind ? (behindSince ?? clock.now()) : undefined;
+      const isMissing = version !== undefined && !isInStep;
+      behindSince = isMissing ? (behindSince ?? clock.now()) : undefined;
     },
     acknowledge(next) {
       version = next;
--- a/src/distribution/home-search.ts
+++ b/src/distribution/home-search.ts
@@ -31,7 +31,10 @@
 
 /** A search for a home. */
 export interface HomeSearch {
-  /** Begins a round after `delay` milliseconds, unless one is under way. */
+  /**
+   * Begins a round after `delay` milliseconds. Of one under way the answers still
+   * count; which homes are left to ask is decided anew.
+   */
   begin(delay: number): void;
   /** Whether a round is under way or due. */
   isOn(): boolean;
@@ -60,7 +63,7 @@
 
   function beginRound(): void {
     isAsking = true;
-    queue = [...options.homes()];
+    queue = options.homes().filter(({address}) => !underWay.has(address));
     askNext();
   }
 
@@ -121,7 +124,6 @@
   return {
     begin(delay) {
       round = 0;
-      if (isAsking) return;
       timer?.cancel();
       timer = timers.after(delay, beginRound);
     },
