A link that carries as many bodies as there are slots leaves uploads to the slots

Found in reading: without a link's rate, or with a fast one, uploads beyond the slots would have waited for a place in the reverse order in place of a slot in theirs. Fast links now have the admission as it was before bodies had places.

--- a/src/request/decisions/body-places.test.ts
+++ b/src/request/decisions/body-places.test.ts
@@ -23,6 +23,7 @@
   const events: string[] = [];
   const admission = withBodyPlaces({
     admission: createAdmission({slots, queueLength: 36, clock}),
+    slots,
     places,
     queueLength: 36,
     clock,
@@ -92,6 +93,13 @@
   t.deepEqual(events.slice(2), ['c deadline-unreachable']);
 });
 
+test('with as many places as slots uploads wait for slots, the first first', t => {
+  const {admission, events, offer} = stage(2, 2);
+  for (const name of ['a', 'b', 'c', 'd']) offer(name, createBody().body);
+  admission.done(10);
+  t.deepEqual(events, ['a starts', 'b starts', 'c starts']);
+});
+
 test('a fast link has places for all, a slow one for two at least', t => {
   t.is(placesFor(94_000_000), 179);
   t.is(placesFor(1_600_000), 3);
@@ -115,6 +123,7 @@
   const {bytesPerTick, tick} = {bytesPerTick: 9800, tick: 10};
   const admission = withBodyPlaces({
     admission: createAdmission({slots: 9, queueLength: 36, clock}),
+    slots: 9,
     places,
     queueLength: 36,
     clock,
--- a/src/request/decisions/body-places.ts
+++ b/src/request/decisions/body-places.ts
@@ -19,17 +19,22 @@
 
 /** What `withBodyPlaces` works with. */
 export interface BodyPlacesOptions {
-  /** The slots of the upstream. */
+  /** Admits to the slots of the upstream. */
   readonly admission: Admission;
+  readonly slots: number;
   readonly places: number;
   /** Uploads that may wait for a place. */
   readonly queueLength: number;
   readonly clock: Clock;
 }
 
-/** Has uploads wait for a place before they ask for a slot. */
+/**
+ * Has uploads wait for a place before they ask for a slot. A link that carries
+ * as many bodies as there are slots leaves that to the slots.
+ */
 export function withBodyPlaces(options: BodyPlacesOptions): Admission {
   const {admission, clock} = options;
+  if (options.places >= options.slots) return admission;
   // Callers of uploads wait for seconds. In the order of arrival all of them
   // would wait that long and be late once the link is full; the last first, as
   // many as the link carries are in time, and those before them are refused.
