--- a/src/link/fakes/fake-network.ts
+++ b/src/link/fakes/fake-network.ts
@@ -54,11 +54,14 @@
   const isCut = (source: string, target: string) =>
     cuts.has(`${source}>${target}`);
 
-  /** Milliseconds that a message takes one way between two processes. */
-  function delayOf(owner: string, other: string): number {
-    return delay + (slowed.get(owner) ?? 0) + (slowed.get(other) ?? 0);
+  /** Milliseconds more that a message takes one way between two processes. */
+  function extraOf(owner: string, other: string): number {
+    return (slowed.get(owner) ?? 0) + (slowed.get(other) ?? 0);
   }
 
+  const delayOf = (owner: string, other: string) =>
+    delay + extraOf(owner, other);
+
   function deliver(end: End, bytes: Buffer): void {
     if (!end.open) return;
     const message: unknown = packr.unpack(bytes);
@@ -144,7 +147,7 @@
         timers.after(defaultConnectTimeout, refuse);
         return;
       }
-      const extra = slowed.get(owner) ?? 0;
+      const extra = listener === undefined ? 0 : extraOf(owner, listener.owner);
       timers.after(delay + 2 * extra, () => {
         if (listener === undefined || listeners.get(address) !== listener) {
           refuse();
--- a/src/request/decisions/body-places.test.ts
+++ b/src/request/decisions/body-places.test.ts
@@ -2,6 +2,7 @@
 import {createRandom} from '../../random/random.js';
 import {createFakeTimers} from '../../time/fakes/fake-timers.js';
 import {requestCodes} from '../messages/codes.js';
+import {recordTickets} from '../fakes/recorded-tickets.js';
 import {refusal} from '../messages/refusal.js';
 import type {StreamUpload} from '../messages/upload.js';
 import {createAdmission} from './admission.js';
@@ -20,7 +21,6 @@
 
 function stage(places = 2, slots = 6) {
   const clock = createFakeTimers();
-  const events: string[] = [];
   const admission = withBodyPlaces({
     admission: createAdmission({slots, queueLength: 36, clock}),
     slots,
@@ -28,19 +28,12 @@
     queueLength: 36,
     clock,
   });
+  const tickets = recordTickets(admission);
   function offer(name: string, body?: StreamUpload, deadline = 1e6): Ticket {
-    const ticket: Ticket = {
-      priority: 'normal',
-      kind: body === undefined ? 'lookup' : 'upload',
-      body,
-      deadline,
-      start: () => events.push(`${name} starts`),
-      refuse: reason => events.push(`${name} ${reason.code.name}`),
-    };
-    admission.offer(ticket);
-    return ticket;
+    const kind = body === undefined ? 'lookup' : 'upload';
+    return tickets.offer(name, {kind, body, deadline});
   }
-  return {clock, events, admission, offer};
+  return {clock, events: tickets.events, admission, offer};
 }
 
 test('uploads beyond the places wait without a slot', t => {
