--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -50,6 +50,8 @@
   readonly folder: string;
   /** Milliseconds that one piece of the upstreams' work takes. */
   readonly work: number;
+  /** Work whose path or body holds this word ends its stand-in. */
+  readonly crash?: string | undefined;
   /** The next stand-in's address; by default some ports above its node's. */
   readonly upstreamAddress?: () => string;
 }
@@ -105,6 +107,7 @@
       ...['--service', service, '--address', upstreamAddress],
       ...['--announce', one.announceAddress!, '--instance', one.name],
       ...['--work', String(options.work)],
+      ...(options.crash === undefined ? [] : ['--crash', options.crash]),
     ];
     const upstream = startUpstream(`upstream of ${one.name}`, command);
     return {settings: one, service, node, upstream, upstreamAddress};
--- a/bench/deployment/small.ts
+++ b/bench/deployment/small.ts
@@ -23,6 +23,8 @@
   readonly control?: object;
   /** Milliseconds that the upstreams' work takes; default 5. */
   readonly work?: number;
+  /** Work whose path or body holds this word ends its upstream. */
+  readonly crash?: string;
 }
 
 const defaultWork = 5;
@@ -43,6 +45,7 @@
   const deployment = await startDeployment({
     folder,
     work: options.work ?? defaultWork,
+    crash: options.crash,
     upstreamAddress: ports.take,
   });
 
--- a/bench/upstreams/main.ts
+++ b/bench/upstreams/main.ts
@@ -26,6 +26,8 @@
     seed: {type: 'string', default: '1'},
     lag: {type: 'string', default: '0'},
     overload: {type: 'string', default: 'queue'},
+    /** Work whose path or body holds this word ends the process. */
+    crash: {type: 'string'},
     /** Milliseconds between the announced drain and the stop. */
     grace: {type: 'string', default: '1500'},
   },
@@ -53,6 +55,7 @@
   coldStart: Number(values['cold-start']),
   lag: Number(values.lag),
   overload: values.overload as Overload,
+  ...(values.crash !== undefined && {crash: values.crash}),
   timers,
   random: createRandom(Number(values.seed)),
 });
--- a/bench/upstreams/upstream.ts
+++ b/bench/upstreams/upstream.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import process from 'node:process';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import polka from 'polka';
@@ -27,6 +28,8 @@
   /** Milliseconds by which health and load answers are late. */
   readonly lag: number;
   readonly overload: Overload;
+  /** Work whose path or body holds this word ends the process. */
+  readonly crash?: string;
   readonly timers: Timers;
   readonly random: Random;
 }
@@ -52,6 +55,9 @@
 const keptFiles = 64;
 const idlePoll = 20;
 
+/** Exit code of an instance that a request ended, as after an abort. */
+const crashCode = 134;
+
 /** Creates a stand-in upstream; its server is not yet listening. */
 export function createUpstream(options: UpstreamOptions): Upstream {
   const {timers, random} = options;
@@ -137,6 +143,12 @@
     return Buffer.from(JSON.stringify(fields));
   }
 
+  function isCrashing(request: Request, body: Body): boolean {
+    const {crash} = options;
+    if (crash === undefined) return false;
+    return request.path.includes(crash) || body.bytes.includes(crash);
+  }
+
   async function perform(
     request: Request,
     response: ServerResponse,
@@ -153,6 +165,7 @@
       if (!response.destroyed) sendPlain(response, 504, 'the deadline passed');
       return;
     }
+    if (isCrashing(request, body)) process.exit(crashCode);
     if (duty === 'upload') keep(request.path, body);
     ledger.finished++;
     sendAnswer(request, response, answerBody(request, duty, body), fault);
