Requests that end the instances which run them are quarantined

What callers saw: one lookup that came again at any node ended instance after instance, and half of all other lookups were refused while these started again.

Cause: what is known of a request's harm ended with the request, at one entry. Each repeat was a new one at each node; blame went to the instances only. An idempotent one was sent on at once besides, so each request ended two or three.

The gate beside an instance sees the end: all its connections break off within moments, and then nothing listens. It names all that ran to its home. Homes pass such evidence on among each other, each piece once, and the leader puts what follows into the configuration: from the second crash on a request is watched by all nodes, and any answer of an instance clears it; after the third it is held, at the earliest a second later; 10 s, 10 minutes and an hour after that one life of one instance may try it once. The configuration's own promises do the rest: in force within 2 s at every node in touch, durable, the same after any restart, no node takes callers without it.

Instances that are killed three at a time beside a lookup blame nobody, as before.

Costs nothing while nothing is quarantined but one look at an empty map a request; a digest is made only then. A held request that is retried keeps the word of its first attempt, so that no refusal says not run of what ran.

Also: what control changes by itself is proposed in one place (system-proposer.ts).

--- a/bench/experiments/request-balance.ts
+++ b/bench/experiments/request-balance.ts
@@ -102,6 +102,7 @@
   routes: new Map(),
   policies: new Map(),
   drains: new Map(),
+  quarantines: new Map(),
 } as unknown as Configuration;
 
 /** What is varied besides the rule. */
--- a/bench/requests/messages.ts
+++ b/bench/requests/messages.ts
@@ -77,4 +77,5 @@
     ],
   ]),
   drains: new Map(),
+  quarantines: new Map(),
 };
--- a/src/configuration/limits.ts
+++ b/src/configuration/limits.ts
@@ -16,6 +16,8 @@
   readonly policies: number;
   /** Drains at once. */
   readonly drains: number;
+  /** Quarantines at once. */
+  readonly quarantines: number;
   /** Operators whose answers are kept, the most recent first. */
   readonly operators: number;
   /** Answers kept for one operator, the highest sequences. */
@@ -51,6 +53,7 @@
     routes: limits.routes,
     policies: limits.policies,
     drains: limits.drains,
+    quarantines: limits.quarantines,
     operators: limits.operators,
     answers: limits.answers,
     history: limits.history,
--- a/src/configuration/appointer-name.test.ts
+++ b/src/configuration/system-name.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {checkLimits} from '../operator/limits.js';
 import {defaults} from '../settings/defaults.js';
-import {appointerName} from './appointer-name.js';
+import {appointerName} from './system-name.js';
 import {configurationCodes} from './codes.js';
 import type {Service} from './configuration.js';
 import {decodeAnswer} from './entry.js';
--- a/src/distribution/fakes/stage.ts
+++ b/src/distribution/fakes/stage.ts
@@ -128,7 +128,7 @@
     });
   }
   const version = before.version + 1;
-  return {version, services, routes, policies, drains: before.drains};
+  return {...before, version, services, routes, policies};
 }
 
 function makePolicy(deadline: number): Policy {
--- a/src/distribution/messages.ts
+++ b/src/distribution/messages.ts
@@ -1,6 +1,7 @@
 import type {
   Drain,
   Policy,
+  Quarantine,
   Route,
   Service,
 } from '../configuration/configuration.js';
@@ -10,12 +11,14 @@
  * version is the log index of the last change; times are in milliseconds.
  */
 
-/** A service with the routes, policies and drains that speak of it, or a part of these. */
+/** A service with the items that speak of it, or a part of these. */
 export interface Section {
   readonly service: Service;
   readonly routes: readonly Route[];
   readonly policies: readonly Policy[];
   readonly drains: readonly Drain[];
+  /** Absent where there are none. */
+  readonly quarantines?: readonly Quarantine[];
 }
 
 /** A section as it travels: packed once by the source, never packed again. */
--- a/src/distribution/section-source.ts
+++ b/src/distribution/section-source.ts
@@ -87,7 +87,8 @@
     left.service === right.service &&
     isSameList(left.routes, right.routes) &&
     isSameList(left.policies, right.policies) &&
-    isSameList(left.drains, right.drains)
+    isSameList(left.drains, right.drains) &&
+    isSameList(left.quarantines ?? [], right.quarantines ?? [])
   );
 }
 
--- a/src/distribution/section.test.ts
+++ b/src/distribution/section.test.ts
@@ -1,5 +1,9 @@
 import test from 'ava';
-import type {Configuration, Route} from '../configuration/configuration.js';
+import type {
+  Configuration,
+  Route,
+  Quarantine,
+} from '../configuration/configuration.js';
 import {buildCandidate} from './candidate.js';
 import type {HeldState} from './candidate.js';
 import {serviceOf} from './section-name.js';
@@ -17,6 +21,17 @@
 }
 
 /** A configuration of a service with many routes and one with few. */
+const quarantine: Quarantine = {
+  name: 'a'.repeat(32),
+  service: 'records',
+  head: 'b'.repeat(32),
+  request: 'GET /records/7',
+  state: 'held',
+  since: 1,
+  ended: ['r-1/1', 'r-2/1', 'r-3/1'],
+  trials: 0,
+};
+
 function makeConfiguration(version: number, count: number): Configuration {
   const records = Array.from({length: count}, (_, at) =>
     makeRoute(`r-${at}`, 'records'),
@@ -38,6 +53,7 @@
     routes: new Map(routes.map(route => [route.name, route])),
     policies: new Map([[policy.name, policy]]),
     drains: new Map([['r-1', {name: 'r-1', service: 'records'}]]),
+    quarantines: new Map([[quarantine.name, quarantine]]),
   };
 }
 
@@ -86,6 +102,7 @@
     );
   t.deepEqual(sorted(held.configuration.routes), sorted(configuration.routes));
   t.deepEqual(held.configuration.drains, configuration.drains);
+  t.deepEqual(held.configuration.quarantines, configuration.quarantines);
 });
 
 test('an interest in a service covers all its parts, and no other service', t => {
--- a/src/distribution/section.ts
+++ b/src/distribution/section.ts
@@ -4,6 +4,7 @@
   Configuration,
   Drain,
   Policy,
+  Quarantine,
   Route,
   Service,
 } from '../configuration/configuration.js';
@@ -30,6 +31,7 @@
 ): Map<string, Section> {
   const routes = groupByService(configuration.routes.values());
   const drains = groupByService(configuration.drains.values());
+  const quarantines = groupByService(configuration.quarantines.values());
   const sections = new Map<string, Section>();
   for (const service of configuration.services.values()) {
     const parts = cutRoutes(routes.get(service.name) ?? []);
@@ -39,6 +41,7 @@
         routes: ownRoutes,
         policies: policiesOf(ownRoutes, configuration),
         drains: part === 0 ? (drains.get(service.name) ?? []) : [],
+        ...(part === 0 && quarantinesOf(quarantines.get(service.name))),
       });
     }
   }
@@ -91,6 +94,7 @@
   const routes = new Map<string, Route>();
   const policies = new Map<string, Policy>();
   const drains = new Map<string, Drain>();
+  const quarantines = new Map<string, Quarantine>();
   for (const section of sections) {
     const problem = findBadReference(section, routes);
     if (problem !== undefined && isChecked) {
@@ -100,8 +104,9 @@
     for (const route of section.routes) routes.set(route.name, route);
     for (const policy of section.policies) policies.set(policy.name, policy);
     for (const drain of section.drains) drains.set(drain.name, drain);
+    for (const one of section.quarantines ?? []) quarantines.set(one.name, one);
   }
-  return success({version, services, routes, policies, drains});
+  return success({version, services, routes, policies, drains, quarantines});
 }
 
 function findBadReference(
@@ -137,6 +142,13 @@
   return groups;
 }
 
+/** Left out where there are none, as nearly always. */
+function quarantinesOf(
+  quarantines: Quarantine[] | undefined,
+): Pick<Section, 'quarantines'> {
+  return quarantines === undefined ? {} : {quarantines};
+}
+
 function policiesOf(
   routes: readonly Route[],
   configuration: Configuration,
--- a/src/keepers/appointer.ts
+++ b/src/keepers/appointer.ts
@@ -2,20 +2,20 @@
 import {claimCodes} from '../claims/codes.js';
 import {createKeeperPeers} from '../claims/peers.js';
 import {majorityOf} from '../claims/verdict.js';
-import {appointerName} from '../configuration/appointer-name.js';
+import {appointerName} from '../configuration/system-name.js';
 import type {
   Keeper,
   KeeperAssignment,
   KeeperSet,
 } from '../configuration/configuration.js';
 import type {ConfigurationMachine} from '../configuration/create-configuration-machine.js';
-import {decodeAnswer} from '../configuration/entry.js';
 import type {Answer, Edit} from '../configuration/messages.js';
+import {createSystemProposer} from '../configuration/system-proposer.js';
 import type {Consensus} from '../consensus/consensus.js';
 import type {EndpointView, KnownInstance} from '../endpoints/messages.js';
 import type {Network} from '../link/link.js';
 import type {Log} from '../log/log.js';
-import {failure, success} from '../result/failure.js';
+import {failure} from '../result/failure.js';
 import type {Result} from '../result/failure.js';
 import type {Subscription, Timers} from '../time/timers.js';
 import {isSeen, planAccepted, planKeepers} from './plan.js';
@@ -64,21 +64,19 @@
   const log = options.log.scope('keepers');
   const missingGrace = options.missingGrace ?? defaultMissingGrace;
   const firstGrace = options.firstGrace ?? defaultFirstGrace;
+  const propose = createSystemProposer({
+    operator: appointerName(options.name),
+    consensus,
+    machine,
+    clock: timers,
+  });
   const peers = createKeeperPeers(options.network, timers);
   /** When each service's member was first found missing. */
   const missingSince = new Map<string, number>();
   const firstSeen = new Map<string, number>();
   const complained = new Set<string>();
-  let lastSequence = 0;
   let isBusy = false;
 
-  /** Clock in microseconds, as operators' sequences are; never the same twice. */
-  function nextSequence(): number {
-    const clock = Math.floor(timers.wall() * 1000);
-    lastSequence = Math.max(clock, lastSequence + 1);
-    return lastSequence;
-  }
-
   function noteMissing(
     service: string,
     member: Keeper,
@@ -174,23 +172,6 @@
     return {action: 'put', item: {kind: 'service', value}};
   }
 
-  async function propose(
-    edits: readonly Edit[],
-    expectedVersion: number,
-  ): Promise<Result<Answer>> {
-    const command = {
-      operator: appointerName(options.name),
-      sequence: nextSequence(),
-      expectedVersion,
-      edits,
-    };
-    const proposed = await consensus.propose(
-      machine.prepare(command, timers.wall()),
-    );
-    if (!proposed.ok) return proposed;
-    return success(decodeAnswer(proposed.value));
-  }
-
   async function look(): Promise<void> {
     if (consensus.status().role !== 'leader') return;
     const {version, services} = machine.current();
--- a/src/language/edit-parser.ts
+++ b/src/language/edit-parser.ts
@@ -53,6 +53,7 @@
       {ALT: () => this.SUBRULE(this.remove)},
       {ALT: () => this.SUBRULE(this.drain)},
       {ALT: () => this.SUBRULE(this.undrain)},
+      {ALT: () => this.SUBRULE(this.release)},
     ]),
   );
 
@@ -226,6 +227,16 @@
     }));
   });
 
+  private readonly release = this.RULE('release', (): Edit => {
+    this.key('release');
+    const name = this.CONSUME(Word);
+    return this.ACTION(() => ({
+      action: 'remove',
+      kind: 'quarantine',
+      name: values.toName(name),
+    }));
+  });
+
   protected key(text: Keyword): IToken {
     return this.CONSUME(keyword(text));
   }
--- a/src/language/parse.test.ts
+++ b/src/language/parse.test.ts
@@ -83,9 +83,10 @@
       item: {kind: 'drain', value: {name: 'a-1', service: 'a'}},
     },
     {action: 'remove', kind: 'drain', name: 'a-2'},
+    {action: 'remove', kind: 'quarantine', name: '0f'},
   ];
   const texts = ['put service a', 'remove route r', 'drain a-1 of a'];
-  const all = [...texts, 'undrain a-2'];
+  const all = [...texts, 'undrain a-2', 'release 0f'];
   t.deepEqual(read(all.join('; ')), {kind: 'change', edits});
   t.deepEqual(read(`begin\n  ${all.join('\n\n  ')}\nend # all\n`), {
     kind: 'change',
@@ -98,6 +99,7 @@
 test('queries', t => {
   t.deepEqual(read('show services'), {kind: 'show', items: 'service'});
   t.like(read('show routes r'), {items: 'route', name: 'r'});
+  t.like(read('show quarantines'), {items: 'quarantine'});
   t.deepEqual(read('show in force'), {kind: 'show-in-force'});
   t.deepEqual(read('show control'), {kind: 'show-control'});
   t.deepEqual(read('history 5'), {kind: 'history', count: 5});
--- a/src/language/parser.ts
+++ b/src/language/parser.ts
@@ -126,6 +126,7 @@
       {ALT: () => this.kind('routes', 'route')},
       {ALT: () => this.kind('policies', 'policy')},
       {ALT: () => this.kind('drains', 'drain')},
+      {ALT: () => this.kind('quarantines', 'quarantine')},
     ]);
     let name: string | undefined;
     this.OPTION(() => {
--- a/src/link/address.ts
+++ b/src/link/address.ts
@@ -20,3 +20,8 @@
   const isPort = Number.isInteger(port) && port > 0 && port < 65_536;
   return isIP(host) !== 0 && isPort;
 }
+
+/** Whether a host is an IP number, not a name. */
+export function isNumber(host: string): boolean {
+  return isIP(host.replace(/^\[|\]$/g, '')) !== 0;
+}
--- a/src/link/channel.ts
+++ b/src/link/channel.ts
@@ -1,7 +1,7 @@
 import type {Link} from './link.js';
 
 /** The planes that share one link between a node and its home. */
-export type Plane = 'configuration' | 'endpoints' | 'fleet';
+export type Plane = 'configuration' | 'endpoints' | 'fleet' | 'quarantine';
 
 interface Envelope {
   readonly plane: Plane;
--- a/src/operator/help.ts
+++ b/src/operator/help.ts
@@ -8,12 +8,13 @@
   remove service|policy|route NAME
   drain INSTANCE of SERVICE
   undrain INSTANCE
+  release QUARANTINE           lets a request through that was held back
   apply "FILE"                 all edits of a file as one change
 In front of a change:
   as OPERATOR/SEQUENCE         the command's id; a resend gets the first answer
   expect VERSION               refuse unless this version is in force
 Queries:
-  show services|policies|routes|drains [NAME]
+  show services|policies|routes|drains|quarantines [NAME]
   show in force                what is in force where, and who is behind
   show control                 the control group
   history [N]                  the last changes
--- a/src/operator/render.ts
+++ b/src/operator/render.ts
@@ -2,6 +2,7 @@
   Drain,
   Item,
   Policy,
+  Quarantine,
   Route,
   Service,
 } from '../configuration/configuration.js';
@@ -29,6 +30,8 @@
       return renderPolicies(values as Policy[]);
     case 'drain':
       return renderDrains(values as Drain[]);
+    case 'quarantine':
+      return renderQuarantines(values as Quarantine[]);
   }
 }
 
@@ -87,6 +90,21 @@
   );
 }
 
+function renderQuarantines(quarantines: readonly Quarantine[]): string {
+  return renderTable(
+    ['quarantine', 'state', 'since', 'of', 'request', 'trials', 'ended'],
+    quarantines.map(one => [
+      one.name,
+      one.state,
+      new Date(one.since).toISOString(),
+      one.service,
+      one.request,
+      `${one.trials}`,
+      one.ended.join(' '),
+    ]),
+  );
+}
+
 /** The last changes. */
 export function renderHistory({version, changes}: History): string {
   const table = renderTable(
--- /dev/null
+++ b/src/quarantine/shape.ts
@@ -0,0 +1,28 @@
+/** The shape of evidence as it comes from another process. */
+import {z} from 'zod';
+import type {Evidence} from './messages.js';
+
+const digest = z.string().regex(/^[a-f0-9]{32}$/);
+const text = z.string().max(256);
+
+const suspect = z.object({
+  name: digest,
+  head: digest,
+  service: text,
+  request: text,
+});
+
+const evidence = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('crash'),
+    id: text,
+    life: text,
+    suspects: z.array(suspect).max(64),
+  }),
+  z.object({kind: z.literal('answer'), id: text, name: digest}),
+]);
+
+/** Reads evidence; undefined when it is none. */
+export function readEvidence(body: unknown): Evidence | undefined {
+  return evidence.safeParse(body).data;
+}
--- /dev/null
+++ b/src/quarantine/warden.test.ts
@@ -0,0 +1,277 @@
+import test from 'ava';
+import {
+  createSampleMachine,
+  putService,
+} from '../configuration/fakes/sample.js';
+import {createFakeGroup} from '../consensus/fakes/fake-consensus.js';
+import type {Announcement} from '../endpoints/messages.js';
+import {createChannels} from '../link/channel.js';
+import type {Channels} from '../link/channel.js';
+import {createFakeNetwork} from '../link/fakes/fake-network.js';
+import {createRecordedLog} from '../log/fakes/recorded-log.js';
+import {createFakeTimers, settle} from '../time/fakes/fake-timers.js';
+import type {Timers} from '../time/timers.js';
+import {createEvidenceExchange} from './evidence-exchange.js';
+import {createEvidenceReporter} from './reporter.js';
+import {createQuarantineWarden} from './warden.js';
+
+const service = 'crewbook';
+const controls = ['control-1', 'control-2', 'control-3'];
+const name = 'a'.repeat(32);
+const other = 'c'.repeat(32);
+const knownWithin = 3_000;
+
+function suspectOf(digest: string) {
+  return {name: digest, head: 'b'.repeat(32), service, request: 'GET /7'};
+}
+
+/** Three control processes with a node each, joined as the processes are. */
+async function start(limit = 256) {
+  const timers = createFakeTimers(100_000);
+  let jumped = 0;
+  const clock = Object.create(timers, {
+    wall: {value: () => timers.wall() + jumped},
+  }) as Timers;
+  const network = createFakeNetwork(timers);
+  const recorded = createRecordedLog();
+  const group = createFakeGroup(controls, () => createSampleMachine());
+  const instances: Announcement[] = [];
+  const homes = new Map<string, ReturnType<typeof startHome>>();
+
+  function startHome(control: string) {
+    const exchange = createEvidenceExchange({timers, log: recorded.log});
+    const warden = createQuarantineWarden({
+      name: control,
+      consensus: group.member(control),
+      machine: group.machine(control),
+      endpoints: {instances: () => instances},
+      timers: clock,
+      log: recorded.log,
+      limit,
+    });
+    exchange.onEvidence(warden.take);
+    return exchange;
+  }
+
+  async function link(from: string, to: string): Promise<Channels> {
+    const connecting = network.from(from).connect(`${to}:1`);
+    await timers.advanceAsync(10);
+    return createChannels(await connecting);
+  }
+
+  for (const control of controls) {
+    const home = startHome(control);
+    homes.set(control, home);
+    await network.from(control).listen(`${control}:1`, accepted => {
+      const channels = createChannels(accepted);
+      // Nodes are told from fellow homes by their hello.
+      if (accepted.peer.startsWith('control')) home.peer(channels);
+      else home.accept(channels);
+    });
+  }
+  for (const [index, control] of controls.entries()) {
+    for (const fellow of controls.slice(index + 1)) {
+      homes.get(control)!.peer(await link(control, fellow));
+    }
+  }
+
+  async function startNode(node: string, home: string) {
+    const reporter = createEvidenceReporter({name: node, timers});
+    const attach = async (to: string) => reporter.attach(await link(node, to));
+    await attach(home);
+    return {...reporter, attach};
+  }
+
+  const nodes = await Promise.all(
+    controls.map((home, index) => startNode(`node-${index + 1}`, home)),
+  );
+  const machine = group.machine('control-1');
+  const entry = machine.prepare(
+    {operator: 'amina', sequence: 1, edits: [putService(service)]},
+    1,
+  );
+  await group.member('control-1').propose(entry);
+  return {
+    network,
+    group,
+    nodes,
+    startNode,
+    instances,
+    lines: recorded.lines,
+    stateOf: (digest = name, control = 'control-2') =>
+      group.machine(control).current().quarantines.get(digest)?.state,
+    /** The time of day jumps; the steady clock goes on. */
+    jump: (milliseconds: number) => {
+      jumped += milliseconds;
+    },
+    pass: (milliseconds: number) => timers.advanceAsync(milliseconds),
+  };
+}
+
+type Stage = Awaited<ReturnType<typeof start>>;
+
+/** One crash at each node, each seen by that node alone. */
+function crashAtEach({nodes}: Stage, digest = name, life = 1): void {
+  for (const [index, node] of nodes.entries()) {
+    node.crashed(`c-${index + 1}/${life}`, [suspectOf(digest)]);
+  }
+}
+
+test('crashes that three nodes saw at three homes add up, and every control process knows in time', async t => {
+  const stage = await start();
+  crashAtEach(stage);
+  await stage.pass(500);
+  t.is(stage.stateOf(), 'watched');
+  await stage.pass(knownWithin - 500);
+  for (const control of controls) t.is(stage.stateOf(name, control), 'held');
+});
+
+test('a crash that is told twice counts once', async t => {
+  const stage = await start();
+  const [first] = stage.nodes;
+  first!.crashed('c-1/1', [suspectOf(name)]);
+  // After a move to another home it is told again.
+  await first!.attach('control-2');
+  await first!.attach('control-3');
+  await stage.pass(knownWithin);
+  t.is(stage.stateOf(), undefined);
+});
+
+test('a crash that was told to a home out of touch is told to the next', async t => {
+  const stage = await start();
+  for (const fellow of ['control-1', 'control-2']) {
+    stage.network.cut('control-3', fellow);
+  }
+  crashAtEach(stage);
+  await stage.pass(500);
+  t.is(stage.stateOf(), 'watched');
+  await stage.nodes[2]!.attach('control-2');
+  await stage.pass(2_000);
+  t.is(stage.stateOf(), 'held');
+});
+
+test('the next leader knows what was told to the last', async t => {
+  const stage = await start();
+  stage.nodes[0]!.crashed('c-1/1', [suspectOf(name)]);
+  await stage.pass(100);
+  stage.group.lead('control-3');
+  stage.nodes[1]!.crashed('c-2/1', [suspectOf(name)]);
+  stage.nodes[2]!.crashed('c-3/1', [suspectOf(name)]);
+  await stage.pass(knownWithin);
+  t.is(stage.stateOf(), 'held');
+});
+
+test('a node that starts empty changes nothing of what is known', async t => {
+  const stage = await start();
+  crashAtEach(stage);
+  await stage.pass(knownWithin);
+  await stage.startNode('node-1', 'control-1');
+  await stage.pass(knownWithin);
+  t.is(stage.stateOf(), 'held');
+});
+
+test('a lookup that is answered between crashes is not held', async t => {
+  const stage = await start();
+  for (let round = 1; round <= 8; round++) {
+    crashAtEach(stage, name, round);
+    await stage.pass(400);
+    t.not(stage.stateOf(), 'held');
+    if (stage.stateOf() === 'watched') stage.nodes[0]!.answered(name);
+    await stage.pass(1_700);
+    t.is(stage.stateOf(), undefined);
+  }
+});
+
+test('a clock that jumps holds nothing early and nothing late', async t => {
+  const stage = await start();
+  stage.nodes[0]!.crashed('c-1/1', [suspectOf(name)]);
+  stage.nodes[1]!.crashed('c-2/1', [suspectOf(name)]);
+  await stage.pass(100);
+  stage.jump(-2_400_000);
+  stage.nodes[2]!.crashed('c-3/1', [suspectOf(name)]);
+  await stage.pass(500);
+  t.is(stage.stateOf(), 'watched');
+  stage.jump(4_800_000);
+  await stage.pass(100);
+  t.is(stage.stateOf(), 'watched');
+  await stage.pass(1_000);
+  t.is(stage.stateOf(), 'held');
+});
+
+test('a held request is tried at one life of one instance, and held again when that ends', async t => {
+  const stage = await start();
+  stage.instances.push(serving('c-4', 7));
+  crashAtEach(stage);
+  await stage.pass(knownWithin + 10_000);
+  const quarantine = () =>
+    stage.group.machine('control-1').current().quarantines.get(name);
+  t.is(quarantine()?.trialAt, 'c-4/7');
+  stage.nodes[0]!.crashed('c-4/7', [suspectOf(name)]);
+  await stage.pass(500);
+  t.is(quarantine()?.state, 'held');
+  t.is(quarantine()?.trials, 1);
+  await stage.pass(60_000);
+  t.is(quarantine()?.state, 'held');
+});
+
+test('a request that an operator released begins anew', async t => {
+  const stage = await start();
+  crashAtEach(stage);
+  await stage.pass(knownWithin);
+  const machine = stage.group.machine('control-1');
+  const edits = [{action: 'remove', kind: 'quarantine', name} as const];
+  const entry = machine.prepare({operator: 'amina', sequence: 2, edits}, 1);
+  await stage.group.member('control-1').propose(entry);
+  await stage.pass(knownWithin);
+  t.is(stage.stateOf(), undefined);
+  crashAtEach(stage, name, 2);
+  await stage.pass(knownWithin);
+  t.is(stage.stateOf(), 'held');
+});
+
+test('where there is no room the watched give way, never the held', async t => {
+  const stage = await start(1);
+  crashAtEach(stage);
+  await stage.pass(knownWithin);
+  t.is(stage.stateOf(), 'held');
+  stage.nodes[0]!.crashed('c-1/2', [suspectOf(other)]);
+  stage.nodes[1]!.crashed('c-2/2', [suspectOf(other)]);
+  await stage.pass(500);
+  t.is(stage.stateOf(), 'held');
+});
+
+test('what is no evidence is refused with a line', async t => {
+  const stage = await start();
+  const before = stage.lines.length;
+  stage.nodes[0]!.crashed('c-1/1', [{...suspectOf(name), name: 'no digest'}]);
+  await stage.pass(100);
+  t.is(stage.lines[before]?.message, 'evidence refused');
+});
+
+test('beside thousands of crashes what is passed on stays bounded', async t => {
+  const stage = await start();
+  for (let count = 0; count < 1_000; count++) {
+    stage.nodes[0]!.crashed(`c-${count}/1`, [suspectOf(other)]);
+  }
+  await stage.pass(2_000);
+  stage.nodes[0]!.crashed('c-1/2', []);
+  await settle();
+  await stage.pass(100);
+  t.true(stage.lines.some(({message}) => message === 'evidence left out'));
+});
+
+function serving(instance: string, incarnation: number): Announcement {
+  return {
+    instance,
+    service,
+    incarnation,
+    sequence: 1,
+    state: 'serving',
+    gate: `${instance}:2`,
+    failureDomain: 'hall-a',
+    region: 'astana',
+    slots: 8,
+    connections: 130,
+    since: 0,
+  };
+}
--- a/src/relay/distribution-host.ts
+++ b/src/relay/distribution-host.ts
@@ -16,6 +16,8 @@
 import type {Channels} from '../link/channel.js';
 import type {Address, Network} from '../link/link.js';
 import type {Log} from '../log/log.js';
+import {createEvidenceExchange} from '../quarantine/evidence-exchange.js';
+import type {EvidenceExchange} from '../quarantine/evidence-exchange.js';
 import type {Random} from '../random/random.js';
 import type {Timers} from '../time/timers.js';
 
@@ -45,6 +47,7 @@
   readonly distributor: Distributor;
   readonly fleet: Fleet;
   readonly registry: Registry;
+  readonly evidence: EvidenceExchange;
   /** Shares endpoints and reports over a link that this process opened. */
   join(channels: Channels): void;
   /** Links to the fellow homes that there are now. */
@@ -74,15 +77,23 @@
     ...(options.homes !== undefined && {homes: options.homes}),
   });
 
+  const evidence = createEvidenceExchange({timers, log});
+
   fleet.onHello((hello, channels) => {
     distributor.accept(channels);
-    if (hello.kind === 'node') registry.accept(channels);
-    else registry.peer(channels);
+    if (hello.kind === 'node') {
+      registry.accept(channels);
+      evidence.accept(channels);
+    } else {
+      registry.peer(channels);
+      evidence.peer(channels);
+    }
   });
 
   function join(channels: Channels): void {
     fleet.report(channels);
     registry.peer(channels);
+    evidence.peer(channels);
   }
 
   const links = new Set<Channels>();
@@ -108,6 +119,7 @@
     distributor,
     fleet,
     registry,
+    evidence,
     join,
     follow: () => mesh.follow(options.fellows()),
     async stop() {
--- /dev/null
+++ b/src/request/decisions/quarantines.ts
@@ -0,0 +1,46 @@
+/** Which requests are quarantined, by the configuration in force. */
+import type {
+  Configuration,
+  Quarantine,
+} from '../../configuration/configuration.js';
+import type {Call} from '../messages/call.js';
+import {headDigest, wholeDigest} from './request-digest.js';
+
+/** The quarantines in force at a node. */
+export interface Quarantines {
+  /** The one that a request is in; its body must have come, or its first part. */
+  find(call: Call): Quarantine | undefined;
+  /** Whether the request may be in one, as far as its head tells. */
+  mayHold(call: Call): boolean;
+}
+
+/** Sees the quarantines of the configuration in force. */
+export function createQuarantines(
+  configuration: () => Configuration | undefined,
+): Quarantines {
+  let seen: ReadonlyMap<string, Quarantine> = new Map();
+  let heads: ReadonlySet<string> = new Set();
+
+  function inForce(): ReadonlyMap<string, Quarantine> | undefined {
+    const quarantines = configuration()?.quarantines;
+    // Nearly always there is none, and no digest is made.
+    if (quarantines === undefined || quarantines.size === 0) return undefined;
+    if (quarantines !== seen) {
+      seen = quarantines;
+      heads = new Set([...quarantines.values()].map(({head}) => head));
+    }
+    return quarantines;
+  }
+
+  return {
+    find: call => {
+      const quarantines = inForce();
+      if (quarantines === undefined) return undefined;
+      const head = headDigest(call);
+      if (!heads.has(head)) return undefined;
+      const name = wholeDigest(head, call.body);
+      return name === undefined ? undefined : quarantines.get(name);
+    },
+    mayHold: call => inForce() !== undefined && heads.has(headDigest(call)),
+  };
+}
--- a/src/request/fakes/configurations.ts
+++ b/src/request/fakes/configurations.ts
@@ -3,6 +3,7 @@
   Configuration,
   Drain,
   Policy,
+  Quarantine,
   Route,
   Service,
 } from '../../configuration/configuration.js';
@@ -40,6 +41,7 @@
   readonly routes?: readonly Route[];
   readonly policies?: readonly Policy[];
   readonly drains?: readonly Drain[];
+  readonly quarantines?: readonly Quarantine[];
 }
 
 /** A configuration of the given parts. */
@@ -50,6 +52,7 @@
     routes: byName(parts.routes ?? []),
     policies: byName(parts.policies ?? []),
     drains: byName(parts.drains ?? []),
+    quarantines: byName(parts.quarantines ?? []),
   };
 }
 
--- a/src/request/messages/upload.ts
+++ b/src/request/messages/upload.ts
@@ -1,5 +1,16 @@
 /** The body of a request, as it is handed from part to part. */
 
+/** Bodies up to this many bytes are gathered before they are sent on. */
+export const gatherLimit = 64 * 1024;
+
+/** What has arrived of a streamed body. */
+export interface SeenUpload {
+  /** Its first bytes, `gatherLimit` at most. */
+  readonly bytes: Buffer;
+  /** Whether these are all, and its end was read. */
+  readonly isWhole: boolean;
+}
+
 /** A body that streams from its sender. */
 export interface StreamUpload {
   readonly kind: 'stream';
@@ -22,6 +33,13 @@
    * part was, with false when it is given up.
    */
   onEnd(observe: (isWhole: boolean) => void): void;
+  /**
+   * Gathers the first bytes before any attempt reads them, `gatherLimit` or
+   * all; rejects with a `Failure` when they don't come.
+   */
+  gatherFirst(): Promise<void>;
+  /** What was read of its first bytes so far. */
+  seen(): SeenUpload;
   /** Its work has ended, whatever was read of it. */
   close(): void;
   /** Reads on and forgets what comes; for a sender that writes on after its answer. */
--- a/src/settings/limits.ts
+++ b/src/settings/limits.ts
@@ -13,6 +13,7 @@
     routes: count.default(limits.routes),
     policies: count.default(limits.policies),
     drains: count.default(limits.drains),
+    quarantines: count.default(limits.quarantines),
     operators: count.default(limits.operators),
     answers: count.default(limits.answers),
     history: count.default(limits.history),
