An answer elsewhere clears a request at once, not only once it is watched

The entry knows first: an instance broke off under a request and another one answered it. Word of that may come before word of the crash, so crashes don't count for a second after it.

--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -30,6 +30,8 @@
   readonly membership: Membership;
   readonly gate: Gate;
   readonly linkShare: LinkShare | undefined;
+  /** Hears of each request that was answered after an upstream broke off. */
+  readonly onCleared: (request: string) => void;
 }
 
 /** The listeners, open. */
@@ -82,6 +84,7 @@
       onUnreachable: ({instance, incarnation}) =>
         membership.reportUnreachable(instance, incarnation),
     },
+    onCleared: options.onCleared,
     onOutcome: outcome => reportOutcome(metrics, configuration(), outcome),
   });
   await gateServer.listen();
--- a/src/quarantine/ledger.ts
+++ b/src/quarantine/ledger.ts
@@ -7,9 +7,11 @@
 
 /** What is known of one request. */
 export interface SuspectRecord {
-  readonly suspect: Suspect;
+  /** Undefined while only an answer to it was heard of. */
+  readonly suspect: Suspect | undefined;
+  /** Lives that ended under it, since it was answered last. */
   readonly lives: ReadonlySet<string>;
-  /** An instance has answered it since. */
+  /** An instance has answered it of late. */
   readonly isAnswered: boolean;
 }
 
@@ -17,9 +19,11 @@
 export interface Ledger {
   crashed(evidence: CrashEvidence): void;
   answered(name: string): void;
+  /** Its quarantine ended; what led to it counts no longer. */
   forget(name: string): void;
   get(name: string): SuspectRecord | undefined;
-  records(): Iterable<SuspectRecord>;
+  /** The names of all requests that it knows of. */
+  names(): Iterable<string>;
 }
 
 /** Requests that are remembered. */
@@ -28,13 +32,19 @@
 /** Lives that are remembered of one request. */
 const mostLives = 16;
 
-/** Milliseconds without another crash after which a request is forgotten. */
+/** Milliseconds without another word after which a request is forgotten. */
 const longestMemory = 600_000;
 
+/**
+ * Milliseconds after an answer in which crashes don't count: word of a crash
+ * may come later than word of the answer that followed it.
+ */
+const answerLead = 1_000;
+
 interface OwnRecord {
-  readonly suspect: Suspect;
+  readonly suspect: Suspect | undefined;
   readonly lives: Set<string>;
-  isAnswered: boolean;
+  readonly answeredAt: number | undefined;
   readonly heardAt: number;
 }
 
@@ -43,19 +53,10 @@
   /** The one that was heard of last stands last. */
   const records = new Map<string, OwnRecord>();
 
-  function add(life: string, suspect: Suspect): void {
-    const {name} = suspect;
-    const known = records.get(name);
-    const isAnswered = known?.isAnswered ?? false;
-    // Crashes before an answer count no longer.
-    const lives = isAnswered ? new Set<string>() : known?.lives;
+  function put(name: string, record: Omit<OwnRecord, 'heardAt'>): void {
     records.delete(name);
-    records.set(name, {
-      suspect,
-      lives: addLife(lives ?? new Set(), life),
-      isAnswered,
-      heardAt: clock.now(),
-    });
+    records.set(name, {...record, heardAt: clock.now()});
+    trim();
   }
 
   function trim(): void {
@@ -66,22 +67,40 @@
     }
   }
 
+  function isJustAnswered({answeredAt}: OwnRecord): boolean {
+    return answeredAt !== undefined && clock.now() - answeredAt < answerLead;
+  }
+
+  function add(life: string, suspect: Suspect): void {
+    const {name} = suspect;
+    const known = records.get(name);
+    if (known !== undefined && isJustAnswered(known)) return;
+    const isFirst = known === undefined || known.answeredAt !== undefined;
+    const lives = isFirst ? new Set<string>() : known.lives;
+    if (lives.size < mostLives) lives.add(life);
+    put(name, {suspect, lives, answeredAt: undefined});
+  }
+
   return {
     crashed: ({life, suspects}) => {
       for (const suspect of suspects) add(life, suspect);
-      trim();
     },
     answered: name => {
+      const suspect = records.get(name)?.suspect;
+      const answeredAt = clock.now();
+      put(name, {suspect, lives: new Set(), answeredAt});
+    },
+    forget: name => {
       const known = records.get(name);
-      if (known !== undefined) known.isAnswered = true;
+      if (known === undefined) return;
+      if (isJustAnswered(known)) known.lives.clear();
+      else records.delete(name);
     },
-    forget: name => void records.delete(name),
-    get: name => records.get(name),
-    records: () => records.values(),
+    get: name => {
+      const known = records.get(name);
+      if (known === undefined) return undefined;
+      return {...known, isAnswered: known.answeredAt !== undefined};
+    },
+    names: () => records.keys(),
   };
 }
-
-function addLife(lives: Set<string>, life: string): Set<string> {
-  if (lives.size < mostLives) lives.add(life);
-  return lives;
-}
--- a/src/quarantine/plan.ts
+++ b/src/quarantine/plan.ts
@@ -80,10 +80,11 @@
 }
 
 function planFirst({record, hasService, wall}: Case): Plan {
-  if (record === undefined || record.isAnswered || !hasService) return keep;
-  if (record.lives.size < watchedFrom) return keep;
+  const suspect = record?.suspect;
+  if (record === undefined || suspect === undefined) return keep;
+  if (!hasService || record.lives.size < watchedFrom) return keep;
   return put({
-    ...record.suspect,
+    ...suspect,
     state: 'watched',
     since: wall,
     ended: told([...record.lives]),
--- a/src/quarantine/warden.test.ts
+++ b/src/quarantine/warden.test.ts
@@ -3,6 +3,8 @@
   createSampleMachine,
   putService,
 } from '../configuration/fakes/sample.js';
+import type {Quarantine} from '../configuration/configuration.js';
+import type {Edit} from '../configuration/messages.js';
 import {createFakeGroup} from '../consensus/fakes/fake-consensus.js';
 import type {Announcement} from '../endpoints/messages.js';
 import {createChannels} from '../link/channel.js';
@@ -85,18 +87,25 @@
   const nodes = await Promise.all(
     controls.map((home, index) => startNode(`node-${index + 1}`, home)),
   );
-  const machine = group.machine('control-1');
-  const entry = machine.prepare(
-    {operator: 'amina', sequence: 1, edits: [putService(service)]},
-    1,
-  );
-  await group.member('control-1').propose(entry);
+  let sequence = 0;
+
+  async function change(edit: Edit): Promise<void> {
+    const command = {operator: 'amina', sequence: ++sequence, edits: [edit]};
+    const entry = group.machine('control-1').prepare(command, 1);
+    await group.member('control-1').propose(entry);
+  }
+
+  await change(putService(service));
   return {
     network,
     group,
     nodes,
     startNode,
     instances,
+    release: (digest: string) =>
+      change({action: 'remove', kind: 'quarantine', name: digest}),
+    put: (value: Quarantine) =>
+      change({action: 'put', item: {kind: 'quarantine', value}}),
     lines: recorded.lines,
     stateOf: (digest = name, control = 'control-2') =>
       group.machine(control).current().quarantines.get(digest)?.state,
@@ -182,6 +191,31 @@
   }
 });
 
+test('a request that was answered elsewhere after each crash is not even watched', async t => {
+  const stage = await start();
+  for (let life = 1; life <= 4; life++) {
+    // Word of the answer may come before word of the crash.
+    if (life % 2 === 0) stage.nodes[1]!.answered(name);
+    stage.nodes[0]!.crashed(`c-1/${life}`, [suspectOf(name)]);
+    if (life % 2 === 1) stage.nodes[1]!.answered(name);
+    await stage.pass(knownWithin);
+    t.is(stage.stateOf(), undefined);
+  }
+});
+
+test('an answer clears a request also where all of control started again', async t => {
+  const stage = await start();
+  crashAtEach(stage);
+  await stage.pass(knownWithin);
+  const again = await start();
+  const {quarantines} = stage.group.machine('control-1').current();
+  await again.put(quarantines.get(name)!);
+  t.is(again.stateOf(), 'held');
+  again.nodes[0]!.answered(name);
+  await again.pass(500);
+  t.is(again.stateOf(), undefined);
+});
+
 test('a clock that jumps holds nothing early and nothing late', async t => {
   const stage = await start();
   stage.nodes[0]!.crashed('c-1/1', [suspectOf(name)]);
@@ -218,10 +252,7 @@
   const stage = await start();
   crashAtEach(stage);
   await stage.pass(knownWithin);
-  const machine = stage.group.machine('control-1');
-  const edits = [{action: 'remove', kind: 'quarantine', name} as const];
-  const entry = machine.prepare({operator: 'amina', sequence: 2, edits}, 1);
-  await stage.group.member('control-1').propose(entry);
+  await stage.release(name);
   await stage.pass(knownWithin);
   t.is(stage.stateOf(), undefined);
   crashAtEach(stage, name, 2);
--- a/src/quarantine/warden.ts
+++ b/src/quarantine/warden.ts
@@ -91,12 +91,12 @@
     const {services, quarantines} = machine.current();
     const quarantine = quarantines.get(name);
     const record = ledger.get(name);
-    const {service} = quarantine ?? record!.suspect;
+    const service = (quarantine ?? record?.suspect)?.service;
     return planQuarantine({
       quarantine,
       record,
-      hasService: services.has(service),
-      lives: livesOf(service),
+      hasService: service !== undefined && services.has(service),
+      lives: service === undefined ? [] : livesOf(service),
       age: timers.now() - (changedAt.get(name) ?? timers.now()),
       wall: timers.wall(),
     });
@@ -124,8 +124,7 @@
   async function look(): Promise<void> {
     if (consensus.status().role !== 'leader') return;
     const {quarantines} = machine.current();
-    const heard = [...ledger.records()].map(({suspect}) => suspect.name);
-    const plans = [...new Set([...quarantines.keys(), ...heard])]
+    const plans = [...new Set([...quarantines.keys(), ...ledger.names()])]
       .map(name => ({name, plan: planOne(name)}))
       .filter(({plan}) => plan.kind !== 'keep');
     if (plans.length === 0) return;
--- a/src/request/decisions/request-digest.ts
+++ b/src/request/decisions/request-digest.ts
@@ -28,6 +28,11 @@
   return bytes === undefined ? undefined : digestOf(head, bytes);
 }
 
+/** The name of a request in all evidence; undefined where its body can't be told. */
+export function requestName(call: Call): string | undefined {
+  return wholeDigest(headDigest(call), call.body);
+}
+
 /** Method, host and path, for people; long ones are cut. */
 function describeRequest(call: Call): string {
   return `${call.method} ${siteOf(call)}${call.path}`.slice(0, longestText);
--- a/src/request/quarantine.test.ts
+++ b/src/request/quarantine.test.ts
@@ -169,6 +169,28 @@
   await stage.mesh.close();
 });
 
+test('a request that is answered after an instance broke off under it is told to be well', async t => {
+  const cleared: string[] = [];
+  const stage = await start({
+    entry: {onCleared: name => cleared.push(name)},
+  });
+  for (const {upstream} of stage.mesh.members) {
+    upstream.prependListener('request', () => {
+      if (stage.runs.length > 0) stage.fix();
+    });
+  }
+  t.is((await ask(stage.mesh)).status, 200);
+  await stage.mesh.timers.advanceAsync(50);
+  t.deepEqual(
+    cleared,
+    stage.suspects.map(({name}) => name),
+  );
+  t.is(cleared.length, 1);
+  t.is((await ask(stage.mesh, '/stock/8')).status, 200);
+  t.is(cleared.length, 1);
+  await stage.mesh.close();
+});
+
 test('a body in chunks is told from another as one with a length is', async t => {
   const stage = await start({
     upstreams: [
