Work under which two instances broke off goes to no third one

What callers saw: one lookup that ends its instances ended three at a time, with all that ran there. The first loss may be the instance's fault; with the second the work is as likely to be at fault.

--- a/src/request/decisions/retry.test.ts
+++ b/src/request/decisions/retry.test.ts
@@ -10,6 +10,7 @@
     code: requestCodes.full,
     policy: policyOf({repeatability: 'once'}),
     attempts: 1,
+    losses: 0,
     left: 100,
     replayable: true,
     budget: createRetryBudget(),
@@ -34,6 +35,12 @@
   t.false(shouldRetry(refused({replayable: false})));
 });
 
+test('work under which two instances broke off goes to no third one', t => {
+  const attempt = {code: requestCodes.upstreamLost, policy: policyOf()};
+  t.true(shouldRetry(refused({...attempt, losses: 1})));
+  t.false(shouldRetry(refused({...attempt, attempts: 2, losses: 2})));
+});
+
 test('refusals that would be the same elsewhere are final', t => {
   t.false(shouldRetry(refused({code: requestCodes.bodyTooLarge})));
   t.false(shouldRetry(refused({code: requestCodes.deadlinePassed})));
