A trial whose instance ended under other work moves on, and the first comes after 3 s

A request that was blamed wrongly while crashes go on lost its trial with an instance that ended under something else, and waited ten minutes for the next. The gate that saw that end names all that ran, so the leader knows that it was not tried.

The rule stays for its reason.

--- a/bench/experiments/crashing-request.ts
+++ b/bench/experiments/crashing-request.ts
@@ -35,14 +35,14 @@
 }
 
 /** Starts instances of crewbook again; gives the times of their ends. */
-function keepUp(deployment: Deployment): number[] {
+function keepUp(deployment: Deployment, isOver: () => boolean): number[] {
   const ends: number[] = [];
   const follow = async (upstream: Program): Promise<void> => {
     const code = await upstream.ended();
     if (code === 0 || upstream.wasKilled()) return;
     ends.push(Date.now());
     await pause(downTime);
-    void follow(deployment.restart(upstream.name));
+    if (!isOver()) void follow(deployment.restart(upstream.name));
   };
   for (const {upstream} of deployment.places) void follow(upstream);
   return ends;
@@ -85,9 +85,10 @@
     work: 60,
     crash,
   });
+  let isOver = false;
   try {
     await setUp(deployment, 'examples/agency/setup.fox');
-    const ends = keepUp(deployment);
+    const ends = keepUp(deployment, () => isOver);
     const duration = (seconds * 1000) / 2;
     const targets = deployment.places.map(
       ({settings}) => settings.callerAddress,
@@ -114,6 +115,7 @@
     const lateEnds = ends.filter(at => at > known).length;
     return {ends: ends.length, lateEnds, others};
   } finally {
+    isOver = true;
     await deployment.end();
   }
 }
--- a/src/quarantine/ledger.ts
+++ b/src/quarantine/ledger.ts
@@ -22,6 +22,8 @@
   /** Its quarantine ended; what led to it counts no longer. */
   forget(name: string): void;
   get(name: string): SuspectRecord | undefined;
+  /** Whether a life is known to have ended, under whatever ran. */
+  hasEnded(life: string): boolean;
   /** The names of all requests that it knows of. */
   names(): Iterable<string>;
 }
@@ -29,6 +31,9 @@
 /** Requests that are remembered. */
 const mostRecords = 4096;
 
+/** Ended lives that are remembered. */
+const mostEnded = 1024;
+
 /** Lives that are remembered of one request. */
 const mostLives = 16;
 
@@ -52,6 +57,7 @@
 export function createLedger(clock: Clock): Ledger {
   /** The one that was heard of last stands last. */
   const records = new Map<string, OwnRecord>();
+  const ended = new Set<string>();
 
   function put(name: string, record: Omit<OwnRecord, 'heardAt'>): void {
     records.delete(name);
@@ -81,8 +87,14 @@
     put(name, {suspect, lives, answeredAt: undefined});
   }
 
+  function remember(life: string): void {
+    ended.add(life);
+    if (ended.size > mostEnded) ended.delete(ended.values().next().value!);
+  }
+
   return {
     crashed: ({life, suspects}) => {
+      remember(life);
       for (const suspect of suspects) add(life, suspect);
     },
     answered: name => {
@@ -101,6 +113,7 @@
       if (known === undefined) return undefined;
       return {...known, isAnswered: known.answeredAt !== undefined};
     },
+    hasEnded: life => ended.has(life),
     names: () => records.keys(),
   };
 }
--- a/src/quarantine/plan.ts
+++ b/src/quarantine/plan.ts
@@ -18,6 +18,8 @@
   readonly hasService: boolean;
   /** Lives of its service's instances that take work. */
   readonly lives: readonly string[];
+  /** Whether the trial's instance ended, under whatever ran. */
+  readonly hasTrialEnded: boolean;
   /** Milliseconds since the quarantine took its state; 0 before the first. */
   readonly age: number;
   /** Milliseconds since the epoch, for people only: the clock may jump. */
@@ -53,7 +55,7 @@
  * Milliseconds from the last crash to each trial. The first comes soon, for a
  * request that was blamed wrongly; each costs an instance if it was not.
  */
-const trialDelays: readonly number[] = [10_000, 600_000, 3_600_000];
+const trialDelays: readonly number[] = [3_000, 600_000, 3_600_000];
 
 /** Milliseconds after which a held request that nobody tried is forgotten. */
 const longestHold = 86_400_000;
@@ -105,19 +107,30 @@
   const {age, wall, lives} = one;
   if (age > longestHold) return {kind: 'remove', reason: 'expired'};
   const delay = trialDelays[quarantine.trials];
-  const [trialAt] = lives;
-  if (delay === undefined || trialAt === undefined || age < delay) return keep;
+  if (delay === undefined || lives.length === 0 || age < delay) return keep;
   const trials = quarantine.trials + 1;
-  return put({...quarantine, state: 'on-trial', since: wall, trials, trialAt});
+  return put({
+    ...quarantine,
+    state: 'on-trial',
+    since: wall,
+    trials,
+    trialAt: lives[0]!,
+  });
 }
 
 function planOnTrial(quarantine: Quarantine, one: Case): Plan {
   const {trialAt, ...rest} = quarantine;
+  const {wall, lives} = one;
   const ended = allEnded(quarantine, one);
-  // Its instance is gone: whether it tried before that can't be told.
-  const isOver = ended.includes(trialAt!) || !one.lives.includes(trialAt!);
-  if (!isOver) return keep;
-  return put({...rest, state: 'held', since: one.wall, ended: told(ended)});
+  const isTried = ended.includes(trialAt!);
+  if (!isTried && lives.includes(trialAt!)) return keep;
+  // The instance ended under other work, so the trial is still to come.
+  const next = lives.find(life => life !== trialAt);
+  if (!isTried && one.hasTrialEnded && next !== undefined) {
+    return put({...quarantine, since: wall, trialAt: next});
+  }
+  // Whether an instance that left had tried it can't be told.
+  return put({...rest, state: 'held', since: wall, ended: told(ended)});
 }
 
 function allEnded({ended}: Quarantine, {record}: Case): string[] {
--- a/src/quarantine/warden.ts
+++ b/src/quarantine/warden.ts
@@ -97,6 +97,7 @@
       record,
       hasService: service !== undefined && services.has(service),
       lives: service === undefined ? [] : livesOf(service),
+      hasTrialEnded: ledger.hasEnded(quarantine?.trialAt ?? ''),
       age: timers.now() - (changedAt.get(name) ?? timers.now()),
       wall: timers.wall(),
     });
