A lookup that may have run is not told as not run by the next refusal

The first attempt may have run (502), the second was refused as full or leaving (503), and the last refusal was the answer. Work that may run once was never sent on after a doubt, so its refusals were true.

--- a/src/request/decisions/attempts.test.ts
+++ b/src/request/decisions/attempts.test.ts
@@ -1,4 +1,5 @@
 import {createServer} from 'node:http';
+import type {RequestListener} from 'node:http';
 import test from 'ava';
 import {request} from 'undici';
 import {hopCases} from '../fakes/hop-cases.js';
@@ -174,3 +175,16 @@
   t.deepEqual(counts, [0, 10]);
   await mesh.close();
 });
+
+test('a lookup that may have run at one instance is not told as not run by the next', async t => {
+  const breaksOff: RequestListener = (_req, res) => {
+    for (const {gate} of mesh.members) gate.drain();
+    res.destroy();
+  };
+  const mesh: Mesh = await createMesh({upstreams: [breaksOff, breaksOff]});
+  const answer = await request(`${mesh.url}/stock/7`);
+  await answer.body.dump();
+  t.is(answer.headers['foxbarrow-effect'], 'unknown');
+  t.is(answer.statusCode, 502);
+  await mesh.close();
+});
