--- /dev/null
+++ b/src/node/listening.test.ts
@@ -0,0 +1,12 @@
+import test from 'ava';
+import {createRawServer, unusedAddress} from '../request/fakes/raw-server.js';
+import {isListening} from './listening.js';
+
+const timeout = 10_000;
+
+test('an upstream whose process ended is told from one that breaks connections', async t => {
+  const server = await createRawServer(socket => socket.destroy());
+  t.true(await isListening(server.address, timeout));
+  await server.close();
+  t.false(await isListening(await unusedAddress(), timeout));
+});
--- a/src/quarantine/plan.ts
+++ b/src/quarantine/plan.ts
@@ -65,15 +65,27 @@
 
 const keep: Plan = {kind: 'keep'};
 
+/** Safeguards that a test may take out to show what they are for. */
+export interface QuarantineSafeguards {
+  /** A request is watched for a while before it is held. */
+  readonly watch: boolean;
+}
+
+/** What a process runs with. */
+export const allQuarantineSafeguards: QuarantineSafeguards = {watch: true};
+
 /** Decides how one request is to be treated. */
-export function planQuarantine(one: Case): Plan {
+export function planQuarantine(
+  one: Case,
+  safeguards: QuarantineSafeguards = allQuarantineSafeguards,
+): Plan {
   const {quarantine, record} = one;
   if (quarantine === undefined) return planFirst(one);
   if (!one.hasService) return {kind: 'remove', reason: 'no service'};
   if (record?.isAnswered === true) return {kind: 'remove', reason: 'answered'};
   switch (quarantine.state) {
     case 'watched':
-      return planWatched(quarantine, one);
+      return planWatched(quarantine, one, safeguards);
     case 'held':
       return planHeld(quarantine, one);
     case 'on-trial':
@@ -94,10 +106,15 @@
   });
 }
 
-function planWatched(quarantine: Quarantine, one: Case): Plan {
+function planWatched(
+  quarantine: Quarantine,
+  one: Case,
+  {watch}: QuarantineSafeguards,
+): Plan {
   const {age, wall} = one;
   const ended = allEnded(quarantine, one);
-  if (ended.length >= heldFrom && age >= shortestWatch) {
+  const isWatched = !watch || age >= shortestWatch;
+  if (ended.length >= heldFrom && isWatched) {
     return put({...quarantine, state: 'held', since: wall, ended: told(ended)});
   }
   return age > longestWatch ? {kind: 'remove', reason: 'expired'} : keep;
--- a/src/quarantine/warden.test.ts
+++ b/src/quarantine/warden.test.ts
@@ -15,6 +15,7 @@
 import type {Timers} from '../time/timers.js';
 import {createEvidenceExchange} from './evidence-exchange.js';
 import {createEvidenceReporter} from './reporter.js';
+import type {QuarantineSafeguards} from './plan.js';
 import {createQuarantineWarden} from './warden.js';
 
 const service = 'crewbook';
@@ -28,7 +29,7 @@
 }
 
 /** Three control processes with a node each, joined as the processes are. */
-async function start(limit = 256) {
+async function start(limit = 256, safeguards?: QuarantineSafeguards) {
   const timers = createFakeTimers(100_000);
   let jumped = 0;
   const clock = Object.create(timers, {
@@ -50,6 +51,7 @@
       timers: clock,
       log: recorded.log,
       limit,
+      ...(safeguards !== undefined && {safeguards}),
     });
     exchange.onEvidence(warden.take);
     return exchange;
@@ -179,6 +181,18 @@
   t.is(stage.stateOf(), 'held');
 });
 
+for (const watch of [true, false]) {
+  test(`instances that crash together beside a lookup that is answered 0.4 s later, watched before: ${watch}`, async t => {
+    const stage = await start(256, {watch});
+    crashAtEach(stage);
+    await stage.pass(400);
+    t.is(stage.stateOf(), watch ? 'watched' : 'held');
+    stage.nodes[0]!.answered(name);
+    await stage.pass(knownWithin);
+    t.is(stage.stateOf(), undefined);
+  });
+}
+
 test('a lookup that is answered between crashes is not held', async t => {
   const stage = await start();
   for (let round = 1; round <= 8; round++) {
--- a/src/quarantine/warden.ts
+++ b/src/quarantine/warden.ts
@@ -13,7 +13,7 @@
 import {lifeOf} from './messages.js';
 import type {Evidence} from './messages.js';
 import {planQuarantine} from './plan.js';
-import type {Plan} from './plan.js';
+import type {Plan, QuarantineSafeguards} from './plan.js';
 
 /** Options of `createQuarantineWarden`. */
 export interface QuarantineWardenOptions {
@@ -30,6 +30,8 @@
   readonly log: Log;
   /** Quarantines at once. */
   readonly limit: number;
+  /** For tests only; all on by default. */
+  readonly safeguards?: QuarantineSafeguards;
 }
 
 /** Keeps what was heard, and decides on it while its process leads. */
@@ -92,7 +94,7 @@
     const quarantine = quarantines.get(name);
     const record = ledger.get(name);
     const service = (quarantine ?? record?.suspect)?.service;
-    return planQuarantine({
+    const known = {
       quarantine,
       record,
       hasService: service !== undefined && services.has(service),
@@ -100,7 +102,8 @@
       hasTrialEnded: ledger.hasEnded(quarantine?.trialAt ?? ''),
       age: timers.now() - (changedAt.get(name) ?? timers.now()),
       wall: timers.wall(),
-    });
+    };
+    return planQuarantine(known, options.safeguards);
   }
 
   /** The watched ones give way; a held one is never let go of for room. */
--- a/src/request/decisions/quarantines.ts
+++ b/src/request/decisions/quarantines.ts
@@ -4,6 +4,8 @@
   Quarantine,
 } from '../../configuration/configuration.js';
 import type {Call} from '../messages/call.js';
+import {allSafeguards} from '../messages/safeguards.js';
+import type {Safeguards} from '../messages/safeguards.js';
 import {headDigest, wholeDigest} from './request-digest.js';
 
 /** The quarantines in force at a node. */
@@ -14,15 +16,16 @@
   mayHold(call: Call): boolean;
 }
 
-/** Sees the quarantines of the configuration in force. */
+/** Sees the quarantines of the configuration in force; none for a test without. */
 export function createQuarantines(
   configuration: () => Configuration | undefined,
+  {quarantine: isOn}: Pick<Safeguards, 'quarantine'> = allSafeguards,
 ): Quarantines {
   let seen: ReadonlyMap<string, Quarantine> = new Map();
   let heads: ReadonlySet<string> = new Set();
 
   function inForce(): ReadonlyMap<string, Quarantine> | undefined {
-    const quarantines = configuration()?.quarantines;
+    const quarantines = isOn ? configuration()?.quarantines : undefined;
     // Nearly always there is none, and no digest is made.
     if (quarantines === undefined || quarantines.size === 0) return undefined;
     if (quarantines !== seen) {
--- a/src/request/messages/safeguards.ts
+++ b/src/request/messages/safeguards.ts
@@ -28,6 +28,8 @@
   readonly heldSlots: boolean;
   /** The gate looks again for a drain when work leaves the queue. */
   readonly drainAtStart: boolean;
+  /** A request that is held is refused. */
+  readonly quarantine: boolean;
 }
 
 /** What a process runs with. */
@@ -43,6 +45,7 @@
   cancellation: true,
   heldSlots: true,
   drainAtStart: true,
+  quarantine: true,
 };
 
 /** All safeguards but for those that a test has taken out. */
--- a/src/request/quarantine.test.ts
+++ b/src/request/quarantine.test.ts
@@ -100,6 +100,15 @@
   await stage.mesh.close();
 });
 
+test('without the safeguard a held request goes on ending instances', async t => {
+  const safeguards = {quarantine: false};
+  const stage = await start({entry: {safeguards}, gate: {safeguards}});
+  stage.put(quarantineOf(await crash(stage)));
+  t.is((await ask(stage.mesh)).code, requestCodes.upstreamLost.number);
+  t.is(stage.runs.length, 2);
+  await stage.mesh.close();
+});
+
 test('a held request gets a final answer at once and reaches no upstream', async t => {
   const stage = await start();
   stage.put(quarantineOf(await crash(stage)));
