--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -22,7 +22,7 @@
   npm run --silent build
   bundle=$?
   # The tests with real processes run what ships.
-  FOXBARROW_BINARY=dist/foxbarrow npx ava --tap >"$out"
+  FOXBARROW_BINARY=dist/foxbarrow npm test --silent -- --tap >"$out"
   status=$?
 fi
 node scripts/count.mjs "$out" "$status" \
