--- a/src/request/decisions/request-digest.ts
+++ b/src/request/decisions/request-digest.ts
@@ -13,10 +13,17 @@
 /** Hexadecimal digits of a digest: 128 bits, so that nobody finds another. */
 const digits = 32;
 
+/** Digests of heads; entry and gate ask for one several times a call. */
+const heads = new WeakMap<Call, string>();
+
 /** The digest of all but the body. */
 export function headDigest(call: Call): string {
+  const known = heads.get(call);
+  if (known !== undefined) return known;
   const {caller, method, path} = call;
-  return digestOf(JSON.stringify([caller, method, siteOf(call), path]));
+  const head = digestOf(JSON.stringify([caller, method, siteOf(call), path]));
+  heads.set(call, head);
+  return head;
 }
 
 /**
