A hot request that all nodes answer leaves room for word of crashes

Found in reading: each node that answers a watched request tells its home, and a home passes 200 pieces a second on. At hundreds of nodes the answers of one hot request took the room of the crashes. One answer a request is passed on in half a second. The test with 250 nodes fails without it.

Also: what the leader looks at each 250 ms no longer asks for the instances of each suspect's service, and a test takes evidence through a relay.

--- a/src/quarantine/evidence-exchange.ts
+++ b/src/quarantine/evidence-exchange.ts
@@ -27,6 +27,12 @@
 /** Ids that are remembered to tell what came before. */
 const rememberedIds = 4096;
 
+/**
+ * Milliseconds in which one answered request is passed on once. Each node that
+ * answers a hot request tells of it, and would leave no room for crashes.
+ */
+const answerPause = 500;
+
 /** Pieces a second; a loss of power ends hundreds of instances at once. */
 const mostPerSecond = 200;
 
@@ -40,6 +46,8 @@
   const log = options.log.scope('quarantine');
   const peers = new Set<Channel>();
   const seen = new Set<string>();
+  /** When each answered request was passed on last, the oldest first. */
+  const answers = new Map<string, number>();
   const observers: Array<(evidence: Evidence) => void> = [];
   let periodEnd = 0;
   let taken = 0;
@@ -49,6 +57,20 @@
     if (seen.size > rememberedIds) seen.delete(seen.values().next().value!);
   }
 
+  function isKnown(evidence: Evidence): boolean {
+    if (seen.has(evidence.id)) return true;
+    if (evidence.kind !== 'answer') return false;
+    const {name} = evidence;
+    const now = timers.now();
+    if (now - (answers.get(name) ?? -Infinity) < answerPause) return true;
+    answers.delete(name);
+    answers.set(name, now);
+    if (answers.size > rememberedIds) {
+      answers.delete(answers.keys().next().value!);
+    }
+    return false;
+  }
+
   function isWithinRate(): boolean {
     if (timers.now() >= periodEnd) {
       if (taken > mostPerSecond) {
@@ -65,7 +87,7 @@
     if (evidence === undefined) {
       return log.warn('evidence refused', {peer});
     }
-    if (seen.has(evidence.id) || !isWithinRate()) return;
+    if (isKnown(evidence) || !isWithinRate()) return;
     remember(evidence.id);
     for (const other of peers) if (other !== from) other.send(evidence);
     for (const observe of observers) observe(evidence);
--- a/src/quarantine/plan.ts
+++ b/src/quarantine/plan.ts
@@ -16,7 +16,7 @@
   readonly record: SuspectRecord | undefined;
   /** Whether its service is in force. */
   readonly hasService: boolean;
-  /** Lives of its service's instances that take work. */
+  /** Lives of its service's instances that take work; for held ones only. */
   readonly lives: readonly string[];
   /** Whether the trial's instance ended, under whatever ran. */
   readonly hasTrialEnded: boolean;
--- a/src/quarantine/warden.test.ts
+++ b/src/quarantine/warden.test.ts
@@ -69,7 +69,7 @@
     await network.from(control).listen(`${control}:1`, accepted => {
       const channels = createChannels(accepted);
       // Nodes are told from fellow homes by their hello.
-      if (accepted.peer.startsWith('control')) home.peer(channels);
+      if (/^(control|relay)/.test(accepted.peer)) home.peer(channels);
       else home.accept(channels);
     });
   }
@@ -86,6 +86,15 @@
     return {...reporter, attach};
   }
 
+  async function startBehindRelay(node: string, home: string) {
+    const relay = createEvidenceExchange({timers, log: recorded.log});
+    await network.from('relay').listen('relay:1', accepted => {
+      relay.accept(createChannels(accepted));
+    });
+    relay.peer(await link('relay', home));
+    return startNode(node, 'relay');
+  }
+
   const nodes = await Promise.all(
     controls.map((home, index) => startNode(`node-${index + 1}`, home)),
   );
@@ -103,6 +112,7 @@
     group,
     nodes,
     startNode,
+    startBehindRelay,
     instances,
     release: (digest: string) =>
       change({action: 'remove', kind: 'quarantine', name: digest}),
@@ -285,6 +295,30 @@
   t.is(stage.stateOf(), 'held');
 });
 
+test('a crash that a node told to a relay counts', async t => {
+  const stage = await start();
+  const node = await stage.startBehindRelay('node-9', 'control-3');
+  node.crashed('c-8/1', [suspectOf(name)]);
+  node.crashed('c-9/1', [suspectOf(name)]);
+  await stage.pass(500);
+  t.is(stage.stateOf(), 'watched');
+});
+
+test('a hot request that all nodes answer leaves room for word of crashes', async t => {
+  const stage = await start();
+  const [crashed] = stage.nodes;
+  const many = await Promise.all(
+    Array.from({length: 250}, (_, at) =>
+      stage.startNode(`hot-${at}`, 'control-1'),
+    ),
+  );
+  for (const node of many) node.answered(other);
+  crashed!.crashed('c-1/1', [suspectOf(name)]);
+  crashed!.crashed('c-2/1', [suspectOf(name)]);
+  await stage.pass(500);
+  t.is(stage.stateOf(), 'watched');
+});
+
 test('what is no evidence is refused with a line', async t => {
   const stage = await start();
   const before = stage.lines.length;
--- a/src/quarantine/warden.ts
+++ b/src/quarantine/warden.ts
@@ -82,9 +82,11 @@
     changedAt.delete(name);
   }
 
-  function livesOf(service: string): string[] {
+  /** Where a trial may run; asked only for what may be tried. */
+  function trialLives(quarantine: Quarantine | undefined): string[] {
+    if (quarantine === undefined || quarantine.state === 'watched') return [];
     return endpoints
-      .instances(service)
+      .instances(quarantine.service)
       .filter(({state}) => state === 'serving')
       .map(({instance, incarnation}) => lifeOf(instance, incarnation));
   }
@@ -98,7 +100,7 @@
       quarantine,
       record,
       hasService: service !== undefined && services.has(service),
-      lives: service === undefined ? [] : livesOf(service),
+      lives: trialLives(quarantine),
       hasTrialEnded: ledger.hasEnded(quarantine?.trialAt ?? ''),
       age: timers.now() - (changedAt.get(name) ?? timers.now()),
       wall: timers.wall(),
