A trial whose caller left counts as tried when its instance ends later

Found while the trials were put into a model: a trial starts, its caller leaves, and the instance ends under other work. What ran then does not name the trial, so the leader took it for untried and gave it to another instance: more starts than trials. The gate now names trials that its life started and that were not answered. The test fails without it (only the other request was told).

--- a/src/request/decisions/gate-quarantine.ts
+++ b/src/request/decisions/gate-quarantine.ts
@@ -48,10 +48,17 @@
   const {timers, safeguards} = options;
   const trials = createTrials(options.life);
   const quarantines = createQuarantines(options.configuration, safeguards);
+  /**
+   * Trials without an answer. One whose caller left runs no more when the
+   * instance ends; told as untried, it would get another trial elsewhere.
+   */
+  const tried = new Set<Call>();
   const crashes = createCrashWatch({
     timers,
     isListening: options.isListening ?? (() => Promise.resolve(true)),
-    onCrash: calls => options.onCrash?.(suspectsOf(calls)),
+    onCrash: calls => {
+      options.onCrash?.(suspectsOf([...new Set([...calls, ...tried])]));
+    },
   });
 
   return {
@@ -62,9 +69,12 @@
     },
     started: call => {
       const quarantine = quarantines.find(call);
-      if (quarantine !== undefined) trials.began(quarantine);
+      if (quarantine?.state !== 'on-trial') return;
+      trials.began(quarantine);
+      tried.add(call);
     },
     answered: call => {
+      tried.delete(call);
       const quarantine = quarantines.find(call);
       if (quarantine !== undefined) options.onCleared?.(quarantine.name);
     },
--- a/src/request/decisions/trials.ts
+++ b/src/request/decisions/trials.ts
@@ -22,8 +22,6 @@
       if (state === 'held' || life === undefined) return false;
       return trialAt === life && !begun.has(keyOf(quarantine));
     },
-    began: quarantine => {
-      if (quarantine.state === 'on-trial') begun.add(keyOf(quarantine));
-    },
+    began: quarantine => void begun.add(keyOf(quarantine)),
   };
 }
--- a/src/request/quarantine.test.ts
+++ b/src/request/quarantine.test.ts
@@ -4,10 +4,13 @@
 import type {Quarantine} from '../configuration/configuration.js';
 import {lifeOf} from '../quarantine/messages.js';
 import type {Suspect} from '../quarantine/messages.js';
+import {callOf} from './fakes/calls.js';
 import {configurationOf, stockConfiguration} from './fakes/configurations.js';
 import {createMesh} from './fakes/mesh.js';
 import type {Mesh, MeshOptions} from './fakes/mesh.js';
+import {suspectsOf} from './decisions/request-digest.js';
 import {requestCodes} from './messages/codes.js';
+import {settle} from '../time/fakes/fake-timers.js';
 
 const path = '/stock/7';
 const life = lifeOf('stock-desk-1', 1);
@@ -74,6 +77,11 @@
   return suspects[0]!;
 }
 
+/** Waits for what real sockets bring about, while time stands still. */
+async function until(isSo: () => boolean): Promise<void> {
+  while (!isSo()) await settle(1);
+}
+
 function quarantineOf(suspect: Suspect, changes: Partial<Quarantine> = {}) {
   const ended = ['a/1', 'b/1', 'c/1'];
   return {
@@ -164,6 +172,35 @@
   await stage.mesh.close();
 });
 
+test('a trial whose caller left is not told as untried when the instance ends later', async t => {
+  let isHeld = false;
+  const stage = await start({
+    upstreams: [
+      (req, res) => {
+        if (req.url === '/stock/hangs') isHeld = true;
+        else if (isHeld || req.url === path) req.socket.destroy();
+        else res.end('ok');
+      },
+    ],
+  });
+  const {mesh, suspects} = stage;
+  const trial = {state: 'on-trial', trials: 1, trialAt: life} as const;
+  const [hanging] = suspectsOf([callOf({path: '/stock/hangs', headers: []})]);
+  stage.put(quarantineOf(hanging!, trial));
+  const leaving = new AbortController();
+  const left = request(`${mesh.url}/stock/hangs`, {signal: leaving.signal});
+  await until(() => isHeld);
+  leaving.abort();
+  t.is(await left.catch(() => 'left'), 'left');
+  await mesh.timers.advanceAsync(300);
+  await until(() => mesh.members[0]!.gate.running === 0);
+  await ask(mesh, '/stock/other');
+  await mesh.timers.advanceAsync(50);
+  const told = new Set(suspects.map(suspect => suspect.request));
+  t.deepEqual([...told].sort(), ['GET /stock/hangs', 'GET /stock/other']);
+  await mesh.close();
+});
+
 test('an answer clears a watched request and one on trial', async t => {
   const stage = await start();
   const suspect = await crash(stage);
