--- a/model/checks.ts
+++ b/model/checks.ts
@@ -9,7 +9,7 @@
 export interface Check {
   /** Unique; a mutant's says which safeguard is taken out. */
   readonly name: string;
-  readonly specification: 'consensus' | 'claims' | 'meeting';
+  readonly specification: 'consensus' | 'claims' | 'meeting' | 'trials';
   readonly bounds: Bounds;
   /**
    * - `holds`: no reachable state breaks a claim; all states are searched.
@@ -27,6 +27,7 @@
 const floor = 'roundIndex>=owed';
 const runs = 'runs<=1';
 const everyMet = 'met[0]';
+const noMoreStarts = 'starts<=trials';
 
 const small = {TERMS: 2, LENGTH: 2};
 const disks = {...small, JOINS: 1, LOSSES: 1};
@@ -82,6 +83,10 @@
     LOSSES: 2,
     JOIN: true,
   }),
+  holdTrials('a request starts no more often than trials were granted', {
+    TRIALS: 3,
+    LIVES: 3,
+  }),
 ];
 
 const mutants: readonly Check[] = [
@@ -107,6 +112,9 @@
   refuteClaims('NO_ACTIVE_NEEDED', unasked),
   refuteMeeting('SETTINGS_ONLY'),
   refuteMeeting('OUTSIDERS_SILENT'),
+  refuteTrials('ANY_LIFE'),
+  refuteTrials('MANY_STARTS'),
+  refuteTrials('RUNNING_ONLY'),
 ];
 
 const witnesses: readonly Check[] = [
@@ -119,6 +127,7 @@
     specification: 'claims',
   },
   {...reach('MET', {LOSSES: 0}, 'met[3]'), specification: 'meeting'},
+  {...reach('TRIED', {TRIALS: 3, LIVES: 3}, 'starts'), specification: 'trials'},
 ];
 
 /** All checks, the quick ones last. */
@@ -136,6 +145,10 @@
   return {...hold(name, bounds), specification: 'meeting'};
 }
 
+function holdTrials(name: string, bounds: Bounds): Check {
+  return {...hold(name, bounds), specification: 'trials'};
+}
+
 function refute(mutant: string, bounds: Bounds, assertion: string): Check {
   return {
     name: `MUTANT_${mutant}`,
@@ -155,6 +168,11 @@
   return {...check, specification: 'meeting'};
 }
 
+function refuteTrials(mutant: string): Check {
+  const check = refute(mutant, {TRIALS: 2, LIVES: 3}, noMoreStarts);
+  return {...check, specification: 'trials'};
+}
+
 function reach(witness: string, bounds: Bounds, assertion: string): Check {
   return {
     name: `WITNESS_${witness}`,
