Two faults found in reading: a full table of quarantines, and a trial after many crashes

With as many requests held as there is room, one more that was to be watched had the whole change refused each 250 ms, changes of the held ones in it: no trial, no end. New ones now wait for room alone, with one line.

A request under which 16 instances had ended before it was held had no room left for the life of its trial, so the trial that ended it passed for untried and moved on: more starts than trials. The oldest life gives way now.

Both tests fail without the change.

--- a/src/quarantine/ledger.ts
+++ b/src/quarantine/ledger.ts
@@ -83,18 +83,13 @@
     if (known !== undefined && isJustAnswered(known)) return;
     const isFirst = known === undefined || known.answeredAt !== undefined;
     const lives = isFirst ? new Set<string>() : known.lives;
-    if (lives.size < mostLives) lives.add(life);
+    addLast(lives, life, mostLives);
     put(name, {suspect, lives, answeredAt: undefined});
   }
 
-  function remember(life: string): void {
-    ended.add(life);
-    if (ended.size > mostEnded) ended.delete(ended.values().next().value!);
-  }
-
   return {
     crashed: ({life, suspects}) => {
-      remember(life);
+      addLast(ended, life, mostEnded);
       for (const suspect of suspects) add(life, suspect);
     },
     answered: name => {
@@ -117,3 +112,9 @@
     names: () => records.keys(),
   };
 }
+
+/** Adds to the end; beyond `most` the oldest goes. */
+function addLast(lives: Set<string>, life: string, most: number): void {
+  lives.add(life);
+  if (lives.size > most) lives.delete(lives.values().next().value!);
+}
--- a/src/quarantine/plan.ts
+++ b/src/quarantine/plan.ts
@@ -33,7 +33,7 @@
   | {readonly kind: 'keep'};
 
 /** Why a quarantine ends. */
-export type RemovalReason = 'answered' | 'expired' | 'no service';
+export type RemovalReason = 'answered' | 'expired' | 'no service' | 'no room';
 
 /** Crashes from which on all nodes watch a request. */
 const watchedFrom = 2;
@@ -52,7 +52,7 @@
 const longestWatch = 600_000;
 
 /**
- * Milliseconds from the last crash to each trial. The first comes soon, for a
+ * Milliseconds from when it was held to each trial. The first comes soon, for a
  * request that was blamed wrongly; each costs an instance if it was not.
  */
 const trialDelays: readonly number[] = [3_000, 600_000, 3_600_000];
--- a/src/quarantine/warden.test.ts
+++ b/src/quarantine/warden.test.ts
@@ -319,6 +319,33 @@
   t.is(stage.stateOf(), 'watched');
 });
 
+test('where all room is held another request waits, and what is held goes on', async t => {
+  const stage = await start(1);
+  stage.instances.push(serving('c-4', 7));
+  crashAtEach(stage);
+  await stage.pass(knownWithin);
+  stage.nodes[0]!.crashed('c-1/2', [suspectOf(other)]);
+  stage.nodes[1]!.crashed('c-2/2', [suspectOf(other)]);
+  await stage.pass(knownWithin);
+  t.is(stage.stateOf(), 'on-trial');
+  t.is(stage.stateOf(other), undefined);
+  const told = stage.lines.filter(
+    ({message}) => message === 'no room for quarantines',
+  );
+  t.is(told.length, 1);
+});
+
+test('a trial that ends its instance is over, however many ended before', async t => {
+  const stage = await start();
+  for (let life = 1; life <= 8; life++) crashAtEach(stage, name, life);
+  stage.instances.push(serving('c-4', 7));
+  await stage.pass(knownWithin + 3_000);
+  stage.nodes[0]!.crashed('c-4/7', [suspectOf(name)]);
+  stage.instances.push(serving('c-5', 1));
+  await stage.pass(500);
+  t.is(stage.stateOf(), 'held');
+});
+
 test('what is no evidence is refused with a line', async t => {
   const stage = await start();
   const before = stage.lines.length;
--- a/src/quarantine/warden.ts
+++ b/src/quarantine/warden.ts
@@ -46,6 +46,13 @@
 /** Milliseconds for which evidence is gathered; a crash is told by many at once. */
 const gatherTime = 20;
 
+interface NamedPlan {
+  readonly name: string;
+  readonly plan: Plan;
+}
+
+const noRoom: Plan = {kind: 'remove', reason: 'no room'};
+
 /** Creates the warden of a control process. */
 export function createQuarantineWarden(
   options: QuarantineWardenOptions,
@@ -63,6 +70,7 @@
   /** When each quarantine took its state here, by the steady clock. */
   const changedAt = new Map<string, number>();
   let isBusy = false;
+  let isFull = false;
   let isGathering = false;
 
   function follow(): void {
@@ -108,15 +116,31 @@
     return planQuarantine(known, options.safeguards);
   }
 
-  /** The watched ones give way; a held one is never let go of for room. */
-  function makeRoom(added: number): Edit[] {
+  /**
+   * The watched ones give way, and beyond that new ones wait: a held one is
+   * never let go of for room, and no change of it waits for room.
+   */
+  function fit(plans: readonly NamedPlan[]): NamedPlan[] {
     const {quarantines} = machine.current();
-    const surplus = quarantines.size + added - options.limit;
-    return [...quarantines.values()]
-      .filter(({state}) => state === 'watched')
+    const isNew = ({name}: NamedPlan) => !quarantines.has(name);
+    const touched = new Set(plans.map(({name}) => name));
+    const yielding = [...quarantines.values()]
+      .filter(({state, name}) => state === 'watched' && !touched.has(name))
       .sort((left, right) => left.since - right.since)
-      .slice(0, Math.max(0, surplus))
-      .map(({name}) => ({action: 'remove', kind: 'quarantine', name}));
+      .map(({name}): NamedPlan => ({name, plan: noRoom}));
+    const free = Math.max(0, options.limit - quarantines.size);
+    const added = plans.filter(isNew).slice(0, free + yielding.length);
+    tellRoom(plans.filter(isNew).length - added.length);
+    return [
+      ...yielding.slice(0, Math.max(0, added.length - free)),
+      ...plans.filter(one => !isNew(one)),
+      ...added,
+    ];
+  }
+
+  function tellRoom(missing: number): void {
+    if (missing > 0 && !isFull) log.error('no room for quarantines', {missing});
+    isFull = missing > 0;
   }
 
   function tell(name: string, plan: Plan): void {
@@ -130,14 +154,14 @@
   async function look(): Promise<void> {
     if (consensus.status().role !== 'leader') return;
     const {quarantines} = machine.current();
-    const plans = [...new Set([...quarantines.keys(), ...ledger.names()])]
+    const wanted = [...new Set([...quarantines.keys(), ...ledger.names()])]
       .map(name => ({name, plan: planOne(name)}))
       .filter(({plan}) => plan.kind !== 'keep');
+    const plans = fit(wanted);
     if (plans.length === 0) return;
-    const added = plans.filter(({name}) => !quarantines.has(name)).length;
-    const edits = plans.map(({name, plan}) => toEdit(name, plan));
-    const room = makeRoom(added).filter(edit => !touches(edits, edit));
-    const answer = await propose([...room, ...edits]);
+    const answer = await propose(
+      plans.map(({name, plan}) => toEdit(name, plan)),
+    );
     if (!answer.ok || answer.value.code !== commonCodes.ok.number) {
       const {message} = answer.ok ? answer.value : answer;
       return log.warn('quarantines not changed', {reason: message});
@@ -178,14 +202,6 @@
   return {action: 'put', item: {kind: 'quarantine', value: plan.quarantine}};
 }
 
-function touches(edits: readonly Edit[], edit: Edit): boolean {
-  return edits.some(other => nameOf(other) === nameOf(edit));
-}
-
-function nameOf(edit: Edit): string {
-  return edit.action === 'put' ? edit.item.value.name : edit.name;
-}
-
 function describe(quarantine: Quarantine): Fields {
   const {name, state, service, request, ended, trials, trialAt} = quarantine;
   return {
