A deployment under test is set up once its keepers are in force at all nodes

Read, not brought about: setUp returned as soon as control had appointed keepers. A node that has not got that version refuses keyed work with this very code (create-claims.ts, no assignment), and with all control dead it never gets it. A batch window of 1.5 s did not bring it about. setUp waits for the version now; assertions are as they were. Suspected, not shown.

--- a/bench/deployment/setup.ts
+++ b/bench/deployment/setup.ts
@@ -50,26 +50,37 @@
     const reply = await client.inForce();
     return reply.ok && reply.value.summary.nodes === deployment.places.length;
   });
-  const waited = await client.wait(Number(version), limit);
+  await waitFor(client, Number(version));
+  let appointed: number | undefined;
+  await until('each service has its keepers', limit, async () => {
+    appointed = await findKeepers(client, deployment);
+    return appointed !== undefined;
+  });
+  await waitFor(client, appointed!);
+  await client.close();
+}
+
+/** Waits until all nodes have a version. */
+async function waitFor(client: OperatorClient, version: number): Promise<void> {
+  const waited = await client.wait(version, limit);
   if (!waited.ok) throw new Error(waited.refusal.message);
   if (!waited.value.inForce) throw new Error(`version ${version} not in force`);
-  await until('each service has its keepers', limit, () =>
-    haveKeepers(client, deployment),
-  );
-  await client.close();
 }
 
-/** Keyed work is taken once the leader has appointed who keeps the claims. */
-async function haveKeepers(
+/**
+ * The version in which the leader has appointed who keeps each service's claims;
+ * a node takes keyed work once it has that in force.
+ */
+async function findKeepers(
   client: OperatorClient,
   deployment: Deployment,
-): Promise<boolean> {
+): Promise<number | undefined> {
   const names = new Set(deployment.places.map(({service}) => service));
   const reply = await client.items('service');
-  if (!reply.ok) return false;
+  if (!reply.ok) return undefined;
   const kept = reply.value.items.filter(
     ({kind, value}) =>
       kind === 'service' && names.has(value.name) && value.keepers,
   );
-  return kept.length === names.size;
+  return kept.length === names.size ? reply.value.version : undefined;
 }
