--- /dev/null
+++ b/scripts/bundle-options.test.ts
@@ -0,0 +1,54 @@
+import {createRequire} from 'node:module';
+import {resolve} from 'node:path';
+import {pathToFileURL} from 'node:url';
+import test from 'ava';
+import {build} from 'esbuild';
+import type {BuildOptions} from 'esbuild';
+
+interface Loaded {
+  readonly made: () => () => number;
+  readonly Failure: new (code: object, message: string) => Error;
+}
+
+const source = `
+  export {Failure} from './src/result/failure.ts';
+  export function made() {
+    return answersRequest;
+    function answersRequest() { return 1; }
+  }
+`;
+
+async function bundle(): Promise<string> {
+  const path = pathToFileURL(resolve('scripts/bundle-options.mjs')).href;
+  const {bundleOptions} = (await import(path)) as {bundleOptions: BuildOptions};
+  const {outputFiles} = await build({
+    ...bundleOptions,
+    stdin: {contents: source, resolveDir: resolve('.'), loader: 'ts'},
+    write: false,
+  });
+  return outputFiles![0]!.text;
+}
+
+function load(text: string): Loaded {
+  const module = {exports: {}};
+  const require = createRequire(resolve('scripts/build.mjs'));
+
+  new Function('module', 'require', text)(module, require);
+  return module.exports as Loaded;
+}
+
+// Each closure of each request was wrapped in a call that sets its name.
+test('the bundle sets no names of functions as they are made', async t => {
+  const text = await bundle();
+  t.notRegex(text, /defineProperty\([^()]*,\s*"name"/);
+  t.notRegex(text, /__name\b/);
+});
+
+test('the bundle keeps the names that logs tell', async t => {
+  const {made, Failure} = load(await bundle());
+  const failure = new Failure({number: 5000}, 'told');
+  t.is(made().name, 'answersRequest');
+  t.is(failure.name, 'Failure');
+  t.is(failure.constructor.name, 'Failure');
+  t.is(String(failure), 'Failure: told');
+});
