Framed links: one reader for all links of a process

Each framed link had a MessagePack codec of its own whose shapes travel once. The library compiles a reader function for each shape of each link's decoder, so the frames of each of dozens of peers were compiled, warmed up and optimized anew in a process that lives for tens of seconds.

Frames now travel as lists in a fixed order, by one codec without shapes that all links of a process share, and are read into objects of one shape a kind. That is version 2 of the protocol: gates and entries of version 1 decline each other's links and call by HTTP, as before; tests say both ways. Links of control keep their shared keys: they are few, and bytes count there.

--- a/src/link/socket-link.ts
+++ b/src/link/socket-link.ts
@@ -1,6 +1,6 @@
-/** A message link over an open socket, in MessagePack frames. */
+/** A message link over an open socket, in frames. */
 import type {Socket} from 'node:net';
-import {Packr} from 'msgpackr';
+import type {Codec} from './codec.js';
 import {createFrameReader, encodeFrame} from './frame.js';
 import {Link} from './link.js';
 
@@ -8,8 +8,8 @@
 export interface SocketLinkOptions {
   /** Largest message in bytes; a larger one closes the link. */
   readonly messageLimit: number;
-  /** Whether keys of a message's shape travel once; both ends must agree. */
-  readonly sharesKeys: boolean;
+  /** How messages become payloads; both ends must agree. */
+  readonly codec: Codec;
   /** Hears of a message that can't be read or handled; its link is closed. */
   readonly onFault?: (error: Error) => void;
 }
@@ -20,22 +20,11 @@
   abstract destroy(): void;
 }
 
-/**
- * A link is ordered and never loses a message, so each end can refer to the
- * shapes that it sent before; a new link begins with none.
- */
-function createPackr(sharesKeys: boolean): Packr {
-  if (!sharesKeys) return new Packr({useRecords: false});
-  return new Packr({sequential: true, useRecords: true});
-}
-
 /** Creates the link; the socket is its own from then on. */
 export function createSocketLink(
   socket: Socket,
-  {messageLimit, sharesKeys, onFault}: SocketLinkOptions,
+  {messageLimit, codec, onFault}: SocketLinkOptions,
 ): SocketLink {
-  const encoder = createPackr(sharesKeys);
-  const decoder = createPackr(sharesKeys);
   const backlog: unknown[] = [];
   let receive: ((message: unknown) => void) | undefined;
   let closed: (() => void) | undefined;
@@ -43,7 +32,7 @@
   let isGathering = false;
 
   const reader = createFrameReader(messageLimit, frame => {
-    const message: unknown = decoder.unpack(frame);
+    const message = codec.decode(frame);
     if (receive === undefined) backlog.push(message);
     else receive(message);
   });
@@ -93,7 +82,7 @@
     send(message: unknown): void {
       if (ended || socket.destroyed) return;
       gather();
-      socket.write(encodeFrame(encoder.pack(message)));
+      socket.write(encodeFrame(codec.encode(message)));
     }
 
     onMessage(receiver: (message: unknown) => void): void {
--- a/src/link/tcp-network.ts
+++ b/src/link/tcp-network.ts
@@ -3,6 +3,7 @@
 import {parseAddress} from './address.js';
 import {Network} from './link.js';
 import type {Address, Link, Listener} from './link.js';
+import {createKeySharingCodec, createPlainCodec} from './codec.js';
 import {createSocketLink} from './socket-link.js';
 
 /** Settings of the TCP network, with defaults. */
@@ -30,8 +31,9 @@
   const messageLimit = options.messageLimit ?? defaultMessageLimit;
   const sharesKeys = options.sharesKeys ?? true;
   const onFault = options.onFault ?? (() => {});
+  const createCodec = sharesKeys ? createKeySharingCodec : createPlainCodec;
   const open = (socket: Socket) =>
-    createSocketLink(socket, {messageLimit, sharesKeys, onFault});
+    createSocketLink(socket, {messageLimit, codec: createCodec(), onFault});
 
   return new (class extends Network {
     listen(address: Address, accept: (link: Link) => void): Promise<Listener> {
--- a/src/request/transport/gate-link.test.ts
+++ b/src/request/transport/gate-link.test.ts
@@ -303,3 +303,37 @@
   silent.destroy();
   await mesh.close();
 });
+
+// Versions of a mesh run side by side while it is updated.
+test('a gate that declines this version of the link is called by HTTP', async t => {
+  const older = await createRawServer((socket, head) => {
+    if (/^upgrade:/im.test(head)) {
+      socket.end('HTTP/1.1 400 Refused\r\nconnection: close\r\n\r\n');
+      return;
+    }
+    socket.write('HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nbooked');
+  });
+  const mesh = await createMesh({upstreams: [() => {}]});
+  replaceGate(mesh, older.address);
+  for (let booking = 0; booking < 2; booking++) {
+    const answer = await book(mesh);
+    t.is(await answer.body.text(), 'booked');
+  }
+  const asked = older.heads.filter(head => head.includes(framedProtocol));
+  t.is(asked.length, 1);
+  await mesh.close();
+  await older.close();
+});
+
+test('an entry of an older version is declined, and may call by HTTP', async t => {
+  const mesh = await createMesh({upstreams: [() => {}]});
+  const [host, port] = mesh.members[0]!.server.address.split(':');
+  const older = createConnection({host, port: Number(port)});
+  older.write(
+    'GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: foxbarrow-link/1\r\n\r\n',
+  );
+  const [answer] = (await once(older, 'data')) as [Buffer];
+  t.regex(answer.toString(), /^HTTP\/1\.1 400 /);
+  older.destroy();
+  await mesh.close();
+});
