--- a/src/admin/metrics.test.ts
+++ b/src/admin/metrics.test.ts
@@ -78,7 +78,7 @@
 test('states of the gate, the group and the versions are published', async t => {
   const registry = new Registry();
   const metrics = createMetrics({registry});
-  metrics.load({queued: 2, running: 10, slots: 10});
+  metrics.load({queued: 2, running: 10, slots: 10, unsent: 4096});
   metrics.claims({held: 40, limit: 20_000});
   metrics.inForce(17);
   metrics.converged(120);
@@ -96,6 +96,7 @@
   const text = await registry.metrics();
   for (const line of [
     'foxbarrow_gate_requests{kind="queued"} 2',
+    'foxbarrow_gate_unsent_bytes 4096',
     'foxbarrow_claims{kind="held"} 40',
     'foxbarrow_configuration_version{kind="in-force"} 17',
     'foxbarrow_convergence_seconds_bucket{le="0.25"} 1',
--- a/src/admin/report-load.ts
+++ b/src/admin/report-load.ts
@@ -8,6 +8,12 @@
   readonly load: number;
 }
 
+/** What is read of a gate's listener. */
+export interface AnswerSource {
+  /** Bytes of answers that wait to leave for other nodes. */
+  readonly unsent: number;
+}
+
 /** What is read of the upstream beside the node. */
 export interface SlotSource {
   upstream(): {readonly slots: number} | undefined;
@@ -19,6 +25,7 @@
 /** Reports a gate's load from time to time, while there is an upstream. */
 export function reportLoad(
   gate: LoadedGate,
+  answers: AnswerSource,
   source: SlotSource,
   metrics: Metrics,
   timers: Timers,
@@ -27,6 +34,7 @@
     const slots = source.upstream()?.slots ?? 0;
     if (slots === 0) return;
     const queued = Math.round(gate.load * slots) - gate.running;
-    metrics.load({queued, running: gate.running, slots});
+    const {unsent} = answers;
+    metrics.load({queued, running: gate.running, slots, unsent});
   });
 }
--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -10,7 +10,7 @@
 import type {Entry} from '../request/entry.js';
 import type {Gate} from '../request/gate.js';
 import {createGateServer} from '../request/transport/gate-server.js';
-import type {Listener} from '../request/transport/listener.js';
+import type {GateServer} from '../request/transport/gate-server.js';
 import {defaults} from '../settings/defaults.js';
 import type {NodeSettings} from '../settings/schema.js';
 import type {Timers} from '../time/timers.js';
@@ -37,7 +37,7 @@
 /** The listeners, open. */
 export interface RequestPath {
   readonly entry: Entry;
-  readonly gateServer: Listener;
+  readonly gateServer: GateServer;
 }
 
 /** Opens the listeners; the gate's first, since entries may send to it at once. */
--- a/src/request/transport/framed-gate.ts
+++ b/src/request/transport/framed-gate.ts
@@ -24,6 +24,8 @@
 
 /** The framed links to one gate. */
 export interface FramedGate {
+  /** Bytes that wait to leave on all links. */
+  readonly unsent: number;
   /** Serves one link until it ends. */
   accept(link: SocketLink): void;
   /**
@@ -173,6 +175,11 @@
   }
 
   return {
+    get unsent() {
+      let bytes = 0;
+      for (const {link} of served) bytes += link.pending;
+      return bytes;
+    },
     accept,
     stop: (grace, deadline) => {
       sweeping.cancel();
