--- /dev/null
+++ b/src/request/link-out.test.ts
@@ -0,0 +1,263 @@
+import test from 'ava';
+import {SocketLink} from '../link/socket-link.js';
+import {createSilentLog} from '../log/log.js';
+import {createRandom} from '../random/random.js';
+import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import type {FakeTimers} from '../time/fakes/fake-timers.js';
+import {createAdmission} from './decisions/admission.js';
+import {createRun} from './decisions/run.js';
+import {createNoStories} from './decisions/stories.js';
+import type {CallHandler, UpstreamLink} from './messages/hops.js';
+import {allSafeguards} from './messages/safeguards.js';
+import {createFramedGate} from './transport/framed-gate.js';
+import type {CallFrame, EntryFrame, GateFrame} from './transport/frames.js';
+
+const megabits = 12.6;
+const linkRate = (megabits * 1e6) / 8;
+const slots = 9;
+const frameBytes = 200;
+
+/** What is asked of the gate; times in milliseconds. */
+interface Kind {
+  readonly policy: string;
+  readonly bytes: number;
+  readonly work: number;
+  readonly perSecond: number;
+  readonly goodFor: number;
+}
+
+const lookup: Kind = {
+  policy: 'lookups',
+  bytes: 500,
+  work: 38,
+  perSecond: 90,
+  goodFor: 150,
+};
+const archive: Kind = {
+  policy: 'archives',
+  bytes: 90_000,
+  work: 120,
+  perSecond: 25,
+  goodFor: 600,
+};
+
+/** A link whose frames leave one after the other at its rate. */
+function createSlowLink(
+  timers: FakeTimers,
+  deliver: (frame: GateFrame) => void,
+) {
+  let receive: (message: unknown) => void = () => {};
+  let busyUntil = 0;
+  let pending = 0;
+
+  const link = new (class extends SocketLink {
+    readonly peer = 'entry';
+    readonly bytesIn = 0;
+    readonly bytesOut = 0;
+    get pending() {
+      return pending;
+    }
+    send(message: unknown): void {
+      const frame = message as GateFrame;
+      const body = frame.type === 'data' ? frame.chunk.length : 0;
+      const bytes = frameBytes + body;
+      pending += bytes;
+      busyUntil = Math.max(busyUntil, timers.now()) + (bytes / linkRate) * 1000;
+      timers.after(busyUntil - timers.now(), () => {
+        pending -= bytes;
+        deliver(frame);
+      });
+    }
+    onMessage(receiver: (message: unknown) => void): void {
+      receive = receiver;
+    }
+    onClose(): void {}
+    close(): void {}
+    destroy(): void {}
+  })();
+  return {link, hear: (frame: EntryFrame) => receive(frame)};
+}
+
+/** An instance that works for as long as a kind takes and answers in parts. */
+function createWorker(
+  timers: FakeTimers,
+  kindOf: (policy: string) => Kind,
+): UpstreamLink {
+  return {
+    send: (call, _left, receiver) => {
+      const {work, bytes} = kindOf(call.policy!);
+      let left = bytes;
+      let isOver = false;
+      function pour(): void {
+        while (left > 0 && !isOver) {
+          const part = Math.min(left, 16 * 1024);
+          left -= part;
+          if (!receiver.data(Buffer.alloc(part))) return;
+        }
+        if (!isOver) receiver.end();
+        isOver = true;
+      }
+      function stop(reason: Error): void {
+        if (isOver) return;
+        isOver = true;
+        receiver.failed(reason, true);
+      }
+      receiver.began();
+      timers.after(work, () => {
+        if (isOver) return;
+        const headers = ['content-length', String(bytes)];
+        receiver.head({status: 200, reason: '', headers});
+        pour();
+      });
+      return {resume: pour, close: stop, cancel: stop};
+    },
+  };
+}
+
+function createStage(timers: FakeTimers): CallHandler {
+  const admission = createAdmission({slots, queueLength: 36, clock: timers});
+  const upstream = createWorker(timers, kindNamed);
+  return {
+    instance: 'a',
+    service: 's',
+    get load() {
+      return admission.load;
+    },
+    handle: (call, answer) => {
+      const run = createRun({
+        call,
+        answer,
+        admission,
+        upstream,
+        instance: 'a',
+        story: createNoStories().begin(call.id),
+        timers,
+        closedReason: () => undefined,
+        safeguards: allSafeguards,
+        ended: () => {},
+        onAnswered: () => {},
+        onLost: () => {},
+      });
+      run.offer();
+      return run.cancel;
+    },
+  };
+}
+
+function kindNamed(policy: string): Kind {
+  return policy === archive.policy ? archive : lookup;
+}
+
+/** What became of the calls of one kind. */
+interface Tally {
+  asked: number;
+  answered: number;
+  inTime: number;
+  refused: number;
+  /** Longest time until a refusal, in milliseconds. */
+  slowestRefusal: number;
+  /** Loads told with refusals. */
+  readonly refusedAt: number[];
+  readonly loads: number[];
+}
+
+function createTally(): Tally {
+  return {
+    asked: 0,
+    answered: 0,
+    inTime: 0,
+    refused: 0,
+    slowestRefusal: 0,
+    refusedAt: [],
+    loads: [],
+  };
+}
+
+/** Plays so many milliseconds of lookups and archives at a gate with a full link. */
+async function play(duration: number) {
+  const timers = createFakeTimers();
+  const random = createRandom(3);
+  const asked = new Map<number, {kind: Kind; at: number}>();
+  const tallies = new Map([lookup, archive].map(kind => [kind, createTally()]));
+  let last = 0;
+  const {link, hear} = createSlowLink(timers, deliver);
+  const gate = createFramedGate({
+    gate: createStage(timers),
+    timers,
+    log: createSilentLog(),
+    safeguards: allSafeguards,
+  });
+  gate.accept(link);
+
+  function deliver(frame: GateFrame): void {
+    if (!('call' in frame)) return;
+    const one = asked.get(frame.call);
+    if (one === undefined) return;
+    const tally = tallies.get(one.kind)!;
+    const took = timers.now() - one.at;
+    if (frame.type === 'head') tally.loads.push(frame.load);
+    if (frame.type === 'data') {
+      hear({type: 'taken', call: frame.call, bytes: frame.chunk.length});
+    }
+    if (frame.type === 'end') {
+      tally.answered++;
+      if (took <= one.kind.goodFor) tally.inTime++;
+    }
+    if (frame.type === 'refused') {
+      tally.refused++;
+      tally.refusedAt.push(frame.load);
+      tally.slowestRefusal = Math.max(tally.slowestRefusal, took);
+    }
+  }
+
+  function ask(kind: Kind): void {
+    const call = ++last;
+    asked.set(call, {kind, at: timers.now()});
+    tallies.get(kind)!.asked++;
+    const frame: CallFrame = {
+      type: 'call',
+      call,
+      request: String(call),
+      instance: 'a',
+      service: 's',
+      policy: kind.policy,
+      caller: undefined,
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: undefined,
+      priority: 'normal',
+      repeatability: 'idempotent',
+      key: undefined,
+      left: kind.goodFor * 2.5,
+      goodFor: kind.goodFor,
+    };
+    hear(frame);
+  }
+
+  const tick = 2;
+  timers.every(tick, () => {
+    for (const kind of [lookup, archive]) {
+      if (random.fraction() < (kind.perSecond * tick) / 1000) ask(kind);
+    }
+  });
+  await timers.advanceAsync(duration);
+  return {lookups: tallies.get(lookup)!, archives: tallies.get(archive)!};
+}
+
+// Archives for more than the link carries: small answers wait behind them on
+// their way out, and archives hold their slots until they have left.
+test('lookups are in time beside archives that fill the link out', async t => {
+  const {lookups, archives} = await play(8000);
+  const told = JSON.stringify({lookups, archives}, (key, value) =>
+    Array.isArray(value) ? Math.max(...(value as number[])) : (value as number),
+  );
+  t.true(lookups.inTime / lookups.asked > 0.95, told);
+  t.true(archives.inTime / archives.answered > 0.9, told);
+  const carried = (archives.inTime * archive.bytes) / 8 / linkRate;
+  t.true(carried > 0.75, `${carried} of the link: ${told}`);
+  // A small queueing before the refusal leaves is the burst of others.
+  t.true(archives.refused > 0 && archives.slowestRefusal < 60, told);
+  t.true(Math.min(...archives.refusedAt) > 0.9, told);
+  t.true(Math.max(...lookups.loads) < 1.5, told);
+});
