The link out of a VM is counted: large answers take turns, and work is admitted by it

Archives of 90 kB for all of ten links of 12.6 Mbit/s were sent as they came. Polls left behind them, 333 ms at the median for 38 ms of work, and a forecast holds its slot during two of them; archives held their own slots until they had left; gates told loads of slots, and refusals left as late as answers.

Large answers now leave through an outlet of the process, one after the other at nine tenths of the link, small ones at once. Work whose answer is large is refused before it takes a slot where its answer could not leave in time; up to 1 MiB is read ahead, so slots are free meanwhile. Gates tell large calls the load of the link, small ones that of the slots.

Not ruled out: slots are too few as well, some 310 for 276. Archives that are answered are still 50 to 150 ms late: entries don't tell gates how old a call is.

--- a/src/node/link-share.ts
+++ b/src/node/link-share.ts
@@ -1,16 +1,24 @@
-/** How much of its VM's link a node lets large bodies take. */
+/** How much of its VM's link a node lets large bodies and answers take. */
 import {placesFor} from '../request/decisions/body-places.js';
+import {createDepartures} from '../request/decisions/departures.js';
+import type {Departures} from '../request/decisions/departures.js';
+import {createOutlet} from '../request/transport/outlet.js';
+import type {Outlet} from '../request/transport/outlet.js';
 import {bodyRateOf, createPace} from '../request/transport/pace.js';
 import type {Pace} from '../request/transport/pace.js';
 import type {NodeSettings} from '../settings/schema.js';
 import type {Timers} from '../time/timers.js';
 
-/** The share of large bodies, for all that a node receives. */
+/** The shares of the link in and of the link out, which don't share a rate. */
 export interface LinkShare {
   /** How fast they are read together. */
   readonly pace: Pace;
   /** How many uploads the gate takes in at once. */
   readonly places: number;
+  /** The way out for the answers that it sends. */
+  readonly outlet: Outlet;
+  /** Room for the answers of its upstream. */
+  readonly departures: Departures;
 }
 
 /** Resolves the share; undefined where no setting tells the link's rate. */
@@ -20,5 +28,15 @@
 ): LinkShare | undefined {
   if (linkRate === undefined) return undefined;
   const rate = bodyRateOf(linkRate);
-  return {pace: createPace(rate, timers), places: placesFor(rate)};
+  const outlet = createOutlet({rate, timers});
+  return {
+    pace: createPace(rate, timers),
+    places: placesFor(rate),
+    outlet,
+    departures: createDepartures({
+      rate,
+      waiting: () => outlet.waiting,
+      clock: timers,
+    }),
+  };
 }
--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -47,9 +47,10 @@
   const {settings, parts, metrics, configuration} = options;
   const {home, table, membership, gate} = options;
   const {timers, random, log} = options.process;
-  const pace = options.linkShare?.pace;
+  const {pace, outlet} = options.linkShare ?? {};
   const gateServer = createGateServer({
     pace,
+    outlet,
     address: settings.gateAddress,
     gate,
     headerLimit: settings.headerLimit,
@@ -61,6 +62,7 @@
   });
   const entry = createEntry({
     pace,
+    outlet,
     name: settings.name,
     failureDomain: settings.failureDomain,
     region: settings.region,
--- a/src/node/upstream-gate.ts
+++ b/src/node/upstream-gate.ts
@@ -68,6 +68,7 @@
     get load() {
       return gate?.load ?? 0;
     },
+    loadOf: policy => gate?.loadOf(policy) ?? 0,
     handle(call: Call, answer: Answer): Cancel {
       if (gate !== undefined) return gate.handle(call, answer);
       answer.refuse(refusal(requestCodes.wrongInstance));
--- /dev/null
+++ b/src/request/decisions/departures.ts
@@ -0,0 +1,114 @@
+/**
+ * What the link out of a VM is promised for. An answer that can't leave in time
+ * wastes a slot, and the bytes of it make others late, so its work is refused
+ * before it starts.
+ */
+import type {Clock} from '../../time/clock.js';
+import type {Refusal} from '../messages/call.js';
+import {requestCodes} from '../messages/codes.js';
+import {refusal} from '../messages/refusal.js';
+import {createAnswerSizes} from './answer-sizes.js';
+
+/** Room on the link that one piece of work was promised. */
+export interface Departure {
+  /** So many bytes of its answer have come and wait for the link by themselves. */
+  came(bytes: number): void;
+  /** No more of it will come. */
+  end(): void;
+}
+
+/** The room on the link out. */
+export interface Departures {
+  /** Promised bytes, with one more answer, over what leaves in good time. */
+  readonly load: number;
+  /** Whether answers of a kind are large, as far as is known. */
+  isLarge(kind: string | undefined): boolean;
+  /** Why work of a kind can't start, whose answer has to leave until then. */
+  refusal(kind: string | undefined, until: number): Refusal | undefined;
+  /** Keeps room for work of a kind. */
+  promise(kind: string | undefined): Departure;
+  /** An answer of a kind had so many bytes. */
+  learn(kind: string | undefined, bytes: number): void;
+}
+
+/** Options of `createDepartures`. */
+export interface DeparturesOptions {
+  /** Bytes a second that answers may take. */
+  readonly rate: number;
+  /** Bytes of answers that wait for the link. */
+  readonly waiting: () => number;
+  readonly clock: Clock;
+}
+
+const millisecondsPerSecond = 1000;
+
+/**
+ * Share of its time in which an answer has to leave by the estimate. The rest is
+ * for small answers that go before it, sizes beyond the mean and the way on.
+ */
+const promptShare = 0.8;
+
+/** Weight of the newest answer in the mean of the time that they have. */
+const newest = 0.1;
+
+/** Seconds that a refused caller waits at least: one large answer's time. */
+const leastWait = 0.05;
+
+const nothingPromised: Departure = {came: () => {}, end: () => {}};
+
+/** Creates the room of a link that carries nothing yet. */
+export function createDepartures(options: DeparturesOptions): Departures {
+  const {rate, waiting, clock} = options;
+  const sizes = createAnswerSizes();
+  /** Bytes of promised answers that have not come yet. */
+  let expected = 0;
+  /** Seconds in which a large answer usually has to leave, and its bytes. */
+  let usualTime: number | undefined;
+  let usualSize = 0;
+
+  function observe(time: number, size: number): void {
+    const weight = usualTime === undefined ? 1 : newest;
+    usualTime = (usualTime ?? 0) * (1 - weight) + time * weight;
+    usualSize += (size - usualSize) * weight;
+  }
+
+  const backlog = () => expected + waiting();
+  const isLarge = (kind: string | undefined) =>
+    kind !== undefined && sizes.isLarge(kind);
+
+  return {
+    get load() {
+      if (usualTime === undefined) return 0;
+      return (backlog() + usualSize) / (rate * usualTime);
+    },
+    isLarge,
+    refusal: (kind, until) => {
+      if (!isLarge(kind)) return undefined;
+      const size = sizes.mean(kind!);
+      const left = (until - clock.now()) / millisecondsPerSecond;
+      const time = Math.max(0, left * promptShare);
+      observe(time, size);
+      const before = backlog();
+      // Whatever the estimates, a free link is worth a try.
+      if (before === 0 || (before + size) / rate <= time) return undefined;
+      const wait = Math.max(leastWait, before / rate);
+      return refusal(requestCodes.deadlineUnreachable, undefined, wait);
+    },
+    promise: kind => {
+      if (!isLarge(kind)) return nothingPromised;
+      let left = sizes.mean(kind!);
+      expected += left;
+
+      function came(bytes: number): void {
+        const less = Math.min(left, bytes);
+        left -= less;
+        expected -= less;
+      }
+
+      return {came, end: () => came(left)};
+    },
+    learn: (kind, bytes) => {
+      if (kind !== undefined) sizes.add(kind, bytes);
+    },
+  };
+}
--- a/src/request/decisions/peers.test.ts
+++ b/src/request/decisions/peers.test.ts
@@ -7,7 +7,7 @@
 import {configurationOf, stockConfiguration} from '../fakes/configurations.js';
 import {announcementOf, createFakeEndpoints} from '../fakes/fake-endpoints.js';
 import {createPeers} from './peers.js';
-import type {Peer, PeersOptions} from './peers.js';
+import type {CallSize, Peer, PeersOptions} from './peers.js';
 
 function stage(names: readonly string[], changes: Partial<PeersOptions> = {}) {
   const timers = createFakeTimers(1_000_000);
@@ -21,8 +21,12 @@
     log: createSilentLog(),
     ...changes,
   });
-  function choose(configuration = stockConfiguration, tried: string[] = []) {
-    return peers.choose('stock-desk', configuration, new Set(tried));
+  function choose(
+    configuration = stockConfiguration,
+    tried: string[] = [],
+    size: CallSize = 'small',
+  ) {
+    return peers.choose('stock-desk', configuration, new Set(tried), size);
   }
   /** How often each is chosen in a hundred calls that are answered at once. */
   function shares(answer = (peer: Peer) => peer.ended(undefined, 200)) {
@@ -99,3 +103,17 @@
   t.is(choose(stockConfiguration, ['a'])!.announcement.instance, 'b');
   t.truthy(choose(stockConfiguration, ['a', 'b']));
 });
+
+// One load for all: lookups leave an instance whose slots are free since its
+// link is full of archives, or archives run on to a link that is full.
+test('a gate that is full for large calls alone still gets the small ones', t => {
+  const {choose, shares} = stage(['a', 'b']);
+  const chooseLarge = (tried: string[] = []) =>
+    choose(stockConfiguration, tried, 'large')!;
+  chooseLarge(['b']).loaded(3);
+  choose(stockConfiguration, ['a'])!.loaded(1);
+  t.is(shares()['a'], 100);
+  for (let call = 0; call < 20; call++) {
+    t.is(chooseLarge().announcement.instance, 'b');
+  }
+});
--- a/src/request/link-out.test.ts
+++ b/src/request/link-out.test.ts
@@ -1,16 +1,20 @@
 import test from 'ava';
 import {SocketLink} from '../link/socket-link.js';
+import type {Priority} from '../configuration/configuration.js';
 import {createSilentLog} from '../log/log.js';
 import {createRandom} from '../random/random.js';
 import {createFakeTimers} from '../time/fakes/fake-timers.js';
 import type {FakeTimers} from '../time/fakes/fake-timers.js';
 import {createAdmission} from './decisions/admission.js';
+import {createDepartures} from './decisions/departures.js';
 import {createRun} from './decisions/run.js';
 import {createNoStories} from './decisions/stories.js';
 import type {CallHandler, UpstreamLink} from './messages/hops.js';
 import {allSafeguards} from './messages/safeguards.js';
 import {createFramedGate} from './transport/framed-gate.js';
 import type {CallFrame, EntryFrame, GateFrame} from './transport/frames.js';
+import {createOutlet} from './transport/outlet.js';
+import {bodyRateOf} from './transport/pace.js';
 
 const megabits = 12.6;
 const linkRate = (megabits * 1e6) / 8;
@@ -24,6 +28,7 @@
   readonly work: number;
   readonly perSecond: number;
   readonly goodFor: number;
+  readonly priority: Priority;
 }
 
 const lookup: Kind = {
@@ -32,6 +37,7 @@
   work: 38,
   perSecond: 90,
   goodFor: 150,
+  priority: 'normal',
 };
 const archive: Kind = {
   policy: 'archives',
@@ -39,6 +45,7 @@
   work: 120,
   perSecond: 25,
   goodFor: 600,
+  priority: 'normal',
 };
 
 /** A link whose frames leave one after the other at its rate. */
@@ -114,20 +121,33 @@
   };
 }
 
-function createStage(timers: FakeTimers): CallHandler {
+function createStage(timers: FakeTimers) {
+  const rate = bodyRateOf(megabits);
+  const outlet = createOutlet({rate, timers});
+  const departures = createDepartures({
+    rate,
+    waiting: () => outlet.waiting,
+    clock: timers,
+  });
   const admission = createAdmission({slots, queueLength: 36, clock: timers});
   const upstream = createWorker(timers, kindNamed);
-  return {
+  const gate: CallHandler = {
     instance: 'a',
     service: 's',
     get load() {
       return admission.load;
     },
+    loadOf: policy =>
+      departures.isLarge(policy)
+        ? Math.max(admission.load, departures.load)
+        : admission.load,
     handle: (call, answer) => {
       const run = createRun({
         call,
         answer,
         admission,
+        departures,
+        objective: kindNamed(call.policy!).goodFor,
         upstream,
         instance: 'a',
         story: createNoStories().begin(call.id),
@@ -142,6 +162,7 @@
       return run.cancel;
     },
   };
+  return {gate, outlet};
 }
 
 function kindNamed(policy: string): Kind {
@@ -173,8 +194,15 @@
   };
 }
 
+/** What entries say of the calls of a play. */
+interface Terms {
+  /** Whether they know until when answers are good. */
+  readonly knowsGoodFor: boolean;
+  readonly lookup: Kind;
+}
+
 /** Plays so many milliseconds of lookups and archives at a gate with a full link. */
-async function play(duration: number) {
+async function play(duration: number, {knowsGoodFor, lookup}: Terms) {
   const timers = createFakeTimers();
   const random = createRandom(3);
   const asked = new Map<number, {kind: Kind; at: number}>();
@@ -182,7 +210,7 @@
   let last = 0;
   const {link, hear} = createSlowLink(timers, deliver);
   const gate = createFramedGate({
-    gate: createStage(timers),
+    ...createStage(timers),
     timers,
     log: createSilentLog(),
     safeguards: allSafeguards,
@@ -226,11 +254,11 @@
       path: '/',
       headers: [],
       body: undefined,
-      priority: 'normal',
+      priority: kind.priority,
       repeatability: 'idempotent',
       key: undefined,
       left: kind.goodFor * 2.5,
-      goodFor: kind.goodFor,
+      goodFor: kind.goodFor * (knowsGoodFor ? 1 : 2.5),
     };
     hear(frame);
   }
@@ -248,7 +276,7 @@
 // Archives for more than the link carries: small answers wait behind them on
 // their way out, and archives hold their slots until they have left.
 test('lookups are in time beside archives that fill the link out', async t => {
-  const {lookups, archives} = await play(8000);
+  const {lookups, archives} = await play(8000, {knowsGoodFor: true, lookup});
   const told = JSON.stringify({lookups, archives}, (key, value) =>
     Array.isArray(value) ? Math.max(...(value as number[])) : (value as number),
   );
@@ -261,3 +289,20 @@
   t.true(Math.min(...archives.refusedAt) > 0.9, told);
   t.true(Math.max(...lookups.loads) < 1.5, told);
 });
+
+// Entries know only the deadline of rare requests, and urgent lookups go first:
+// archives wait for slots, keep room on the link meanwhile, and leave late.
+test('archives behind urgent lookups are in time or refused', async t => {
+  const urgent: Kind = {...lookup, perSecond: 120, priority: 'critical'};
+  const {lookups, archives} = await play(8000, {
+    knowsGoodFor: false,
+    lookup: urgent,
+  });
+  const told = JSON.stringify({lookups, archives}, (key, value) =>
+    Array.isArray(value) ? Math.max(...(value as number[])) : (value as number),
+  );
+  t.true(lookups.inTime / lookups.asked > 0.95, told);
+  t.true(archives.inTime / archives.answered > 0.9, told);
+  const carried = (archives.inTime * archive.bytes) / 8 / linkRate;
+  t.true(carried > 0.7, `${carried} of the link: ${told}`);
+});
--- a/src/request/messages/answer.ts
+++ b/src/request/messages/answer.ts
@@ -1,5 +1,11 @@
 import type {AnswerHead, Refusal} from './call.js';
 
+/**
+ * Bytes from which an answer is large: it weighs on links between failure
+ * domains, and small answers must not wait behind it.
+ */
+export const largeAnswer = 16 * 1024;
+
 /**
  * Where the answer to one request goes. Exactly one of `end`, `refuse` and
  * `cut` ends it; calls after that are ignored.
--- a/src/request/messages/hops.ts
+++ b/src/request/messages/hops.ts
@@ -15,6 +15,8 @@
   readonly service: string;
   /** Running and waiting work over the slots. */
   readonly load: number;
+  /** The load that work of a policy meets: that of what it needs most. */
+  loadOf(policy: string | undefined): number;
   /** Takes one call; its answer, or a numbered refusal, goes to `answer`. */
   handle(call: Call, answer: Answer): Cancel;
 }
--- a/src/request/transport/framed-gate.ts
+++ b/src/request/transport/framed-gate.ts
@@ -13,10 +13,13 @@
 import type {Call, Cancel} from '../messages/call.js';
 import {refusal, refusalOf} from '../messages/refusal.js';
 import type {Safeguards} from '../messages/safeguards.js';
+import type {Outlet} from './outlet.js';
 
 /** Options of `createFramedGate`; times in milliseconds. */
 export interface FramedGateOptions {
   readonly gate: CallHandler;
+  /** The way out for answers; as they come unless given. */
+  readonly outlet?: Outlet | undefined;
   readonly timers: Timers;
   readonly log: Log;
   readonly safeguards: Safeguards;
@@ -123,12 +126,14 @@
   }
 
   function begin(own: Served, frame: CallFrame): void {
-    const answer = createFramedAnswer(frame.call, {
+    const framed = createFramedAnswer(frame.call, {
       send: message => send(own, message),
-      load: () => gate.load,
+      load: () => gate.loadOf(frame.policy),
       ended: () => ended(own, frame.call),
     });
-    const work: Work = {cancel: () => {}, taken: answer.taken};
+    const leaving = options.outlet?.to(framed);
+    const answer = leaving ?? framed;
+    const work: Work = {cancel: () => {}, taken: framed.taken};
     own.calls.set(frame.call, work);
     if (safeguards.instanceCheck && !isForGate(frame)) {
       return answer.refuse(refusal(requestCodes.wrongInstance));
@@ -136,6 +141,7 @@
     const cancel = handle(frame, answer);
     work.cancel = () => {
       own.calls.delete(frame.call);
+      leaving?.drop();
       cancel();
     };
   }
--- /dev/null
+++ b/src/request/transport/outlet.test.ts
@@ -0,0 +1,131 @@
+import test from 'ava';
+import {createFakeTimers} from '../../time/fakes/fake-timers.js';
+import {createFakeAnswer} from '../fakes/fake-answer.js';
+import type {Answer} from '../messages/answer.js';
+import {createOutlet} from './outlet.js';
+
+const rate = 1_000_000;
+const large = 100_000;
+
+function stage() {
+  const timers = createFakeTimers();
+  const outlet = createOutlet({rate, timers});
+  const written = {total: 0};
+  /** An answer by the outlet, and what came out of it. */
+  function open(takes: (bytes: number) => boolean = () => true) {
+    const inner = createFakeAnswer();
+    const state = {bytes: 0, end: 'none', resume: () => {}};
+    const receiver: Answer = Object.assign(inner, {
+      write(chunk: Buffer) {
+        state.bytes += chunk.length;
+        written.total += chunk.length;
+        return takes(state.bytes);
+      },
+      onDrain: (resume: () => void) => void (state.resume = resume),
+      end: () => void (state.end = 'whole'),
+      cut: () => void (state.end = 'cut'),
+    });
+    const answer = outlet.to(receiver);
+    answer.start({status: 200, reason: '', headers: []});
+    return {answer, state};
+  }
+  return {timers, outlet, open, written};
+}
+
+test('large answers leave one after the other at the rate', t => {
+  const {timers, outlet, open, written} = stage();
+  const first = open();
+  const second = open();
+  for (const {answer} of [first, second]) {
+    answer.write(Buffer.alloc(large));
+    answer.end();
+  }
+  timers.advance(100);
+  t.is(first.state.end, 'whole');
+  t.is(second.state.end, 'none');
+  t.true(written.total < 0.15 * rate, `${written.total}`);
+  t.is(outlet.waiting, 2 * large - written.total);
+  timers.advance(100);
+  t.is(second.state.end, 'whole');
+  t.is(outlet.waiting, 0);
+});
+
+test('a small answer leaves at once beside large ones', t => {
+  const {open} = stage();
+  open().answer.write(Buffer.alloc(large));
+  const small = open();
+  small.answer.write(Buffer.alloc(400));
+  small.answer.end();
+  t.is(small.state.bytes, 400);
+  t.is(small.state.end, 'whole');
+});
+
+test('small answers count against the rate of the large ones', t => {
+  const {timers, open, written} = stage();
+  open().answer.write(Buffer.alloc(10 * large));
+  const period = 10;
+  timers.every(period, () => {
+    const small = open();
+    small.answer.write(Buffer.alloc(5_000));
+    small.answer.end();
+  });
+  timers.advance(1000);
+  t.true(written.total < 1.06 * rate, `${written.total}`);
+});
+
+test('a receiver that takes no more holds up its own answer alone', t => {
+  const {timers, outlet, open} = stage();
+  const slow = open(bytes => bytes < 30_000);
+  const next = open();
+  for (const {answer} of [slow, next]) {
+    answer.write(Buffer.alloc(large));
+    answer.end();
+  }
+  timers.advance(200);
+  t.is(next.state.end, 'whole');
+  t.is(slow.state.end, 'none');
+  t.is(
+    outlet.waiting,
+    0,
+    'what waits for a receiver does not wait for the link',
+  );
+  for (let turn = 0; turn < 20; turn++) {
+    slow.state.resume();
+    timers.advance(20);
+  }
+  t.is(slow.state.end, 'whole');
+  t.is(slow.state.bytes, large);
+});
+
+test('a sender is held up once much waits, and called when there is room', t => {
+  const {timers, open} = stage();
+  const {answer} = open();
+  let parts = 0;
+  while (answer.write(Buffer.alloc(large))) parts++;
+  t.true(parts < 12, `${parts}`);
+  let resumed = 0;
+  answer.onDrain(() => void resumed++);
+  t.is(resumed, 0);
+  timers.advance(200);
+  t.is(resumed, 1);
+});
+
+for (const end of ['cut', 'drop'] as const) {
+  test(`an answer that ends early lets go of what waits, by ${end}`, t => {
+    const {timers, outlet, open} = stage();
+    const first = open();
+    const second = open();
+    first.answer.write(Buffer.alloc(large));
+    second.answer.write(Buffer.alloc(large));
+    first.answer[end]();
+    const {bytes} = first.state;
+    first.answer.write(Buffer.alloc(large));
+    first.answer.end();
+    t.is(first.state.end, end === 'cut' ? 'cut' : 'none');
+    second.answer.end();
+    timers.advance(150);
+    t.is(second.state.end, 'whole');
+    t.is(outlet.waiting, 0);
+    t.is(first.state.bytes, bytes);
+  });
+}
--- /dev/null
+++ b/src/request/transport/outlet.ts
@@ -0,0 +1,235 @@
+/**
+ * The way out of a VM for the answers that its process sends. Large ones leave
+ * one after the other at the pace of a share of the link. Written as they come,
+ * they would wait in the sockets, and small answers, marks and heartbeats
+ * behind them.
+ */
+import {Answer, largeAnswer} from '../messages/answer.js';
+import type {AnswerHead, Refusal} from '../messages/call.js';
+import type {Subscription, Timers} from '../../time/timers.js';
+import {createMeter} from './pace.js';
+import type {Meter} from './pace.js';
+
+/** An answer on its way through an outlet. */
+export abstract class LeavingAnswer extends Answer {
+  /** Its receiver has gone; what waits of it is let go. */
+  abstract drop(): void;
+}
+
+/** The way out for the answers of one process. */
+export interface Outlet {
+  /** Bytes of large answers that wait for the link. */
+  readonly waiting: number;
+  /** The way through it to `answer`. */
+  to(answer: Answer): LeavingAnswer;
+}
+
+/** Options of `createOutlet`. */
+export interface OutletOptions {
+  /** Bytes a second that answers may take. */
+  readonly rate: number;
+  readonly timers: Timers;
+}
+
+/** Milliseconds' worth of large answers that a small one may wait behind. */
+const burst = 20;
+
+/** Bytes of a large answer that leave in one turn. */
+const partSize = 16 * 1024;
+
+/** Bytes that each answer may have waiting, however many others wait. */
+const window = 64 * 1024;
+
+/**
+ * Bytes that all answers may have waiting together. Up to there the upstream is
+ * not held up, so its slots are free for work whose answers are small.
+ */
+const readAhead = 1024 * 1024;
+
+/** The part of an outlet that its answers share. */
+interface Turns {
+  readonly meter: Meter;
+  /** Large answers under way, the first first. */
+  readonly answers: Set<TurnAnswer>;
+  /** Bytes that wait, for the link or for their receivers. */
+  held: number;
+  /** Sends what may leave now. */
+  pump(): void;
+}
+
+/** Creates an outlet. */
+export function createOutlet({rate, timers}: OutletOptions): Outlet {
+  let next: Subscription | undefined;
+  let isPumping = false;
+  const turns: Turns = {
+    meter: createMeter(rate, timers, burst),
+    answers: new Set(),
+    held: 0,
+    pump,
+  };
+
+  function pump(): void {
+    if (isPumping || next !== undefined) return;
+    isPumping = true;
+    sendReady();
+    isPumping = false;
+  }
+
+  function sendReady(): void {
+    for (;;) {
+      const ready = findReady();
+      if (ready === undefined) return;
+      const wait = turns.meter.wait();
+      if (wait > 0) {
+        next = timers.after(wait, () => {
+          next = undefined;
+          pump();
+        });
+        return;
+      }
+      ready.sendPart();
+      for (const answer of turns.answers) answer.callForMore();
+    }
+  }
+
+  function findReady(): TurnAnswer | undefined {
+    for (const answer of turns.answers) {
+      if (answer.isReady) return answer;
+    }
+    return undefined;
+  }
+
+  return {
+    get waiting() {
+      let bytes = 0;
+      for (const answer of turns.answers) bytes += answer.waiting;
+      return bytes;
+    },
+    to: answer => new TurnAnswer(answer, turns),
+  };
+}
+
+/** An answer that takes its turn once it has grown large. */
+class TurnAnswer extends LeavingAnswer {
+  /** Bytes that passed at once. */
+  private passed = 0;
+  private isLarge = false;
+  private readonly parts: Buffer[] = [];
+  private held = 0;
+  /** Whether its receiver takes no more now. */
+  private isBlocked = false;
+  private isWhole = false;
+  private isOver = false;
+  private resume: (() => void) | undefined;
+
+  constructor(
+    private readonly answer: Answer,
+    private readonly turns: Turns,
+  ) {
+    super();
+  }
+
+  get isReady(): boolean {
+    return this.held > 0 && !this.isBlocked;
+  }
+
+  /** Bytes that wait for the link, not for the receiver. */
+  get waiting(): number {
+    return this.isBlocked ? 0 : this.held;
+  }
+
+  admit(): void {
+    this.answer.admit();
+  }
+
+  start(head: AnswerHead): void {
+    this.answer.start(head);
+  }
+
+  write(chunk: Buffer): boolean {
+    if (this.isOver) return true;
+    if (!this.isLarge && this.passed + chunk.length < largeAnswer) {
+      this.passed += chunk.length;
+      this.turns.meter.spend(chunk.length);
+      return this.answer.write(chunk);
+    }
+    this.isLarge = true;
+    this.turns.answers.add(this);
+    this.parts.push(chunk);
+    this.held += chunk.length;
+    this.turns.held += chunk.length;
+    this.turns.pump();
+    return this.hasRoom();
+  }
+
+  onDrain(resume: () => void): void {
+    if (this.isLarge) this.resume = resume;
+    else this.answer.onDrain(resume);
+  }
+
+  end(): void {
+    this.isWhole = true;
+    if (!this.isOver && this.held === 0) this.finish();
+  }
+
+  refuse(refusal: Refusal): void {
+    this.drop();
+    this.answer.refuse(refusal);
+  }
+
+  cut(): void {
+    this.drop();
+    this.answer.cut();
+  }
+
+  drop(): void {
+    this.isOver = true;
+    this.turns.held -= this.held;
+    this.held = 0;
+    this.parts.length = 0;
+    this.resume = undefined;
+    this.turns.answers.delete(this);
+  }
+
+  /** Sends the next part of it. */
+  sendPart(): void {
+    const part = this.takePart();
+    this.held -= part.length;
+    this.turns.held -= part.length;
+    this.turns.meter.spend(part.length);
+    if (!this.answer.write(part)) this.block();
+    if (this.held === 0 && this.isWhole) this.finish();
+  }
+
+  /** Has its sender go on once there is room for more. */
+  callForMore(): void {
+    const {resume} = this;
+    if (resume === undefined || !this.hasRoom()) return;
+    this.resume = undefined;
+    resume();
+  }
+
+  private hasRoom(): boolean {
+    return this.turns.held < readAhead || this.held < window;
+  }
+
+  private takePart(): Buffer {
+    const first = this.parts[0]!;
+    if (first.length <= partSize) return this.parts.shift()!;
+    this.parts[0] = first.subarray(partSize);
+    return first.subarray(0, partSize);
+  }
+
+  private block(): void {
+    this.isBlocked = true;
+    this.answer.onDrain(() => {
+      this.isBlocked = false;
+      this.turns.pump();
+    });
+  }
+
+  private finish(): void {
+    this.drop();
+    this.answer.end();
+  }
+}
--- a/src/request/transport/pace.ts
+++ b/src/request/transport/pace.ts
@@ -4,6 +4,7 @@
  * small requests for this VM wait behind them for a second and more. Read no
  * faster than a share of the link, they wait in their senders' windows.
  */
+import type {Clock} from '../../time/clock.js';
 import type {Timers} from '../../time/timers.js';
 
 /** The pace of all bodies of one process. */
@@ -12,6 +13,14 @@
   take(bytes: number): Promise<void>;
 }
 
+/** Counts bytes against a rate. */
+export interface Meter {
+  /** Milliseconds until more bytes may pass; 0 or less for none. */
+  wait(): number;
+  /** So many bytes pass, whether they had to wait or not. */
+  spend(bytes: number): void;
+}
+
 const bitsPerByte = 8;
 const bitsPerMegabit = 1e6;
 const millisecondsPerSecond = 1000;
@@ -30,17 +39,28 @@
 /** Milliseconds' worth of bytes that may come at once after a pause. */
 const burst = 50;
 
-/** Creates a pace of `rate` bytes a second. */
-export function createPace(rate: number, timers: Timers): Pace {
+/** Creates a meter of `rate` bytes a second with so many milliseconds' burst. */
+export function createMeter(rate: number, clock: Clock, burst: number): Meter {
   /** When all that was let through would have come at the rate. */
   let paidUntil = Number.NEGATIVE_INFINITY;
 
   return {
-    take(bytes) {
-      const now = timers.now();
-      const wait = paidUntil - burst - now;
+    wait: () => paidUntil - burst - clock.now(),
+    spend: bytes => {
       const duration = (bytes / rate) * millisecondsPerSecond;
-      paidUntil = Math.max(paidUntil, now) + duration;
+      paidUntil = Math.max(paidUntil, clock.now()) + duration;
+    },
+  };
+}
+
+/** Creates a pace of `rate` bytes a second. */
+export function createPace(rate: number, timers: Timers): Pace {
+  const meter = createMeter(rate, timers, burst);
+
+  return {
+    take(bytes) {
+      const wait = meter.wait();
+      meter.spend(bytes);
       if (wait <= 0) return Promise.resolve();
       return new Promise(resolve => void timers.after(wait, resolve));
     },
