--- a/src/request/decisions/ejection.ts
+++ b/src/request/decisions/ejection.ts
@@ -25,6 +25,8 @@
   succeeded(instance: string): void;
   /** Work at an instance failed by the instance's fault. */
   failed(instance: string): void;
+  /** Whether an instance is left out, unless too many are. */
+  isOut(instance: string): boolean;
   /** Those of a service's instances that may be used; never none of some. */
   allowed(instances: readonly string[]): ReadonlySet<string>;
   /** Forgets instances that are gone. */
@@ -63,15 +65,20 @@
    * fault that all instances share would leave a service without any.
    */
   function ejected(instances: readonly string[]): string[] {
-    const now = clock.now();
-    const out = instances.filter(name => (known.get(name)?.until ?? 0) > now);
+    const out = instances.filter(isOut);
     const most = Math.floor(instances.length * limits.ceiling);
     return out
       .sort((left, right) => known.get(right)!.until - known.get(left)!.until)
       .slice(0, most);
   }
 
+  function isOut(instance: string): boolean {
+    const evidence = known.get(instance);
+    return evidence !== undefined && evidence.until > clock.now();
+  }
+
   return {
+    isOut,
     succeeded: instance => {
       const evidence = known.get(instance);
       if (evidence === undefined || evidence.until > clock.now()) return;
