Links: what is sent in one turn leaves as one buffer

Each message was framed by a copy of its own, held in the socket's stream by a cork and written with others by a vectored write, with an object and callback for each. Links had a class each besides, made with the link, so that a call on a link found another shape each time. Payloads are now gathered by the link and copied once, behind their lengths, into the one buffer that is written; all links are of one class. What is gathered counts as pending and as sent.

--- a/src/link/frame.test.ts
+++ b/src/link/frame.test.ts
@@ -1,12 +1,9 @@
 import test from 'ava';
-import {createFrameReader, encodeFrame} from './frame.js';
+import {createFrameReader, encodeFrames} from './frame.js';
 
 test('frames come out whole however the bytes were cut', t => {
-  const bytes = Buffer.concat([
-    encodeFrame(Buffer.from('first')),
-    encodeFrame(Buffer.from('')),
-    encodeFrame(Buffer.from('third')),
-  ]);
+  const payloads = ['first', '', 'third'].map(text => Buffer.from(text));
+  const bytes = encodeFrames(payloads);
   for (let size = 1; size <= bytes.length; size++) {
     const frames: string[] = [];
     const reader = createFrameReader(100, frame => frames.push(`${frame}`));
@@ -19,5 +16,5 @@
 
 test('a frame over the limit is refused before its bytes are held', t => {
   const reader = createFrameReader(10, () => t.fail());
-  t.throws(() => reader.push(encodeFrame(Buffer.alloc(11))));
+  t.throws(() => reader.push(encodeFrames([Buffer.alloc(11)])));
 });
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -1,11 +1,18 @@
-const headerBytes = 4;
+/** Bytes before each payload. */
+export const headerBytes = 4;
 
-/** Prefixes a payload with its length, a big-endian 32-bit number. */
-export function encodeFrame(payload: Buffer): Buffer {
-  const frame = Buffer.allocUnsafe(headerBytes + payload.length);
-  frame.writeUInt32BE(payload.length, 0);
-  payload.copy(frame, headerBytes);
-  return frame;
+/** Puts payloads one behind the other, each after its length, 32 bits big-endian. */
+export function encodeFrames(payloads: readonly Buffer[]): Buffer {
+  let size = 0;
+  for (const {length} of payloads) size += headerBytes + length;
+  const frames = Buffer.allocUnsafe(size);
+  let at = 0;
+  for (const payload of payloads) {
+    frames.writeUInt32BE(payload.length, at);
+    payload.copy(frames, at + headerBytes);
+    at += headerBytes + payload.length;
+  }
+  return frames;
 }
 
 /** Cuts a byte stream into frames. */
--- a/src/link/socket-link.ts
+++ b/src/link/socket-link.ts
@@ -1,7 +1,7 @@
 /** A message link over an open socket, in frames. */
 import type {Socket} from 'node:net';
 import type {Codec} from './codec.js';
-import {createFrameReader, encodeFrame} from './frame.js';
+import {createFrameReader, encodeFrames, headerBytes} from './frame.js';
 import {Link} from './link.js';
 
 /** Options of `createSocketLink`. */
@@ -23,84 +23,99 @@
 /** Creates the link; the socket is its own from then on. */
 export function createSocketLink(
   socket: Socket,
-  {messageLimit, codec, onFault}: SocketLinkOptions,
+  options: SocketLinkOptions,
 ): SocketLink {
-  const backlog: unknown[] = [];
-  let receive: ((message: unknown) => void) | undefined;
-  let closed: (() => void) | undefined;
-  let ended = false;
-  let isGathering = false;
+  return new OpenLink(socket, options);
+}
 
-  const reader = createFrameReader(messageLimit, frame => {
-    const message = codec.decode(frame);
-    if (receive === undefined) backlog.push(message);
-    else receive(message);
-  });
+// One class for all links: a call on any of them then finds the same shape.
+class OpenLink extends SocketLink {
+  readonly peer: string;
+  /** Messages that came before there was a receiver. */
+  private readonly backlog: unknown[] = [];
+  private receive: ((message: unknown) => void) | undefined;
+  private closed: (() => void) | undefined;
+  private isOver = false;
+  /** What was sent in this turn of the loop, and its bytes as frames. */
+  private payloads: Buffer[] = [];
+  private gathered = 0;
 
-  /** What is sent in one turn of the loop leaves in one write. */
-  function gather(): void {
-    if (isGathering) return;
-    isGathering = true;
-    socket.cork();
-    setImmediate(() => {
-      isGathering = false;
-      socket.uncork();
+  constructor(
+    private readonly socket: Socket,
+    private readonly options: SocketLinkOptions,
+  ) {
+    super();
+    this.peer = `${socket.remoteAddress}:${socket.remotePort}`;
+    const reader = createFrameReader(options.messageLimit, frame =>
+      this.take(options.codec.decode(frame)),
+    );
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true, 10_000);
+    socket.on('data', chunk => {
+      try {
+        reader.push(chunk);
+      } catch (error) {
+        options.onFault?.(error as Error);
+        socket.destroy();
+      }
+    });
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => {
+      this.isOver = true;
+      this.closed?.();
     });
   }
 
-  socket.setNoDelay(true);
-  socket.setKeepAlive(true, 10_000);
-  socket.on('data', chunk => {
-    try {
-      reader.push(chunk);
-    } catch (error) {
-      onFault?.(error as Error);
-      socket.destroy();
-    }
-  });
-  socket.on('error', () => socket.destroy());
-  socket.on('close', () => {
-    ended = true;
-    closed?.();
-  });
+  get pending(): number {
+    return this.socket.writableLength + this.gathered;
+  }
 
-  return new (class extends SocketLink {
-    readonly peer = `${socket.remoteAddress}:${socket.remotePort}`;
+  get bytesIn(): number {
+    return this.socket.bytesRead;
+  }
 
-    get pending(): number {
-      return socket.writableLength;
-    }
+  get bytesOut(): number {
+    return this.socket.bytesWritten + this.gathered;
+  }
 
-    get bytesIn(): number {
-      return socket.bytesRead;
-    }
+  send(message: unknown): void {
+    if (this.isOver || this.socket.destroyed) return;
+    const payload = this.options.codec.encode(message);
+    if (this.payloads.length === 0) setImmediate(() => this.flush());
+    this.payloads.push(payload);
+    this.gathered += headerBytes + payload.length;
+  }
 
-    get bytesOut(): number {
-      return socket.bytesWritten;
-    }
+  onMessage(receiver: (message: unknown) => void): void {
+    this.receive = receiver;
+    for (const message of this.backlog.splice(0)) receiver(message);
+  }
 
-    send(message: unknown): void {
-      if (ended || socket.destroyed) return;
-      gather();
-      socket.write(encodeFrame(codec.encode(message)));
-    }
+  onClose(observer: () => void): void {
+    this.closed = observer;
+    if (this.isOver) observer();
+  }
 
-    onMessage(receiver: (message: unknown) => void): void {
-      receive = receiver;
-      for (const message of backlog.splice(0)) receiver(message);
-    }
+  close(): void {
+    this.flush();
+    this.socket.end();
+  }
 
-    onClose(observer: () => void): void {
-      closed = observer;
-      if (ended) observer();
-    }
+  destroy(): void {
+    this.socket.destroy();
+  }
 
-    close(): void {
-      socket.end();
-    }
+  private take(message: unknown): void {
+    if (this.receive === undefined) this.backlog.push(message);
+    else this.receive(message);
+  }
 
-    destroy(): void {
-      socket.destroy();
-    }
-  })();
+  /** What is sent in one turn of the loop leaves in one write. */
+  private flush(): void {
+    if (this.payloads.length === 0) return;
+    const frames = encodeFrames(this.payloads);
+    this.payloads = [];
+    this.gathered = 0;
+    if (!this.socket.destroyed) this.socket.write(frames);
+  }
 }
