Stories of requests: one object each, fields of one shape

A story was two functions and their scope for each request at each hop, and its fields were put together by spreads of what was there, so that each kind of end had a shape of its own. What is undefined is left out of a line as before; the lines are the same.

A stand-in of a peer in attempt-answer.test.ts tells the fields that a peer now always has; its checks are as they were.

--- a/src/request/decisions/attempt-answer.test.ts
+++ b/src/request/decisions/attempt-answer.test.ts
@@ -9,7 +9,14 @@
   const judged: string[] = [];
   const peer = {
     announcement: announcementOf(),
-    known: () => ({}),
+    known: () => ({
+      outstanding: 0,
+      load: 0,
+      loadAge: undefined,
+      blame: 0,
+      state: 'serving',
+      stateAge: 0,
+    }),
     began: () => {},
     loaded: () => {},
     ended: (code: {name: string} | undefined, status: number) =>
--- a/src/request/decisions/stories.ts
+++ b/src/request/decisions/stories.ts
@@ -6,6 +6,7 @@
  */
 import {createLineBudget} from '../../log/line-budget.js';
 import type {Fields, Log} from '../../log/log.js';
+import type {Clock} from '../../time/clock.js';
 import type {Timers} from '../../time/timers.js';
 
 /** What was decided; docs/LOGS.md tells the fields of each. */
@@ -85,28 +86,38 @@
     }
   }
 
-  return {
-    begin: request => {
-      const notes: Note[] = [];
-      let isOver = false;
-
-      function note(decision: Decision, fields: Fields): void {
-        if (!isOver) notes.push({decision, fields, at: timers.wall()});
-      }
-
-      return {
-        note,
-        end: (decision, outcome, ending) => {
-          if (isOver) return;
-          note(decision, outcome);
-          isOver = true;
-          if (ending === 'notable' || isSampled(request)) {
-            write(request, notes);
-          }
-        },
-      };
-    },
-  };
+  function finish(request: string, notes: readonly Note[], ending: Ending) {
+    if (ending === 'notable' || isSampled(request)) write(request, notes);
+  }
+
+  return {begin: request => new OpenStory(request, timers, finish)};
+}
+
+/** Takes the notes of a request that has ended. */
+type Finish = (request: string, notes: readonly Note[], ending: Ending) => void;
+
+// A class: functions made for each request would cost more than the notes.
+class OpenStory implements Story {
+  private readonly notes: Note[] = [];
+  private isOver = false;
+
+  constructor(
+    private readonly request: string,
+    private readonly clock: Clock,
+    private readonly finish: Finish,
+  ) {}
+
+  note(decision: Decision, fields: Fields): void {
+    if (this.isOver) return;
+    this.notes.push({decision, fields, at: this.clock.wall()});
+  }
+
+  end(decision: Decision, outcome: Fields, ending: Ending): void {
+    if (this.isOver) return;
+    this.note(decision, outcome);
+    this.isOver = true;
+    this.finish(this.request, this.notes, ending);
+  }
 }
 
 /**
