An answer without an end no longer keeps the large ones behind it waiting

Large answers left a VM one after the other, each until its end. One that never ends, or a download far larger than the others, kept the outlet for itself as long as its receiver took it: it is refilled from its upstream after each part, so it was always ready and always first.

Found by reading. The test in outlet.test.ts failed before: behind an answer without an end, one of 100 kB had not left after 1 s at 1 MB/s.

An answer that has sent 256 KiB goes behind the others now. Answers up to that size still leave one after the other, so none of them is later than before.

--- a/src/request/transport/outlet.test.ts
+++ b/src/request/transport/outlet.test.ts
@@ -129,3 +129,19 @@
     t.is(first.state.bytes, bytes);
   });
 }
+
+test('an answer without an end does not hold up the large ones behind it', t => {
+  const {timers, open} = stage();
+  const endless = open();
+  function goOn(): void {
+    while (endless.answer.write(Buffer.alloc(large)));
+    endless.answer.onDrain(goOn);
+  }
+  goOn();
+  const second = open();
+  second.answer.write(Buffer.alloc(large));
+  second.answer.end();
+  timers.advance(1000);
+  t.is(second.state.end, 'whole');
+  t.true(endless.state.bytes > 0.85 * rate, `${endless.state.bytes}`);
+});
--- a/src/request/transport/outlet.ts
+++ b/src/request/transport/outlet.ts
@@ -1,8 +1,8 @@
 /**
  * The way out of a VM for the answers that its process sends. Large ones leave
- * one after the other at the pace of a share of the link. Written as they come,
- * they would wait in the sockets, and small answers, marks and heartbeats
- * behind them.
+ * one after the other at the pace of a share of the link; very large ones let
+ * the others go first from time to time. Written as they come, they would wait
+ * in the sockets, and small answers, marks and heartbeats behind them.
  */
 import {Answer, largeAnswer} from '../messages/answer.js';
 import type {AnswerHead, Refusal} from '../messages/call.js';
@@ -34,9 +34,12 @@
 /** Milliseconds' worth of large answers that a small one may wait behind. */
 const burst = 20;
 
-/** Bytes of a large answer that leave in one turn. */
+/** Bytes of a large answer that leave at once. */
 const partSize = 16 * 1024;
 
+/** Bytes of one answer that leave before the others get their turn. */
+const turnSize = 256 * 1024;
+
 /** Bytes that each answer may have waiting, however many others wait. */
 const window = 64 * 1024;
 
@@ -49,7 +52,7 @@
 /** The part of an outlet that its answers share. */
 interface Turns {
   readonly meter: Meter;
-  /** Large answers under way, the first first. */
+  /** Large answers under way, the one whose turn it is first. */
   readonly answers: Set<TurnAnswer>;
   /** Bytes that wait, for the link or for their receivers. */
   held: number;
@@ -116,6 +119,8 @@
   private isLarge = false;
   private readonly parts: Buffer[] = [];
   private held = 0;
+  /** Bytes that left in this turn. */
+  private sent = 0;
   /** Whether its receiver takes no more now. */
   private isBlocked = false;
   private isWhole = false;
@@ -198,7 +203,9 @@
     this.turns.held -= part.length;
     this.turns.meter.spend(part.length);
     if (!this.answer.write(part)) this.block();
+    this.sent += part.length;
     if (this.held === 0 && this.isWhole) this.finish();
+    else if (this.sent >= turnSize) this.endTurn();
   }
 
   /** Has its sender go on once there is room for more. */
@@ -220,6 +227,13 @@
     return first.subarray(0, partSize);
   }
 
+  /** Goes behind the others; an answer without an end would keep them waiting. */
+  private endTurn(): void {
+    this.sent = 0;
+    this.turns.answers.delete(this);
+    this.turns.answers.add(this);
+  }
+
   private block(): void {
     this.isBlocked = true;
     this.answer.onDrain(() => {
