A sender that the outlet holds up goes on once its receiver has gone

Keyed work goes on when its caller leaves, so that a resend finds its answer. If its answer was held up by a full outlet at that moment, the outlet let go of what waited and forgot whom to call for more: the upstream was held up until the deadline, kept its slot until then, and was broken off. The key was then given up as unknown, and the resend was told that the work may have run in place of its answer.

Found by reading. The test in outlet.test.ts failed before: the sender was never called. Now it is, and what it still sends goes nowhere. Work that ends with its caller is cancelled right after, as before.

--- a/src/request/transport/outlet.test.ts
+++ b/src/request/transport/outlet.test.ts
@@ -145,3 +145,17 @@
   t.is(second.state.end, 'whole');
   t.true(endless.state.bytes > 0.85 * rate, `${endless.state.bytes}`);
 });
+
+// Keyed work goes on without its caller, and its answer is kept for resends.
+test('a sender that is held up goes on once its receiver has gone', t => {
+  const {timers, open} = stage();
+  const {answer} = open();
+  while (answer.write(Buffer.alloc(large)));
+  let resumed = 0;
+  answer.onDrain(() => void resumed++);
+  answer.drop();
+  t.is(resumed, 1);
+  t.true(answer.write(Buffer.alloc(large)));
+  timers.advance(1000);
+  t.is(resumed, 1);
+});
--- a/src/request/transport/outlet.ts
+++ b/src/request/transport/outlet.ts
@@ -178,22 +178,20 @@
   }
 
   refuse(refusal: Refusal): void {
-    this.drop();
+    this.letGo();
     this.answer.refuse(refusal);
   }
 
   cut(): void {
-    this.drop();
+    this.letGo();
     this.answer.cut();
   }
 
   drop(): void {
-    this.isOver = true;
-    this.turns.held -= this.held;
-    this.held = 0;
-    this.parts.length = 0;
-    this.resume = undefined;
-    this.turns.answers.delete(this);
+    const {resume} = this;
+    this.letGo();
+    // Work that goes on without its caller must not wait for it either.
+    resume?.();
   }
 
   /** Sends the next part of it. */
@@ -242,8 +240,17 @@
     });
   }
 
+  private letGo(): void {
+    this.isOver = true;
+    this.turns.held -= this.held;
+    this.held = 0;
+    this.parts.length = 0;
+    this.resume = undefined;
+    this.turns.answers.delete(this);
+  }
+
   private finish(): void {
-    this.drop();
+    this.letGo();
     this.answer.end();
   }
 }
