An answer without end gives other large ones their turn

Large answers left the first first, whole: a film or a feed that never ends would have kept all others waiting, and its expected bytes have had them refused. Both tests fail without (by fake timers).

--- a/src/request/decisions/departures.test.ts
+++ b/src/request/decisions/departures.test.ts
@@ -68,3 +68,12 @@
   t.is(ask('video').reason, undefined);
   t.not(ask('video').reason, undefined);
 });
+
+// A film of minutes would be promised all that leaves meanwhile, and each
+// archive be refused though it has its turn soon.
+test('an endless answer keeps room for one turn', t => {
+  const {departures, ask} = stage();
+  departures.learn('film', 1000 * size);
+  t.is(ask('film').reason, undefined);
+  t.is(ask('archive').reason, undefined);
+});
--- a/src/request/decisions/departures.ts
+++ b/src/request/decisions/departures.ts
@@ -4,6 +4,7 @@
  * before it starts.
  */
 import type {Clock} from '../../time/clock.js';
+import {answerTurn} from '../messages/answer.js';
 import type {Refusal} from '../messages/call.js';
 import {requestCodes} from '../messages/codes.js';
 import {refusal} from '../messages/refusal.js';
@@ -67,6 +68,9 @@
   let usualTime: number | undefined;
   let usualSize = 0;
 
+  /** What others wait for when it has its turn. */
+  const sizeOf = (kind: string) => Math.min(answerTurn, sizes.mean(kind));
+
   function observe(time: number, size: number): void {
     const weight = usualTime === undefined ? 1 : newest;
     usualTime = (usualTime ?? 0) * (1 - weight) + time * weight;
@@ -85,7 +89,7 @@
     isLarge,
     refusal: (kind, until) => {
       if (!isLarge(kind)) return undefined;
-      const size = sizes.mean(kind!);
+      const size = sizeOf(kind!);
       const left = (until - clock.now()) / millisecondsPerSecond;
       const time = Math.max(0, left * promptShare);
       observe(time, size);
@@ -97,7 +101,7 @@
     },
     promise: kind => {
       if (!isLarge(kind)) return nothingPromised;
-      let left = sizes.mean(kind!);
+      let left = sizeOf(kind!);
       expected += left;
 
       function came(bytes: number): void {
--- a/src/request/transport/outlet.test.ts
+++ b/src/request/transport/outlet.test.ts
@@ -129,3 +129,18 @@
     t.is(first.state.bytes, bytes);
   });
 }
+
+test('an answer that does not end gives others their turn', t => {
+  const {timers, open} = stage();
+  const film = open();
+  const pour = () => {
+    while (film.answer.write(Buffer.alloc(large)));
+    film.answer.onDrain(pour);
+  };
+  pour();
+  const archive = open();
+  archive.answer.write(Buffer.alloc(large));
+  archive.answer.end();
+  timers.advance(400);
+  t.is(archive.state.end, 'whole');
+});
--- a/src/request/transport/outlet.ts
+++ b/src/request/transport/outlet.ts
@@ -4,7 +4,7 @@
  * they would wait in the sockets, and small answers, marks and heartbeats
  * behind them.
  */
-import {Answer, largeAnswer} from '../messages/answer.js';
+import {Answer, answerTurn, largeAnswer} from '../messages/answer.js';
 import type {AnswerHead, Refusal} from '../messages/call.js';
 import type {Subscription, Timers} from '../../time/timers.js';
 import {createMeter} from './pace.js';
@@ -116,6 +116,8 @@
   private isLarge = false;
   private readonly parts: Buffer[] = [];
   private held = 0;
+  /** Bytes sent in this turn. */
+  private sent = 0;
   /** Whether its receiver takes no more now. */
   private isBlocked = false;
   private isWhole = false;
@@ -198,6 +200,8 @@
     this.turns.held -= part.length;
     this.turns.meter.spend(part.length);
     if (!this.answer.write(part)) this.block();
+    this.sent += part.length;
+    if (this.sent >= answerTurn) this.passTurn();
     if (this.held === 0 && this.isWhole) this.finish();
   }
 
@@ -220,6 +224,12 @@
     return first.subarray(0, partSize);
   }
 
+  private passTurn(): void {
+    this.sent = 0;
+    if (!this.turns.answers.delete(this)) return;
+    this.turns.answers.add(this);
+  }
+
   private block(): void {
     this.isBlocked = true;
     this.answer.onDrain(() => {
