First callers of large answers that come back are known by their time

Archives that were answered were late by half though their entries took them for prompt: 326 late at the callers, some 70 in the entries' lines. Their callers had been refused before and counted from then; an entry sees three such calls a second and believed nothing of their time before 32. For large answers it now goes by the few that it has seen.

Ruled out by the lines: the entry's own leg, the second attempt.

--- a/src/request/decisions/time-limits.test.ts
+++ b/src/request/decisions/time-limits.test.ts
@@ -60,3 +60,12 @@
   t.is(limit(700).goodUntil, 1_700);
   t.is(limit(700, 'large').goodUntil, 1_090);
 });
+
+// Refused archives come back with less of their time, and would be let in as new.
+test('one of the first callers of large answers that comes back is known', t => {
+  const {limit} = stage();
+  for (const timeout of [780, 700, 740]) limit(timeout, 'large');
+  const {goodUntil} = limit(640, 'large');
+  t.is(goodUntil, 1_090, 'within what callers vary');
+  t.true(limit(550, 'large').goodUntil < 1_000);
+});
--- a/src/request/decisions/time-limits.ts
+++ b/src/request/decisions/time-limits.ts
@@ -36,7 +36,7 @@
    * Milliseconds in which an answer is good. A call that an upstream makes for
    * another request inherits that one's time: refused since it would be late,
    * it takes the work already done with it. A large answer that comes late also
-   * makes others late on the link, so it counts as late from its objective on.
+   * makes others late on the link, so it is judged by what little is known.
    */
   function goodFor(
     {timeout}: CallerTerms,
@@ -48,7 +48,8 @@
     const longest = Math.min(timeout, policy.deadline);
     const waited = usualTimeouts.waited(route, longest);
     if (waited !== undefined) return good - waited;
-    return size === 'large' ? good : Infinity;
+    if (size === 'small') return Infinity;
+    return good - usualTimeouts.supposed(route, longest);
   }
 
   function limit(
