--- a/src/request/transport/outlet.test.ts
+++ b/src/request/transport/outlet.test.ts
@@ -159,3 +159,18 @@
   timers.advance(1000);
   t.is(resumed, 1);
 });
+
+test('an answer that does not end gives others their turn', t => {
+  const {timers, open} = stage();
+  const film = open();
+  const pour = () => {
+    while (film.answer.write(Buffer.alloc(large)));
+    film.answer.onDrain(pour);
+  };
+  pour();
+  const archive = open();
+  archive.answer.write(Buffer.alloc(large));
+  archive.answer.end();
+  timers.advance(400);
+  t.is(archive.state.end, 'whole');
+});
--- a/src/request/transport/outlet.ts
+++ b/src/request/transport/outlet.ts
@@ -4,7 +4,7 @@
  * the others go first from time to time. Written as they come, they would wait
  * in the sockets, and small answers, marks and heartbeats behind them.
  */
-import {Answer, largeAnswer} from '../messages/answer.js';
+import {Answer, answerTurn, largeAnswer} from '../messages/answer.js';
 import type {AnswerHead, Refusal} from '../messages/call.js';
 import type {Subscription, Timers} from '../../time/timers.js';
 import {createMeter} from './pace.js';
@@ -37,9 +37,6 @@
 /** Bytes of a large answer that leave at once. */
 const partSize = 8 * 1024;
 
-/** Bytes of one answer that leave before the others get their turn. */
-const turnSize = 256 * 1024;
-
 /** Bytes that each answer may have waiting, however many others wait. */
 const window = 64 * 1024;
 
@@ -203,7 +200,7 @@
     if (!this.answer.write(part)) this.block();
     this.sent += part.length;
     if (this.held === 0 && this.isWhole) this.finish();
-    else if (this.sent >= turnSize) this.endTurn();
+    else if (this.sent >= answerTurn) this.endTurn();
   }
 
   /** Has its sender go on once there is room for more. */
