A link out counts as free again once all promised answers have come

Work whose answers are so large that they never fit by the estimate starts when the link is free, which is also how a wrong estimate is corrected. "Free" was a sum of promises of exactly 0, and promises were means, with fractions: what several of them took back in parts left a rest of some 1e-11 bytes, of either sign, which stayed for good. From then on such a policy was refused for ever, on an idle link too.

Found by reading. The test in departures.test.ts failed before, in its second round. Promises are whole bytes now, whose sums are exact.

--- a/src/request/decisions/departures.test.ts
+++ b/src/request/decisions/departures.test.ts
@@ -20,7 +20,7 @@
     const reason = departures.refusal(kind, clock.now() + 500);
     return {reason, departure: reason ? undefined : departures.promise(kind)};
   }
-  return {link, departures, ask};
+  return {clock, link, departures, ask};
 }
 
 test('large answers are promised as much as leaves in time, and no more', t => {
@@ -68,3 +68,18 @@
   t.is(ask('video').reason, undefined);
   t.not(ask('video').reason, undefined);
 });
+
+// Sums of means leave a rest behind, which must not pass for a promise.
+test('a link counts as free again after answers of uneven sizes', t => {
+  const {departures, ask} = stage();
+  departures.learn('video', 10 * size);
+  for (let round = 1; round <= 30; round++) {
+    departures.learn('archive', 60_000 + 1_777 * round);
+    departures.learn('report', 20_000 + 777 * round);
+    const kinds = ['archive', 'report', 'archive', 'report'];
+    const promised = kinds.map(kind => ask(kind).departure!);
+    for (const departure of promised) departure.came(16_384);
+    for (const departure of promised) departure.end();
+    t.is(departures.refusal('video', 500), undefined, `round ${round}`);
+  }
+});
--- a/src/request/decisions/departures.ts
+++ b/src/request/decisions/departures.ts
@@ -96,7 +96,8 @@
     },
     promise: kind => {
       if (!isLarge(kind)) return nothingPromised;
-      let left = sizes.mean(kind!);
+      // Whole bytes, so that what is taken back leaves no rest.
+      let left = Math.round(sizes.mean(kind!));
       expected += left;
 
       function came(bytes: number): void {
