Calls that are late already don't make a link out seem full

The load that a gate tells of its link is the backlog over what leaves in the time that large answers usually have. Calls whose answer could not be good any more counted there with a time of 0: entries tell that of callers who come back after a refusal. Each brought the usual time down, so the emptiest link looked full; with the first large call such a one, the load was infinite. An entry ages a load by a factor, and infinity stays infinite: it would send that instance no more large calls while it had any other.

Only calls with time left count now.

--- a/src/request/decisions/departures.test.ts
+++ b/src/request/decisions/departures.test.ts
@@ -83,3 +83,15 @@
     t.is(departures.refusal('video', 500), undefined, `round ${round}`);
   }
 });
+
+test('calls that come late do not make the link seem full', t => {
+  const {clock, departures, ask} = stage();
+  t.is(departures.refusal('archive', clock.now()), undefined);
+  t.true(Number.isFinite(departures.load));
+  ask('archive').departure!.end();
+  const before = departures.load;
+  for (let call = 0; call < 50; call++) {
+    departures.refusal('archive', clock.now());
+  }
+  t.is(departures.load, before);
+});
--- a/src/request/decisions/departures.ts
+++ b/src/request/decisions/departures.ts
@@ -87,7 +87,8 @@
       const size = sizes.mean(kind!);
       const left = (until - clock.now()) / millisecondsPerSecond;
       const time = Math.max(0, left * promptShare);
-      observe(time, size);
+      // A call that is late already tells nothing of the time that others have.
+      if (time > 0) observe(time, size);
       const before = backlog();
       // Whatever the estimates, a free link is worth a try.
       if (before === 0 || (before + size) / rate <= time) return undefined;
