--- a/src/request/decisions/departures.ts
+++ b/src/request/decisions/departures.ts
@@ -92,7 +92,8 @@
       const size = sizeOf(kind!);
       const left = (until - clock.now()) / millisecondsPerSecond;
       const time = Math.max(0, left * promptShare);
-      observe(time, size);
+      // A call that is late already tells nothing of the time that others have.
+      if (time > 0) observe(time, size);
       const before = backlog();
       // Whatever the estimates, a free link is worth a try.
       if (before === 0 || (before + size) / rate <= time) return undefined;
@@ -101,7 +102,8 @@
     },
     promise: kind => {
       if (!isLarge(kind)) return nothingPromised;
-      let left = sizeOf(kind!);
+      // Whole bytes, so that what is taken back leaves no rest.
+      let left = Math.round(sizeOf(kind!));
       expected += left;
 
       function came(bytes: number): void {
