How late a node's loop runs is measured, logged and published

The lines couldn't tell a wait for the loop from one for a slot: a request's clock starts when its handler runs. Nothing decides by it yet.

--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -5,6 +5,7 @@
 import type {EndpointTable} from '../endpoints/endpoint-table.js';
 import type {Membership} from '../endpoints/membership.js';
 import type {Metrics} from '../metrics/metrics.js';
+import type {LoopDelay} from '../time/loop-delay.js';
 import type {Process} from '../process/process.js';
 import {createEntry} from '../request/entry.js';
 import type {Entry} from '../request/entry.js';
@@ -22,6 +23,7 @@
   readonly settings: NodeSettings;
   readonly parts: NodeParts;
   readonly process: Pick<Process, 'timers' | 'random' | 'log'>;
+  readonly loopDelay: LoopDelay;
   readonly metrics: Metrics;
   /** The configuration in force, undefined until one is proved fresh. */
   readonly configuration: () => Configuration | undefined;
@@ -75,6 +77,7 @@
     grace: settings.stopGrace,
     callerService: settings.callerService,
     ...(parts.callers !== undefined && {protocol: parts.callers}),
+    loopDelay: options.loopDelay,
     timers,
     random,
     log,
--- /dev/null
+++ b/src/time/loop-delay.ts
@@ -0,0 +1,49 @@
+/**
+ * How late the loop of a process runs. What arrives waits for the loop unseen,
+ * in sockets; a timer that is due waits for the same turns, and tells how long.
+ */
+import type {Subscription, Timers} from './timers.js';
+
+/** How late a loop runs, in milliseconds. */
+export interface LoopDelay {
+  /** What arrives now waits so long until its turn; rises at once, falls slowly. */
+  current(): number;
+}
+
+/** What `watchLoopDelay` works with. */
+export interface LoopDelayOptions {
+  readonly timers: Timers;
+  /** Hears how late the loop was at each look. */
+  readonly onLook?: (late: number) => void;
+}
+
+/** Milliseconds between two looks; the delays that matter are as long. */
+const lookEvery = 20;
+
+/** What is left of a delay at the next look, when that is on time. */
+const kept = 0.8;
+
+/** The delay of a loop that is never late. */
+export const promptLoop: LoopDelay = {current: () => 0};
+
+/** Watches the loop until cancelled. */
+export function watchLoopDelay(
+  options: LoopDelayOptions,
+): LoopDelay & Subscription {
+  const {timers} = options;
+  let dueAt = timers.now() + lookEvery;
+  let delay = 0;
+
+  const looking = timers.every(lookEvery, () => {
+    const now = timers.now();
+    const late = Math.max(0, now - dueAt);
+    dueAt = now + lookEvery;
+    delay = Math.max(late, delay * kept);
+    options.onLook?.(late);
+  });
+
+  return {
+    current: () => Math.max(delay, timers.now() - dueAt),
+    cancel: () => looking.cancel(),
+  };
+}
