--- a/src/time/loop-delay.test.ts
+++ b/src/time/loop-delay.test.ts
@@ -36,6 +36,14 @@
   t.true(delay.current() < 1);
 });
 
+test('the mean follows delays that last', t => {
+  const {fake, delay, hold} = stage();
+  for (let count = 0; count < 100; count++) hold(60);
+  t.true(delay.mean() > 10);
+  fake.advance(5000);
+  t.true(delay.mean() < 1);
+});
+
 test('nothing is looked at after the end', t => {
   const {fake, delay, looks} = stage();
   delay.cancel();
--- a/src/time/loop-delay.ts
+++ b/src/time/loop-delay.ts
@@ -8,6 +8,8 @@
 export interface LoopDelay {
   /** What arrives now waits so long until its turn; rises at once, falls slowly. */
   current(): number;
+  /** The mean at the looks of about the last second. */
+  mean(): number;
 }
 
 /** What `watchLoopDelay` works with. */
@@ -23,8 +25,11 @@
 /** What is left of a delay at the next look, when that is on time. */
 const kept = 0.8;
 
+/** Weight of the newest look in the mean. */
+const newest = 0.04;
+
 /** The delay of a loop that is never late. */
-export const promptLoop: LoopDelay = {current: () => 0};
+export const promptLoop: LoopDelay = {current: () => 0, mean: () => 0};
 
 /** Watches the loop until cancelled. */
 export function watchLoopDelay(
@@ -33,17 +38,20 @@
   const {timers} = options;
   let dueAt = timers.now() + lookEvery;
   let delay = 0;
+  let mean = 0;
 
   const looking = timers.every(lookEvery, () => {
     const now = timers.now();
     const late = Math.max(0, now - dueAt);
     dueAt = now + lookEvery;
     delay = Math.max(late, delay * kept);
+    mean += (late - mean) * newest;
     options.onLook?.(late);
   });
 
   return {
     current: () => Math.max(delay, timers.now() - dueAt),
+    mean: () => mean,
     cancel: () => looking.cancel(),
   };
 }
