--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -11,7 +11,7 @@
 import type {Entry} from '../request/entry.js';
 import type {Gate} from '../request/gate.js';
 import {createGateServer} from '../request/transport/gate-server.js';
-import type {Listener} from '../request/transport/listener.js';
+import type {GateServer} from '../request/transport/gate-server.js';
 import {defaults} from '../settings/defaults.js';
 import type {NodeSettings} from '../settings/schema.js';
 import type {Timers} from '../time/timers.js';
@@ -39,7 +39,7 @@
 /** The listeners, open. */
 export interface RequestPath {
   readonly entry: Entry;
-  readonly gateServer: Listener;
+  readonly gateServer: GateServer;
 }
 
 /** Opens the listeners; the gate's first, since entries may send to it at once. */
@@ -49,9 +49,10 @@
   const {settings, parts, metrics, configuration} = options;
   const {home, table, membership, gate} = options;
   const {timers, random, log} = options.process;
-  const pace = options.linkShare?.pace;
+  const {pace, outlet} = options.linkShare ?? {};
   const gateServer = createGateServer({
     pace,
+    outlet,
     address: settings.gateAddress,
     gate,
     headerLimit: settings.headerLimit,
@@ -63,6 +64,7 @@
   });
   const entry = createEntry({
     pace,
+    outlet,
     name: settings.name,
     failureDomain: settings.failureDomain,
     region: settings.region,
