--- a/src/time/loop-delay.ts
+++ b/src/time/loop-delay.ts
@@ -8,7 +8,7 @@
 export interface LoopDelay {
   /** What arrives now waits so long until its turn; rises at once, falls slowly. */
   current(): number;
-  /** The mean at the looks of about the last second. */
+  /** The mean of the last few looks, or of the last one if that was late. */
   mean(): number;
 }
 
@@ -25,8 +25,8 @@
 /** What is left of a delay at the next look, when that is on time. */
 const kept = 0.8;
 
-/** Weight of the newest look in the mean. */
-const newest = 0.04;
+/** Milliseconds after which a look has lost most of its weight in the mean. */
+const meanOver = 300;
 
 /** The delay of a loop that is never late. */
 export const promptLoop: LoopDelay = {current: () => 0, mean: () => 0};
@@ -45,7 +45,8 @@
     const late = Math.max(0, now - dueAt);
     dueAt = now + lookEvery;
     delay = Math.max(late, delay * kept);
-    mean += (late - mean) * newest;
+    const weight = 1 - Math.exp(-(late + lookEvery) / meanOver);
+    mean += (late - mean) * weight;
     options.onLook?.(late);
   });
 
