--- a/src/request/decisions/stories.ts
+++ b/src/request/decisions/stories.ts
@@ -4,9 +4,9 @@
  * would cost more than the requests. One in some is written all the same, the
  * same ones in every process, so that a good request can be compared with.
  */
-import murmurhash from 'murmurhash';
 import {createLineBudget} from '../../log/line-budget.js';
 import type {Fields, Log} from '../../log/log.js';
+import type {Clock} from '../../time/clock.js';
 import type {Timers} from '../../time/timers.js';
 
 /** What was decided; docs/LOGS.md tells the fields of each. */
@@ -73,6 +73,11 @@
   const {rate, burst} = limits;
   const budget = createLineBudget({rate, burst, timers, log});
 
+  /** Each process samples the same requests. */
+  function isSampled(request: string): boolean {
+    return hashOf(request) % limits.sampling === 0;
+  }
+
   function write(request: string, notes: readonly Note[]): void {
     if (!budget.take(notes.length)) return;
     const id = request.slice(0, longestId);
@@ -81,27 +86,50 @@
     }
   }
 
-  return {
-    begin: request => {
-      const notes: Note[] = [];
-      let isOver = false;
-
-      function note(decision: Decision, fields: Fields): void {
-        if (!isOver) notes.push({decision, fields, at: timers.wall()});
-      }
-
-      return {
-        note,
-        end: (decision, outcome, ending) => {
-          if (isOver) return;
-          note(decision, outcome);
-          isOver = true;
-          const isSampled = murmurhash.v3(request) % limits.sampling === 0;
-          if (ending === 'notable' || isSampled) write(request, notes);
-        },
-      };
-    },
-  };
+  function finish(request: string, notes: readonly Note[], ending: Ending) {
+    if (ending === 'notable' || isSampled(request)) write(request, notes);
+  }
+
+  return {begin: request => new OpenStory(request, timers, finish)};
+}
+
+/** Takes the notes of a request that has ended. */
+type Finish = (request: string, notes: readonly Note[], ending: Ending) => void;
+
+// A class: functions made for each request would cost more than the notes.
+class OpenStory implements Story {
+  private readonly notes: Note[] = [];
+  private isOver = false;
+
+  constructor(
+    private readonly request: string,
+    private readonly clock: Clock,
+    private readonly finish: Finish,
+  ) {}
+
+  note(decision: Decision, fields: Fields): void {
+    if (this.isOver) return;
+    this.notes.push({decision, fields, at: this.clock.wall()});
+  }
+
+  end(decision: Decision, outcome: Fields, ending: Ending): void {
+    if (this.isOver) return;
+    this.note(decision, outcome);
+    this.isOver = true;
+    this.finish(this.request, this.notes, ending);
+  }
+}
+
+/**
+ * FNV-1a over what an id's characters are; a hash of its bytes would encode
+ * each id first.
+ */
+function hashOf(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+  }
+  return hash >>> 0;
 }
 
 /** Stories that nobody reads. */
