--- a/src/request/transport/framed-link.ts
+++ b/src/request/transport/framed-link.ts
@@ -3,11 +3,11 @@
  * one connection: over a connection for each call an HTTP client and a server
  * took more of a node's processor than all of its decisions.
  */
+import {createKeySharingCodec} from '../../link/codec.js';
 import {createSocketLink} from '../../link/socket-link.js';
 import type {SocketLink} from '../../link/socket-link.js';
 import type {Log} from '../../log/log.js';
 import {createSilenceWatch} from '../../time/silence-watch.js';
-import {frameCodec} from './frame-codec.js';
 import {answerWindow} from './frames.js';
 import type {EntryFrame, GateFrame} from './frames.js';
 import {upgradeToLink} from './link-upgrade.js';
@@ -102,7 +102,7 @@
     if (result.kind !== 'open') return fail(result);
     link = createSocketLink(result.socket, {
       messageLimit,
-      codec: frameCodec,
+      codec: createKeySharingCodec(),
       onFault: reason =>
         log.warn('gate link broken', {gate: address, reason: reason.message}),
     });
--- a/src/request/transport/frames.ts
+++ b/src/request/transport/frames.ts
@@ -8,11 +8,8 @@
   Repeatability,
 } from '../../configuration/configuration.js';
 
-/**
- * Name of the protocol in the upgrade that opens a link, with its version. A
- * frame that is added or changed makes another version (`frame-codec.ts`).
- */
-export const framedProtocol = 'foxbarrow-link/2';
+/** Name of the protocol in the upgrade that opens a link, with its version. */
+export const framedProtocol = 'foxbarrow-link/1';
 
 /**
  * Bytes of one answer that a gate sends ahead of what the caller has taken. A
