--- a/src/request/decisions/stories.ts
+++ b/src/request/decisions/stories.ts
@@ -4,6 +4,7 @@
  * would cost more than the requests. One in some is written all the same, the
  * same ones in every process, so that a good request can be compared with.
  */
+import murmurhash from 'murmurhash';
 import {createLineBudget} from '../../log/line-budget.js';
 import type {Fields, Log} from '../../log/log.js';
 import type {Clock} from '../../time/clock.js';
@@ -75,7 +76,7 @@
 
   /** Each process samples the same requests. */
   function isSampled(request: string): boolean {
-    return hashOf(request) % limits.sampling === 0;
+    return murmurhash.v3(request) % limits.sampling === 0;
   }
 
   function write(request: string, notes: readonly Note[]): void {
@@ -120,18 +121,6 @@
   }
 }
 
-/**
- * FNV-1a over what an id's characters are; a hash of its bytes would encode
- * each id first.
- */
-function hashOf(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let index = 0; index < text.length; index++) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
-  }
-  return hash >>> 0;
-}
-
 /** Stories that nobody reads. */
 export function createNoStories(): Stories {
   const story: Story = {note: () => {}, end: () => {}};
