--- a/src/request/transport/outlet.test.ts
+++ b/src/request/transport/outlet.test.ts
@@ -129,3 +129,48 @@
     t.is(first.state.bytes, bytes);
   });
 }
+
+test('an answer without an end does not hold up the large ones behind it', t => {
+  const {timers, open} = stage();
+  const endless = open();
+  function goOn(): void {
+    while (endless.answer.write(Buffer.alloc(large)));
+    endless.answer.onDrain(goOn);
+  }
+  goOn();
+  const second = open();
+  second.answer.write(Buffer.alloc(large));
+  second.answer.end();
+  timers.advance(1000);
+  t.is(second.state.end, 'whole');
+  t.true(endless.state.bytes > 0.85 * rate, `${endless.state.bytes}`);
+});
+
+// Keyed work goes on without its caller, and its answer is kept for resends.
+test('a sender that is held up goes on once its receiver has gone', t => {
+  const {timers, open} = stage();
+  const {answer} = open();
+  while (answer.write(Buffer.alloc(large)));
+  let resumed = 0;
+  answer.onDrain(() => void resumed++);
+  answer.drop();
+  t.is(resumed, 1);
+  t.true(answer.write(Buffer.alloc(large)));
+  timers.advance(1000);
+  t.is(resumed, 1);
+});
+
+test('an answer that does not end gives others their turn', t => {
+  const {timers, open} = stage();
+  const film = open();
+  const pour = () => {
+    while (film.answer.write(Buffer.alloc(large)));
+    film.answer.onDrain(pour);
+  };
+  pour();
+  const archive = open();
+  archive.answer.write(Buffer.alloc(large));
+  archive.answer.end();
+  timers.advance(400);
+  t.is(archive.state.end, 'whole');
+});
