Room on a link out is what small answers leave of it

Large answers were let in by the link's whole rate, though they leave at what small answers leave of it. With small answers at three tenths of the rate, the backlog that was let in took longer than the time that its answers had. Since they leave one after the other, not some but nearly all of them came late: slots and the link were spent and nothing was in time.

Found by reading.

The outlet tells what small answers take, over some seconds and without the beginnings of large ones, and departures count with the rest. Entries see it too, in the load told to large calls.

--- a/src/node/link-share.ts
+++ b/src/node/link-share.ts
@@ -36,6 +36,7 @@
     departures: createDepartures({
       rate,
       waiting: () => outlet.waiting,
+      taken: () => outlet.taken,
       clock: timers,
     }),
   };
--- a/src/request/decisions/departures.test.ts
+++ b/src/request/decisions/departures.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava';
 import {createFakeTimers} from '../../time/fakes/fake-timers.js';
+import {createFakeAnswer} from '../fakes/fake-answer.js';
+import {createOutlet} from '../transport/outlet.js';
 import {createDepartures} from './departures.js';
 
 const rate = 1_000_000;
@@ -95,3 +97,43 @@
   }
   t.is(departures.load, before);
 });
+
+for (const share of [0.3, 0.6]) {
+  test(`large answers are in time or refused beside small ones at ${share} of the link`, t => {
+    const timers = createFakeTimers();
+    const outlet = createOutlet({rate, timers});
+    const departures = createDepartures({
+      rate,
+      waiting: () => outlet.waiting,
+      taken: () => outlet.taken,
+      clock: timers,
+    });
+    departures.learn('archive', size);
+    const counts = {inTime: 0, late: 0};
+
+    function answer(bytes: number, ended: () => void): void {
+      const inner = createFakeAnswer();
+      const leaving = outlet.to(Object.assign(inner, {end: ended}));
+      leaving.write(Buffer.alloc(bytes));
+      leaving.end();
+    }
+
+    function ask(): void {
+      const until = timers.now() + 500;
+      if (departures.refusal('archive', until) !== undefined) return;
+      const departure = departures.promise('archive');
+      timers.after(100, () => {
+        departure.came(size);
+        departure.end();
+        answer(size, () => counts[timers.now() <= until ? 'inTime' : 'late']++);
+      });
+    }
+
+    timers.every(10, () => answer((share * rate) / 100, () => {}));
+    timers.every(40, ask);
+    timers.advance(20_000);
+    const possible = (20 * (1 - share) * rate) / size;
+    t.true(counts.inTime > 0.8 * possible, JSON.stringify(counts));
+    t.true(counts.late < 0.1 * possible, JSON.stringify(counts));
+  });
+}
--- a/src/request/decisions/departures.ts
+++ b/src/request/decisions/departures.ts
@@ -37,6 +37,8 @@
   readonly rate: number;
   /** Bytes of answers that wait for the link. */
   readonly waiting: () => number;
+  /** Bytes a second that small answers take; none unless given. */
+  readonly taken?: () => number;
   readonly clock: Clock;
 }
 
@@ -54,6 +56,9 @@
 /** Seconds that a refused caller waits at least: one large answer's time. */
 const leastWait = 0.05;
 
+/** Share of the rate that large answers are taken to have at least. */
+const leastFree = 0.05;
+
 const nothingPromised: Departure = {came: () => {}, end: () => {}};
 
 /** Creates the room of a link that carries nothing yet. */
@@ -72,6 +77,12 @@
     usualSize += (size - usualSize) * weight;
   }
 
+  /** Bytes a second that are left for large answers. */
+  function freeRate(): number {
+    const taken = options.taken?.() ?? 0;
+    return Math.max(rate * leastFree, rate - taken);
+  }
+
   const backlog = () => expected + waiting();
   const isLarge = (kind: string | undefined) =>
     kind !== undefined && sizes.isLarge(kind);
@@ -79,7 +90,7 @@
   return {
     get load() {
       if (usualTime === undefined) return 0;
-      return (backlog() + usualSize) / (rate * usualTime);
+      return (backlog() + usualSize) / (freeRate() * usualTime);
     },
     isLarge,
     refusal: (kind, until) => {
@@ -91,8 +102,9 @@
       if (time > 0) observe(time, size);
       const before = backlog();
       // Whatever the estimates, a free link is worth a try.
-      if (before === 0 || (before + size) / rate <= time) return undefined;
-      const wait = Math.max(leastWait, before / rate);
+      const speed = freeRate();
+      if (before === 0 || (before + size) / speed <= time) return undefined;
+      const wait = Math.max(leastWait, before / speed);
       return refusal(requestCodes.deadlineUnreachable, undefined, wait);
     },
     promise: kind => {
--- a/src/request/transport/outlet.test.ts
+++ b/src/request/transport/outlet.test.ts
@@ -159,3 +159,16 @@
   timers.advance(1000);
   t.is(resumed, 1);
 });
+
+test('what small answers take is told, without the beginnings of large ones', t => {
+  const {timers, outlet, open} = stage();
+  timers.every(10, () => open().answer.write(Buffer.alloc(3_000)));
+  timers.every(100, () => {
+    const {answer} = open();
+    answer.write(Buffer.alloc(8_000));
+    answer.write(Buffer.alloc(40_000));
+    answer.end();
+  });
+  timers.advance(10_000);
+  t.true(Math.abs(outlet.taken - 300_000) < 15_000, `${outlet.taken}`);
+});
--- a/src/request/transport/outlet.ts
+++ b/src/request/transport/outlet.ts
@@ -9,6 +9,8 @@
 import type {Subscription, Timers} from '../../time/timers.js';
 import {createMeter} from './pace.js';
 import type {Meter} from './pace.js';
+import {createRateAverage} from './rate-average.js';
+import type {RateAverage} from './rate-average.js';
 
 /** An answer on its way through an outlet. */
 export abstract class LeavingAnswer extends Answer {
@@ -20,6 +22,8 @@
 export interface Outlet {
   /** Bytes of large answers that wait for the link. */
   readonly waiting: number;
+  /** Bytes a second that small answers take of late. */
+  readonly taken: number;
   /** The way through it to `answer`. */
   to(answer: Answer): LeavingAnswer;
 }
@@ -52,6 +56,7 @@
 /** The part of an outlet that its answers share. */
 interface Turns {
   readonly meter: Meter;
+  readonly small: RateAverage;
   /** Large answers under way, the one whose turn it is first. */
   readonly answers: Set<TurnAnswer>;
   /** Bytes that wait, for the link or for their receivers. */
@@ -66,6 +71,7 @@
   let isPumping = false;
   const turns: Turns = {
     meter: createMeter(rate, timers, burst),
+    small: createRateAverage(timers),
     answers: new Set(),
     held: 0,
     pump,
@@ -108,6 +114,9 @@
       for (const answer of turns.answers) bytes += answer.waiting;
       return bytes;
     },
+    get taken() {
+      return turns.small.rate();
+    },
     to: answer => new TurnAnswer(answer, turns),
   };
 }
@@ -156,9 +165,10 @@
     if (!this.isLarge && this.passed + chunk.length < largeAnswer) {
       this.passed += chunk.length;
       this.turns.meter.spend(chunk.length);
+      this.turns.small.add(chunk.length);
       return this.answer.write(chunk);
     }
-    this.isLarge = true;
+    if (!this.isLarge) this.grow();
     this.turns.answers.add(this);
     this.parts.push(chunk);
     this.held += chunk.length;
@@ -214,6 +224,12 @@
     resume();
   }
 
+  /** It is no small answer after all. */
+  private grow(): void {
+    this.isLarge = true;
+    this.turns.small.add(-this.passed);
+  }
+
   private hasRoom(): boolean {
     return this.turns.held < readAhead || this.held < window;
   }
