--- a/src/node/link-share.ts
+++ b/src/node/link-share.ts
@@ -41,6 +41,7 @@
     departures: createDepartures({
       rate: answerRate,
       waiting: () => outlet.waiting,
+      taken: () => outlet.taken,
       clock: timers,
     }),
   };
--- a/src/request/transport/outlet.test.ts
+++ b/src/request/transport/outlet.test.ts
@@ -174,3 +174,16 @@
   timers.advance(400);
   t.is(archive.state.end, 'whole');
 });
+
+test('what small answers take is told, without the beginnings of large ones', t => {
+  const {timers, outlet, open} = stage();
+  timers.every(10, () => open().answer.write(Buffer.alloc(3_000)));
+  timers.every(100, () => {
+    const {answer} = open();
+    answer.write(Buffer.alloc(8_000));
+    answer.write(Buffer.alloc(40_000));
+    answer.end();
+  });
+  timers.advance(10_000);
+  t.true(Math.abs(outlet.taken - 300_000) < 15_000, `${outlet.taken}`);
+});
