Answers that seem too large ever to fit a link out are tried one at a time

Only answers that come correct the size, so it stayed refused after they had become small. One at a time of such a policy is tried now.

--- a/src/request/decisions/departures.test.ts
+++ b/src/request/decisions/departures.test.ts
@@ -95,6 +95,21 @@
   }
 });
 
+// A policy whose answers have become small would be refused for ever, since only
+// answers that come tell so.
+test('answers that seem too large ever to fit are tried one at a time', t => {
+  const {clock, link, departures} = stage();
+  const refusal = () => departures.refusal('report', clock.now() + 200);
+  departures.learn('report', 20 * size);
+  link.waiting = 1;
+  t.is(refusal(), undefined);
+  const first = departures.promise('report');
+  t.is(refusal()?.code.name, 'deadline-unreachable');
+  first.end();
+  first.end();
+  t.is(refusal(), undefined);
+});
+
 test('calls that come late do not make the link seem full', t => {
   const {clock, departures, ask} = stage();
   t.is(departures.refusal('archive', clock.now()), undefined);
--- a/src/request/decisions/departures.ts
+++ b/src/request/decisions/departures.ts
@@ -69,6 +69,8 @@
   const sizes = createAnswerSizes();
   /** Bytes of promised answers that have not come yet. */
   let expected = 0;
+  /** Promises of each kind whose work has not ended. */
+  const underWay = new Map<string, number>();
   /** Seconds in which a large answer usually has to leave, and its bytes. */
   let usualTime: number | undefined;
   let usualSize = 0;
@@ -88,6 +90,12 @@
     return Math.max(rate * leastFree, rate - taken);
   }
 
+  function leave(kind: string): void {
+    const others = underWay.get(kind)! - 1;
+    if (others > 0) underWay.set(kind, others);
+    else underWay.delete(kind);
+  }
+
   const backlog = () => expected + waiting();
   const isLarge = (kind: string | undefined) =>
     kind !== undefined && sizes.isLarge(kind);
@@ -106,9 +114,11 @@
       // A call that is late already tells nothing of the time that others have.
       if (time > 0) observe(time, size);
       const before = backlog();
-      // Whatever the estimates, a free link is worth a try.
       const speed = freeRate();
+      // Whatever the estimates, a free link is worth a try.
       if (before === 0 || (before + size) / speed <= time) return undefined;
+      // Only answers that come correct an estimate by which none ever fits.
+      if (size / speed > time && !underWay.has(kind!)) return undefined;
       const wait = Math.max(leastWait, before / speed);
       return refusal(requestCodes.deadlineUnreachable, undefined, wait);
     },
@@ -117,6 +127,8 @@
       // Whole bytes, so that what is taken back leaves no rest.
       let left = Math.round(sizeOf(kind!));
       expected += left;
+      underWay.set(kind!, (underWay.get(kind!) ?? 0) + 1);
+      let isOver = false;
 
       function came(bytes: number): void {
         const less = Math.min(left, bytes);
@@ -124,7 +136,14 @@
         expected -= less;
       }
 
-      return {came, end: () => came(left)};
+      function end(): void {
+        came(left);
+        if (isOver) return;
+        isOver = true;
+        leave(kind!);
+      }
+
+      return {came, end};
     },
     learn: (kind, bytes) => {
       if (kind !== undefined) sizes.add(kind, bytes);
