--- a/src/node/link-share.ts
+++ b/src/node/link-share.ts
@@ -1,9 +1,9 @@
 /** How much of its VM's link a node lets large bodies and answers take. */
 import {placesFor} from '../request/decisions/body-places.js';
-import {createDepartures} from '../request/decisions/departures.js';
-import type {Departures} from '../request/decisions/departures.js';
-import {createOutlet} from '../request/transport/outlet.js';
-import type {Outlet} from '../request/transport/outlet.js';
+import {createEgressReservations} from '../request/decisions/egress-reservations.js';
+import type {EgressReservations} from '../request/decisions/egress-reservations.js';
+import {createEgressQueue} from '../request/transport/egress-queue.js';
+import type {EgressQueue} from '../request/transport/egress-queue.js';
 import {
   answerRateOf,
   bodyRateOf,
@@ -20,9 +20,9 @@
   /** How many uploads the gate takes in at once. */
   readonly places: number;
   /** The way out for the answers that it sends. */
-  readonly outlet: Outlet;
+  readonly egressQueue: EgressQueue;
   /** Room for the answers of its upstream. */
-  readonly departures: Departures;
+  readonly reservations: EgressReservations;
 }
 
 /** Resolves the share; undefined where no setting tells the link's rate. */
@@ -33,15 +33,15 @@
   if (linkRate === undefined) return undefined;
   const rate = bodyRateOf(linkRate);
   const answerRate = answerRateOf(linkRate);
-  const outlet = createOutlet({rate: answerRate, timers});
+  const egressQueue = createEgressQueue({rate: answerRate, timers});
   return {
     pace: createPace(rate, timers),
     places: placesFor(rate),
-    outlet,
-    departures: createDepartures({
+    egressQueue,
+    reservations: createEgressReservations({
       rate: answerRate,
-      waiting: () => outlet.waiting,
-      taken: () => outlet.taken,
+      waiting: () => egressQueue.waiting,
+      taken: () => egressQueue.taken,
       clock: timers,
     }),
   };
--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -49,10 +49,10 @@
   const {settings, parts, metrics, configuration} = options;
   const {home, table, membership, gate} = options;
   const {timers, random, log} = options.process;
-  const {pace, outlet} = options.linkShare ?? {};
+  const {pace, egressQueue} = options.linkShare ?? {};
   const gateServer = createGateServer({
     pace,
-    outlet,
+    egressQueue,
     address: settings.gateAddress,
     gate,
     headerLimit: settings.headerLimit,
@@ -64,7 +64,7 @@
   });
   const entry = createEntry({
     pace,
-    outlet,
+    egressQueue,
     name: settings.name,
     failureDomain: settings.failureDomain,
     region: settings.region,
--- a/src/request/decisions/departures.ts
+++ b/src/request/decisions/egress-reservations.ts
@@ -1,5 +1,5 @@
 /**
- * What the link out of a VM is promised for. An answer that can't leave in time
+ * What is reserved of the link out of a VM. An answer that can't leave in time
  * wastes a slot, and the bytes of it make others late, so its work is refused
  * before it starts.
  */
@@ -10,30 +10,30 @@
 import {refusal} from '../messages/refusal.js';
 import {createAnswerSizes} from './answer-sizes.js';
 
-/** Room on the link that one piece of work was promised. */
-export interface Departure {
+/** Room on the link that one piece of work has reserved. */
+export interface EgressReservation {
   /** So many bytes of its answer have come and wait for the link by themselves. */
-  came(bytes: number): void;
+  arrived(bytes: number): void;
   /** No more of it will come. */
   end(): void;
 }
 
 /** The room on the link out. */
-export interface Departures {
-  /** Promised bytes, with one more answer, over what leaves in good time. */
+export interface EgressReservations {
+  /** Reserved bytes, with one more answer, over what leaves in good time. */
   readonly load: number;
   /** Whether answers of a kind are large, as far as is known. */
   isLarge(kind: string | undefined): boolean;
   /** Why work of a kind can't start, whose answer has to leave until then. */
   refusal(kind: string | undefined, until: number): Refusal | undefined;
   /** Keeps room for work of a kind. */
-  promise(kind: string | undefined): Departure;
+  reserve(kind: string | undefined): EgressReservation;
   /** An answer of a kind had so many bytes. */
   learn(kind: string | undefined, bytes: number): void;
 }
 
-/** Options of `createDepartures`. */
-export interface DeparturesOptions {
+/** Options of `createEgressReservations`. */
+export interface EgressReservationsOptions {
   /** Bytes a second that answers may take. */
   readonly rate: number;
   /** Bytes of answers that wait for the link. */
@@ -47,7 +47,7 @@
 
 /**
  * Share of its time in which an answer has to leave by the estimate. The rest is
- * for answers that nobody promised and that go before it, those of the entry's
+ * for answers without a reservation that go before it, those of the entry's
  * callers and small ones, for sizes beyond the mean, and for the way on.
  */
 const promptShare = 0.65;
@@ -61,15 +61,17 @@
 /** Share of the rate that large answers are taken to have at least. */
 const leastFree = 0.05;
 
-const nothingPromised: Departure = {came: () => {}, end: () => {}};
+const noReservation: EgressReservation = {arrived: () => {}, end: () => {}};
 
 /** Creates the room of a link that carries nothing yet. */
-export function createDepartures(options: DeparturesOptions): Departures {
+export function createEgressReservations(
+  options: EgressReservationsOptions,
+): EgressReservations {
   const {rate, waiting, clock} = options;
   const sizes = createAnswerSizes();
-  /** Bytes of promised answers that have not come yet. */
+  /** Reserved bytes that have not come yet. */
   let expected = 0;
-  /** Promises of each kind whose work has not ended. */
+  /** Reservations of each kind whose work has not ended. */
   const underWay = new Map<string, number>();
   /** Seconds in which a large answer usually has to leave, and its bytes. */
   let usualTime: number | undefined;
@@ -122,28 +124,28 @@
       const wait = Math.max(leastWait, before / speed);
       return refusal(requestCodes.deadlineUnreachable, undefined, wait);
     },
-    promise: kind => {
-      if (!isLarge(kind)) return nothingPromised;
+    reserve: kind => {
+      if (!isLarge(kind)) return noReservation;
       // Whole bytes, so that what is taken back leaves no rest.
       let left = Math.round(sizeOf(kind!));
       expected += left;
       underWay.set(kind!, (underWay.get(kind!) ?? 0) + 1);
       let isOver = false;
 
-      function came(bytes: number): void {
+      function arrived(bytes: number): void {
         const less = Math.min(left, bytes);
         left -= less;
         expected -= less;
       }
 
       function end(): void {
-        came(left);
+        arrived(left);
         if (isOver) return;
         isOver = true;
         leave(kind!);
       }
 
-      return {came, end};
+      return {arrived, end};
     },
     learn: (kind, bytes) => {
       if (kind !== undefined) sizes.add(kind, bytes);
--- a/src/request/link-out.test.ts
+++ b/src/request/link-out.test.ts
@@ -6,14 +6,14 @@
 import {createFakeTimers} from '../time/fakes/fake-timers.js';
 import type {FakeTimers} from '../time/fakes/fake-timers.js';
 import {createAdmission} from './decisions/admission.js';
-import {createDepartures} from './decisions/departures.js';
+import {createEgressReservations} from './decisions/egress-reservations.js';
 import {createRun} from './decisions/run.js';
 import {createNoStories} from './decisions/stories.js';
 import type {CallHandler, UpstreamLink} from './messages/hops.js';
 import {allSafeguards} from './messages/safeguards.js';
 import {createFramedGate} from './transport/framed-gate.js';
 import type {CallFrame, EntryFrame, GateFrame} from './transport/frames.js';
-import {createOutlet} from './transport/outlet.js';
+import {createEgressQueue} from './transport/egress-queue.js';
 import {answerRateOf} from './transport/pace.js';
 
 const megabits = 12.6;
@@ -123,10 +123,10 @@
 
 function createStage(timers: FakeTimers) {
   const rate = answerRateOf(megabits);
-  const outlet = createOutlet({rate, timers});
-  const departures = createDepartures({
+  const egressQueue = createEgressQueue({rate, timers});
+  const reservations = createEgressReservations({
     rate,
-    waiting: () => outlet.waiting,
+    waiting: () => egressQueue.waiting,
     clock: timers,
   });
   const admission = createAdmission({slots, queueLength: 36, clock: timers});
@@ -138,15 +138,15 @@
       return admission.load;
     },
     loadOf: policy =>
-      departures.isLarge(policy)
-        ? Math.max(admission.load, departures.load)
+      reservations.isLarge(policy)
+        ? Math.max(admission.load, reservations.load)
         : admission.load,
     handle: (call, answer) => {
       const run = createRun({
         call,
         answer,
         admission,
-        departures,
+        reservations,
         objective: kindNamed(call.policy!).goodFor,
         upstream,
         instance: 'a',
@@ -162,7 +162,7 @@
       return run.cancel;
     },
   };
-  return {gate, outlet};
+  return {gate, egressQueue};
 }
 
 function kindNamed(policy: string): Kind {
--- a/src/request/transport/outlet.test.ts
+++ b/src/request/transport/egress-queue.test.ts
@@ -2,16 +2,16 @@
 import {createFakeTimers} from '../../time/fakes/fake-timers.js';
 import {createFakeAnswer} from '../fakes/fake-answer.js';
 import type {Answer} from '../messages/answer.js';
-import {createOutlet} from './outlet.js';
+import {createEgressQueue} from './egress-queue.js';
 
 const rate = 1_000_000;
 const large = 100_000;
 
 function stage() {
   const timers = createFakeTimers();
-  const outlet = createOutlet({rate, timers});
+  const egressQueue = createEgressQueue({rate, timers});
   const written = {total: 0};
-  /** An answer by the outlet, and what came out of it. */
+  /** An answer by the egress queue, and what came out of it. */
   function open(takes: (bytes: number) => boolean = () => true) {
     const inner = createFakeAnswer();
     const state = {bytes: 0, end: 'none', resume: () => {}};
@@ -25,15 +25,15 @@
       end: () => void (state.end = 'whole'),
       cut: () => void (state.end = 'cut'),
     });
-    const answer = outlet.to(receiver);
+    const answer = egressQueue.to(receiver);
     answer.start({status: 200, reason: '', headers: []});
     return {answer, state};
   }
-  return {timers, outlet, open, written};
+  return {timers, egressQueue, open, written};
 }
 
 test('large answers leave one after the other at the rate', t => {
-  const {timers, outlet, open, written} = stage();
+  const {timers, egressQueue, open, written} = stage();
   const first = open();
   const second = open();
   for (const {answer} of [first, second]) {
@@ -44,10 +44,10 @@
   t.is(first.state.end, 'whole');
   t.is(second.state.end, 'none');
   t.true(written.total < 0.15 * rate, `${written.total}`);
-  t.is(outlet.waiting, 2 * large - written.total);
+  t.is(egressQueue.waiting, 2 * large - written.total);
   timers.advance(100);
   t.is(second.state.end, 'whole');
-  t.is(outlet.waiting, 0);
+  t.is(egressQueue.waiting, 0);
 });
 
 test('a small answer leaves at once beside large ones', t => {
@@ -74,7 +74,7 @@
 });
 
 test('a receiver that takes no more holds up its own answer alone', t => {
-  const {timers, outlet, open} = stage();
+  const {timers, egressQueue, open} = stage();
   const slow = open(bytes => bytes < 30_000);
   const next = open();
   for (const {answer} of [slow, next]) {
@@ -85,7 +85,7 @@
   t.is(next.state.end, 'whole');
   t.is(slow.state.end, 'none');
   t.is(
-    outlet.waiting,
+    egressQueue.waiting,
     0,
     'what waits for a receiver does not wait for the link',
   );
@@ -112,7 +112,7 @@
 
 for (const end of ['cut', 'drop'] as const) {
   test(`an answer that ends early lets go of what waits, by ${end}`, t => {
-    const {timers, outlet, open} = stage();
+    const {timers, egressQueue, open} = stage();
     const first = open();
     const second = open();
     first.answer.write(Buffer.alloc(large));
@@ -125,7 +125,7 @@
     second.answer.end();
     timers.advance(150);
     t.is(second.state.end, 'whole');
-    t.is(outlet.waiting, 0);
+    t.is(egressQueue.waiting, 0);
     t.is(first.state.bytes, bytes);
   });
 }
@@ -176,7 +176,7 @@
 });
 
 test('what small answers take is told, without the beginnings of large ones', t => {
-  const {timers, outlet, open} = stage();
+  const {timers, egressQueue, open} = stage();
   timers.every(10, () => open().answer.write(Buffer.alloc(3_000)));
   timers.every(100, () => {
     const {answer} = open();
@@ -185,5 +185,8 @@
     answer.end();
   });
   timers.advance(10_000);
-  t.true(Math.abs(outlet.taken - 300_000) < 15_000, `${outlet.taken}`);
+  t.true(
+    Math.abs(egressQueue.taken - 300_000) < 15_000,
+    `${egressQueue.taken}`,
+  );
 });
--- a/src/request/transport/outlet.ts
+++ b/src/request/transport/egress-queue.ts
@@ -12,24 +12,24 @@
 import {createRateAverage} from './rate-average.js';
 import type {RateAverage} from './rate-average.js';
 
-/** An answer on its way through an outlet. */
-export abstract class LeavingAnswer extends Answer {
+/** An answer on its way through an egress queue. */
+export abstract class QueuedAnswer extends Answer {
   /** Its receiver has gone; what waits of it is let go. */
   abstract drop(): void;
 }
 
 /** The way out for the answers of one process. */
-export interface Outlet {
+export interface EgressQueue {
   /** Bytes of large answers that wait for the link. */
   readonly waiting: number;
   /** Bytes a second that small answers take of late. */
   readonly taken: number;
   /** The way through it to `answer`. */
-  to(answer: Answer): LeavingAnswer;
+  to(answer: Answer): QueuedAnswer;
 }
 
-/** Options of `createOutlet`. */
-export interface OutletOptions {
+/** Options of `createEgressQueue`. */
+export interface EgressQueueOptions {
   /** Bytes a second that answers may take. */
   readonly rate: number;
   readonly timers: Timers;
@@ -50,20 +50,23 @@
  */
 const readAhead = 1024 * 1024;
 
-/** The part of an outlet that its answers share. */
+/** The part of an egress queue that its answers share. */
 interface Turns {
   readonly meter: Meter;
   readonly small: RateAverage;
   /** Large answers under way, the one whose turn it is first. */
-  readonly answers: Set<TurnAnswer>;
+  readonly answers: Set<EgressAnswer>;
   /** Bytes that wait, for the link or for their receivers. */
   held: number;
   /** Sends what may leave now. */
   pump(): void;
 }
 
-/** Creates an outlet. */
-export function createOutlet({rate, timers}: OutletOptions): Outlet {
+/** Creates an egress queue. */
+export function createEgressQueue({
+  rate,
+  timers,
+}: EgressQueueOptions): EgressQueue {
   let next: Subscription | undefined;
   let isPumping = false;
   const turns: Turns = {
@@ -98,7 +101,7 @@
     }
   }
 
-  function findReady(): TurnAnswer | undefined {
+  function findReady(): EgressAnswer | undefined {
     for (const answer of turns.answers) {
       if (answer.isReady) return answer;
     }
@@ -114,12 +117,12 @@
     get taken() {
       return turns.small.rate();
     },
-    to: answer => new TurnAnswer(answer, turns),
+    to: answer => new EgressAnswer(answer, turns),
   };
 }
 
 /** An answer that takes its turn once it has grown large. */
-class TurnAnswer extends LeavingAnswer {
+class EgressAnswer extends QueuedAnswer {
   /** Bytes that passed at once. */
   private passed = 0;
   private isLarge = false;
--- a/src/request/transport/framed-gate.ts
+++ b/src/request/transport/framed-gate.ts
@@ -13,13 +13,13 @@
 import type {Call, Cancel} from '../messages/call.js';
 import {refusal, refusalOf} from '../messages/refusal.js';
 import type {Safeguards} from '../messages/safeguards.js';
-import type {Outlet} from './outlet.js';
+import type {EgressQueue} from './egress-queue.js';
 
 /** Options of `createFramedGate`; times in milliseconds. */
 export interface FramedGateOptions {
   readonly gate: CallHandler;
   /** The way out for answers; as they come unless given. */
-  readonly outlet?: Outlet | undefined;
+  readonly egressQueue?: EgressQueue | undefined;
   readonly timers: Timers;
   readonly log: Log;
   readonly safeguards: Safeguards;
@@ -131,8 +131,8 @@
       load: () => gate.loadOf(frame.policy),
       ended: () => ended(own, frame.call),
     });
-    const leaving = options.outlet?.to(framed);
-    const answer = leaving ?? framed;
+    const queued = options.egressQueue?.to(framed);
+    const answer = queued ?? framed;
     const work: Work = {cancel: () => {}, taken: framed.taken};
     own.calls.set(frame.call, work);
     if (safeguards.instanceCheck && !isForGate(frame)) {
@@ -141,7 +141,7 @@
     const cancel = handle(frame, answer);
     work.cancel = () => {
       own.calls.delete(frame.call);
-      leaving?.drop();
+      queued?.drop();
       cancel();
     };
   }
