--- a/scenarios/processes/crashing-request.test.ts
+++ b/scenarios/processes/crashing-request.test.ts
@@ -135,12 +135,23 @@
     }),
 );
 
+/** Work under way at an upstream; none at one that is not back yet. */
+async function runningAt(address: string): Promise<number> {
+  try {
+    const answer = await request(`http://${address}/load`);
+    const {running} = (await answer.body.json()) as {running: number};
+    return running;
+  } catch (error) {
+    const {code} = error as NodeJS.ErrnoException;
+    if (code === 'ECONNREFUSED') return 0;
+    throw error;
+  }
+}
+
 /** Whether an upstream of crewbook has work under way. */
 async function isBusy(deployment: Deployment): Promise<boolean> {
   for (const {upstreamAddress} of crewbooks(deployment)) {
-    const answer = await request(`http://${upstreamAddress}/load`);
-    const {running} = (await answer.body.json()) as {running: number};
-    if (running > 0) return true;
+    if ((await runningAt(upstreamAddress)) > 0) return true;
   }
   return false;
 }
