--- a/src/consensus/create-consensus.ts
+++ b/src/consensus/create-consensus.ts
@@ -172,6 +172,7 @@
       case 'proposed':
         return proposals.onProposed(action);
       case 'leadership-lost':
+        log.info('leadership ended', {pending: proposals.count});
         proposals.abandon();
         return replacements.check();
       case 'barrier':
--- a/src/consensus/peers.ts
+++ b/src/consensus/peers.ts
@@ -127,6 +127,7 @@
   function detachLink(target: OutgoingLink, link: Link): void {
     if (target.link !== link) return;
     target.link = undefined;
+    log.info('link to member closed', {member: target.member.name});
     closedBytes += link.bytesOut;
     if (target.isWanted) scheduleDial(target);
   }
@@ -137,6 +138,7 @@
       return;
     }
     target.link = link;
+    log.info('link to member opened', {member: target.member.name});
     target.lastMessageAt = timers.now();
     link.onMessage(() => {
       target.attempts = 0;
--- a/src/distribution/home-search.ts
+++ b/src/distribution/home-search.ts
@@ -11,6 +11,9 @@
 import type {HomeCandidate, HomeProbe} from './home-probe.js';
 import {distributionLimits as limits} from './limits.js';
 
+/** Why each home that was probed in a round was not attached to. */
+export type HomeProblems = ReadonlyMap<Address, string>;
+
 /** Options of createHomeSearch. */
 export interface HomeSearchOptions {
   readonly network: Network;
@@ -22,16 +25,21 @@
    */
   readonly homes: () => readonly HomeAddress[];
   /**
-   * Attaches to a home that answered, or returns false to reject it. `round`
-   * counts from 0 since the search started.
+   * Attaches to a home that answered and returns undefined, or returns why it
+   * is rejected. `round` counts from 0 since the search started.
    */
-  readonly tryAttach: (candidate: HomeCandidate, round: number) => boolean;
+  readonly tryAttach: (
+    candidate: HomeCandidate,
+    round: number,
+  ) => string | undefined;
   /** Called when a home cannot be connected to or does not answer. */
   readonly onFailure: (home: HomeAddress) => void;
   /**
-   * Returns the milliseconds until the next round; undefined to end the search.
+   * Called at the end of a round without a result, with the reason for each
+   * home that was probed. Returns the milliseconds until the next round;
+   * undefined to end the search.
    */
-  readonly nextRoundDelay: () => number | undefined;
+  readonly nextRoundDelay: (problems: HomeProblems) => number | undefined;
 }
 
 /** A search for a home. */
@@ -52,6 +60,7 @@
   const {network, timers, log} = options;
   const probes = new Map<Address, HomeProbe>();
   let queue: HomeAddress[] = [];
+  let problems = new Map<Address, string>();
   let round = 0;
   let isRoundRunning = false;
   let timer: Subscription | undefined;
@@ -68,6 +77,7 @@
 
   function startRound(): void {
     isRoundRunning = true;
+    problems = new Map();
     queue = options.homes().filter(({address}) => !probes.has(address));
     probeNext();
   }
@@ -88,7 +98,7 @@
 
   function endRound(): void {
     isRoundRunning = false;
-    const delay = options.nextRoundDelay();
+    const delay = options.nextRoundDelay(problems);
     if (delay === undefined) {
       stop();
       return;
@@ -113,6 +123,7 @@
           problem,
         });
         probes.delete(home.address);
+        problems.set(home.address, problem);
         options.onFailure(home);
         probeNext();
       },
@@ -121,10 +132,12 @@
   }
 
   function receive(candidate: HomeCandidate): void {
-    if (options.tryAttach(candidate, round)) {
+    const problem = options.tryAttach(candidate, round);
+    if (problem === undefined) {
       stop();
       return;
     }
+    problems.set(candidate.home.address, problem);
     candidate.channels.link.close();
     probeNext();
   }
