Tests that fail: changes late after restarts beside a cut

Homes of a test can restart, and each moment of a fault has its own seed, as the jitter was the same in all thirty.

--- a/src/consensus/recovery.test.ts
+++ b/src/consensus/recovery.test.ts
@@ -129,3 +129,54 @@
   await group.run(8_000);
   t.deepEqual(await votersOf(group), ['b', 'c', 'd', 'e', other].sort());
 });
+
+/** Milliseconds within which a change must reach every member in contact. */
+const maxDelay = 2_000;
+/** Milliseconds for which the members must have been in contact before. */
+const settlingTime = 3_000;
+
+/**
+ * Cuts the leader off for `duration` milliseconds, after which links over which
+ * something was sent stay silent. Returns how long an entry that is accepted
+ * later takes to reach it. With `isRestarted` the others are killed as the cut
+ * ends.
+ */
+async function catchUpAfterCut(
+  seed: number,
+  isRestarted: boolean,
+): Promise<number> {
+  const group = createTestGroup(3, {
+    seed,
+    heartbeat: 100,
+    electionTimeout: 600,
+  });
+  for (const name of group.names) await group.start(name);
+  const old = await group.elect();
+  const others = group.names.filter(name => name !== old);
+  group.network.silenceAfterCut();
+  group.isolate(old);
+  await group.run(3_000 + 300 * seed);
+  if (isRestarted) for (const name of others) group.kill(name);
+  group.network.heal();
+  await group.run(1_500);
+  if (isRestarted) for (const name of others) await group.start(name);
+  await group.run(settlingTime);
+  await accept(group, 'late');
+  const acceptedAt = group.timers.now();
+  const {journal} = group.member(old);
+  await group.until(() => journal.entries.some(({text}) => text === 'late'));
+  return group.timers.now() - acceptedAt;
+}
+
+// Guards against nodes that keep an old version because their home, the former
+// leader, does not receive what is accepted. Its own links stay silent after the
+// cut, so the new leader does not get its answers.
+for (const isRestarted of [false, true]) {
+  const others = isRestarted ? 'others that restart' : 'others';
+  test(`a former leader catches up in time after a cut from the ${others}`, async t => {
+    for (let seed = 1; seed <= 20; seed++) {
+      const delay = await catchUpAfterCut(seed, isRestarted);
+      t.true(delay <= maxDelay, `seed ${seed}: ${delay} ms`);
+    }
+  });
+}
--- a/src/distribution/fakes/test-cluster.ts
+++ b/src/distribution/fakes/test-cluster.ts
@@ -57,6 +57,8 @@
   readonly fleet: Fleet;
   /** Set to false so that no quorum confirms the state of this home. */
   quorum: boolean;
+  /** Starts the process again at its address, after `network.kill`. */
+  restart(): Promise<void>;
 }
 
 /** A node in a test. */
@@ -168,26 +170,36 @@
     homes: () => readonly HomeAddress[] = () => [],
   ) {
     const {name} = self;
-    const distributor = createDistributor({
-      source,
-      barrier,
-      asOf,
-      batchWindow: 0,
-      ...shared(),
-      ...options,
-    });
-    const {position} = distributor;
-    const fleet = createFleet({
-      ...{self, timers, log, position},
-      peerCount: () => peerCount,
-      homes,
-    });
-    fleet.onHello((_hello, channels) => distributor.accept(channels));
     const address = `127.0.0.1:${++port}`;
-    await network.from(name).listen(address, link => {
-      fleet.accept(createChannels(link));
-    });
-    return {name, address, distributor, fleet};
+
+    async function start() {
+      const distributor = createDistributor({
+        source,
+        barrier,
+        asOf,
+        batchWindow: 0,
+        ...shared(),
+        ...options,
+      });
+      const {position} = distributor;
+      const fleet = createFleet({
+        ...{self, timers, log, position},
+        peerCount: () => peerCount,
+        homes,
+      });
+      fleet.onHello((_hello, channels) => distributor.accept(channels));
+      await network.from(name).listen(address, link => {
+        fleet.accept(createChannels(link));
+      });
+      return {distributor, fleet};
+    }
+
+    return {
+      name,
+      address,
+      ...(await start()),
+      restart: async () => void (await start()),
+    };
   }
 
   function startNode(
--- a/src/distribution/in-force.test.ts
+++ b/src/distribution/in-force.test.ts
@@ -10,6 +10,12 @@
 /** The same on slow links, which is the design limit for the whole fleet. */
 const maxDelayOnSlowLinks = 5000;
 
+/**
+ * Milliseconds for which the control processes must have worked before
+ * `maxDelay` holds again.
+ */
+const settlingTime = 3000;
+
 /** Periods of a node with which `maxDelay` holds. */
 const periods = {heartbeat: 400, freshness: 1200, maxReconnectDelay: 300};
 
@@ -20,7 +26,7 @@
 
 /** Starts a node, its homes in its order of preference, and their operator. */
 async function attachNode(offset: number) {
-  const cluster = createTestCluster();
+  const cluster = createTestCluster(1 + offset);
   const operator = createOperator();
   operator.accept({put: ['crewbook']});
   const homes: TestHome[] = [];
@@ -69,6 +75,8 @@
      * Suspends a process: its connections are accepted and it sends nothing.
      */
     suspend: (name: string) => void suspended.add(name),
+    /** Kills a home; its address refuses connections until it is restarted. */
+    kill: (index: number) => cluster.network.kill(names[index]!),
     /**
      * Accepts a change; resolves with the milliseconds until it is in force.
      */
@@ -148,6 +156,35 @@
       rejoin(2);
     },
   ],
+  // Guards against a node that keeps an old version because its home is cut off
+  // from the quorum and the homes that work are not probed, since they were lost
+  // a few seconds ago. All nodes attach to the home that is cut off while the two
+  // others restart, as it is the only one that answers.
+  [
+    'two of three homes restarted and the third cut off from the quorum',
+    async ({isolate, kill, cluster, homes}) => {
+      isolate(2);
+      await cluster.timers.advanceAsync(3000);
+      kill(0);
+      kill(1);
+      await cluster.timers.advanceAsync(1500);
+      await homes[0]!.restart();
+      await homes[1]!.restart();
+      await cluster.timers.advanceAsync(settlingTime);
+    },
+  ],
+  // The same after a time without a quorum, in which searches without a result
+  // have become rare.
+  [
+    'its home still without a quorum that the two others have again',
+    async ({isolate, rejoin, cluster}) => {
+      for (const index of names.keys()) isolate(index);
+      await cluster.timers.advanceAsync(30_000);
+      rejoin(1);
+      rejoin(2);
+      await cluster.timers.advanceAsync(settlingTime);
+    },
+  ],
 ];
 
 for (const [title, fault] of faults) {
--- a/src/link/fakes/fake-network.ts
+++ b/src/link/fakes/fake-network.ts
@@ -15,6 +15,13 @@
   cut(source: string, target: string): void;
   /** Removes all cuts, so that messages pass between all processes. */
   heal(): void;
+  /**
+   * From now on a link over which a message is sent during a cut stays silent
+   * after it, and neither end notices that the other one was closed. TCP's
+   * retransmissions are as far apart as the cut has lasted, and some failures
+   * leave a connection silent for good.
+   */
+  silenceAfterCut(): void;
   /** Adds `delay` milliseconds to messages from and to one process. */
   slow(name: string, delay: number): void;
   /** Closes all links of one process, as a crash would. */
@@ -35,6 +42,8 @@
   backlog: unknown[];
   open: boolean;
   other?: End;
+  /** Whether nothing passes between the two ends any more. */
+  isSilent?: boolean;
 }
 
 /** Creates a fake network; messages take `delay` milliseconds one way. */
@@ -48,6 +57,7 @@
   const slowed = new Map<string, number>();
   const ends = new Set<End>();
   let held: Array<() => void> = [];
+  let isSilencing = false;
   let rule: (
     source: string,
     target: string,
@@ -74,7 +84,9 @@
 
   function send(end: End, message: unknown): void {
     const other = end.other!;
-    if (!end.open || isCut(end.owner, other.owner)) return;
+    const isBlocked = isCut(end.owner, other.owner);
+    if (isBlocked && isSilencing) end.isSilent = other.isSilent = true;
+    if (!end.open || isBlocked || end.isSilent) return;
     const oneWay = delayOf(end.owner, other.owner);
     if (!other.open) {
       timers.after(oneWay, () => reset(end));
@@ -131,7 +143,8 @@
         closeEnd(created);
         // A cut drops the FIN too: the other end stays open until it sends.
         timers.after(delayOf(created.owner, other.owner), () => {
-          if (!isCut(created.owner, other.owner)) closeEnd(other);
+          const isLost = isCut(created.owner, other.owner) || created.isSilent;
+          if (!isLost) closeEnd(other);
         });
       }
     })();
@@ -188,6 +201,7 @@
       })(),
     cut: (source, target) => void cuts.add(`${source}>${target}`),
     heal: () => cuts.clear(),
+    silenceAfterCut: () => void (isSilencing = true),
     slow: (name, extra) => void slowed.set(name, extra),
     kill(name) {
       for (const [address, listener] of listeners) {
@@ -198,7 +212,8 @@
         const other = near.other!;
         near.open = false;
         ends.delete(near);
-        timers.after(delay, () => closeEnd(other));
+        const isLost = other.isSilent === true;
+        if (!isLost) timers.after(delay, () => closeEnd(other));
       }
     },
     decide: next => void (rule = next),
