A node whose state is not confirmed probes homes that failed lately too

Cause: a home whose link was lost is under suspicion for 5 to 15 s, and a node with an overdue confirmation asked only homes without suspicion. Beside a home that is cut off from the quorum, killing the two others makes all nodes attach to it, the only one that answers, and leaves both others under suspicion: they come back, accept changes, and nobody asks them.

Why it works: a fresh mark that a home gives now is better evidence than its failure some seconds ago. A home whose published state did not arrive stays excluded, since a fresh mark says nothing about that: without this part a node that cannot read new versions goes round its homes (home-connection.test.ts turns red).

Two suspicions were one; only the second doubles.

--- a/src/distribution/freshness-marks.ts
+++ b/src/distribution/freshness-marks.ts
@@ -46,6 +46,11 @@
    * before the present home was attached does not count.
    */
   isOverdue(): boolean;
+  /**
+   * Whether the home has published a newer version that has not arrived for too
+   * long.
+   */
+  isBehind(): boolean;
   /**
    * Whether the attached home is the cause of an outdated local state, compared
    * with another home that has just answered: it has not answered a ping that
@@ -136,6 +141,7 @@
     localAsOf: () => localAsOf,
     isFresh,
     isConfirmed: () => localAsOf !== undefined && isRecent(localAsOf),
+    isBehind,
     isOverdue: () => !isRecent(Math.max(localAsOf ?? attachedAt, attachedAt)),
     isWorseThan(other) {
       const isStale = last === undefined || !isFresh(last) || isBehind();
--- a/src/distribution/home-selector.ts
+++ b/src/distribution/home-selector.ts
@@ -23,6 +23,12 @@
 export interface HomeSelector extends Pick<KnownHomes, 'configure' | 'learn'> {
   /** Homes that are not suspected, nearest first. */
   trusted(): HomeAddress[];
+  /**
+   * Homes that may have a fresher state than the attached one: all except those
+   * whose state was not received, in the same order as `ordered`. A home that
+   * failed is among them, since it may have been restarted in the meantime.
+   */
+  alternatives(): HomeAddress[];
   /**
    * All homes: those not suspected, nearest first, then the suspected ones,
    * whose suspicion ends soonest first.
@@ -32,9 +38,11 @@
   /** Records a failure of a home; for a while it is tried after all others. */
   suspect(home: HomeAddress): void;
   /**
-   * Records that a home was left because it did not confirm the local state.
+   * Records that a home was left because the state that it had published was
+   * not received. A fresh state is no evidence against this suspicion: the
+   * cause may be this process, and it would try all homes in turn.
    */
-  countStale(): void;
+  suspectUndelivered(home: HomeAddress): void;
   /** Records that a home has confirmed the local state. */
   trust(home: HomeAddress): void;
 }
@@ -44,42 +52,54 @@
   const {clock, random} = options;
   const knownHomes = createKnownHomes(options.self, options.homes);
   const suspicionEnds = new Map<Address, number>();
-  /**
-   * Number of homes left in a row because they did not confirm the local state.
-   */
-  let staleHomes = 0;
+  /** The suspected homes whose state was not received. */
+  const undelivered = new Set<Address>();
+  /** Number of homes left in a row because their state was not received. */
+  let undeliveredInRow = 0;
 
   const suspectedUntil = (home: HomeAddress) =>
     suspicionEnds.get(home.address) ?? 0;
   const isSuspected = (home: HomeAddress) => suspectedUntil(home) > clock.now();
+  const isUndelivered = (home: HomeAddress) =>
+    isSuspected(home) && undelivered.has(home.address);
   const trusted = () => knownHomes.list().filter(home => !isSuspected(home));
 
+  function ordered(): HomeAddress[] {
+    const suspects = knownHomes.list().filter(isSuspected);
+    suspects.sort(
+      (left, right) => suspectedUntil(left) - suspectedUntil(right),
+    );
+    return [...trusted(), ...suspects];
+  }
+
+  /**
+   * The suspicion grows longer while no home confirms the local state, as with a
+   * node that cannot read what it receives: trying all homes in turn would only
+   * load them.
+   */
+  function suspect(home: HomeAddress): void {
+    const doublings = Math.min(undeliveredInRow, limits.maxSuspicionDoublings);
+    const duration =
+      limits.suspicionPeriod * 2 ** doublings * (0.5 + random.fraction());
+    suspicionEnds.set(home.address, clock.now() + duration);
+    undelivered.delete(home.address);
+  }
+
   return {
     configure: knownHomes.configure,
     learn: knownHomes.learn,
     trusted,
-    ordered() {
-      const suspects = knownHomes.list().filter(isSuspected);
-      suspects.sort(
-        (left, right) => suspectedUntil(left) - suspectedUntil(right),
-      );
-      return [...trusted(), ...suspects];
-    },
+    ordered,
+    alternatives: () => ordered().filter(home => !isUndelivered(home)),
     isNearer: (home, than) => knownHomes.rankOf(home) < knownHomes.rankOf(than),
-    /**
-     * The suspicion grows longer while no home confirms the local state, as
-     * with a node that cannot read what it receives: trying all homes in turn
-     * would only load them.
-     */
-    suspect(home) {
-      const factor = 2 ** Math.min(staleHomes, limits.maxSuspicionDoublings);
-      const duration =
-        limits.suspicionPeriod * factor * (0.5 + random.fraction());
-      suspicionEnds.set(home.address, clock.now() + duration);
+    suspect,
+    suspectUndelivered(home) {
+      suspect(home);
+      undelivered.add(home.address);
+      undeliveredInRow++;
     },
-    countStale: () => void staleHomes++,
     trust(home) {
-      staleHomes = 0;
+      undeliveredInRow = 0;
       suspicionEnds.delete(home.address);
     },
   };
