The wait between searches for a better home is bounded by homeFreshness

Cause: each search without a result doubled the wait for the next, up to 10 s, so after a longer time without a quorum the wait alone exceeded the 2 s in which a change must be in force.

The waits are now between half and all of homeFreshness (1.2 s on the platform). Searches are more frequent in a long time without a quorum, so a round probes four homes at most: a test with 12 homes counts the probes and is red without the limit.

--- a/src/distribution/home-connection.test.ts
+++ b/src/distribution/home-connection.test.ts
@@ -112,6 +112,36 @@
   t.true(links <= 12, `${links} links`);
 });
 
+// Guards against control processes that can't elect a leader because all nodes
+// probe all of them all the time while there is none.
+test('a node probes few homes at a time while no home has a fresh mark', async t => {
+  const cluster = createTestCluster();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const homes = await Promise.all(
+    Array.from({length: 12}, (_, at) =>
+      cluster.control(`home-${at}`, operator),
+    ),
+  );
+  const addresses = homes.map(({address}) => address);
+  const node = cluster.node('node-1', addresses);
+  await cluster.timers.advanceAsync(5_000);
+  for (const home of homes) home.quorum = false;
+  await cluster.timers.advanceAsync(5_000);
+  let probes = 0;
+  const attached = homes.findIndex(
+    home => home.address === node.home.address(),
+  );
+  cluster.network.decide((source, target, message) => {
+    const {body} = message as {body: {kind?: string}};
+    const isToOther = target !== `home-${attached}`;
+    if (source === 'node-1' && isToOther && body.kind === 'ping') probes++;
+    return 'deliver';
+  });
+  await cluster.timers.advanceAsync(60_000);
+  t.true(probes > 60 && probes <= 4 * 40, `${probes} probes`);
+});
+
 test('a node returns to its nearest home once that works again', async t => {
   const {node, nearest, cluster} = await isolateHome({});
   nearest.quorum = true;
--- a/src/distribution/in-force.test.ts
+++ b/src/distribution/in-force.test.ts
@@ -185,6 +185,17 @@
       await cluster.timers.advanceAsync(settlingTime);
     },
   ],
+  // The same where a home that can't be reached prolongs each search.
+  [
+    'its home without a quorum and an unreachable home beside the one that has it',
+    async ({isolate, rejoin, cut, cluster}) => {
+      for (const index of names.keys()) isolate(index);
+      cut('control-2');
+      await cluster.timers.advanceAsync(30_000);
+      rejoin(2);
+      await cluster.timers.advanceAsync(settlingTime);
+    },
+  ],
 ];
 
 for (const [title, fault] of faults) {
--- a/src/distribution/limits.ts
+++ b/src/distribution/limits.ts
@@ -30,10 +30,11 @@
   /** Homes probed concurrently: one more than may fail together. */
   maxConcurrentProbes: 3,
   /**
-   * Delay between search rounds while the confirmation is overdue and no home
-   * is better.
+   * Maximum number of homes that are probed in one round while the confirmation
+   * is overdue. It bounds the load of a fleet without a quorum, when all nodes
+   * search.
    */
-  overdueSearchDelay: {first: 1000, most: 10_000},
+  maxOverdueProbes: 4,
   /**
    * How long a home may be silent before its link is closed. Other homes are
    * probed long before that; on a full link the messages of the home may still
