Links between members are renewed after two election timeouts of silence

Cause: each member sends on the links that it opened. After a cut the operating system retransmits as late after it as the cut has lasted, and some failures leave a connection silent for good; then the former leader hears the new one, and its answers are lost, so the leader never sends it more than the first entry. Such a link was opened anew after 20 election timeouts only (12 s on the platform), and attempts were up to 40 heartbeats apart (4 s).

Tried and not kept, as no test showed a difference: giving up an attempt in progress when the member calls, and after a timeout of its own.

A paused process no longer takes all its links for silent.

--- a/src/consensus/core-state.ts
+++ b/src/consensus/core-state.ts
@@ -45,6 +45,8 @@
   readonly flowControl: boolean;
   /** A failed sync stops the member; it does not retry. */
   readonly stopOnSyncFailure: boolean;
+  /** A link to a member that has become silent is opened again. */
+  readonly renewLinks: boolean;
 }
 
 /** All safeguards switched on. */
@@ -59,6 +61,7 @@
   syncVote: true,
   flowControl: true,
   stopOnSyncFailure: true,
+  renewLinks: true,
 };
 
 /**
--- a/src/consensus/peers.ts
+++ b/src/consensus/peers.ts
@@ -1,6 +1,8 @@
 import type {Link, Listener, Network} from '../link/link.js';
 import type {Log} from '../log/log.js';
 import type {Random} from '../random/random.js';
+import {createSilenceWatch} from '../time/silence-watch.js';
+import type {SilenceWatch} from '../time/silence-watch.js';
 import type {Subscription, Timers} from '../time/timers.js';
 import type {Member} from './consensus.js';
 import type {Hello, Message, Ping} from './messages.js';
@@ -46,11 +48,13 @@
 /** Maximum unsent bytes on one link before messages are dropped. */
 const maxPendingBytes = 8 * 1024 * 1024;
 /** Number of pings within `silenceTimeout`. */
-const pingsPerTimeout = 5;
+const pingsPerTimeout = 3;
 /**
  * Maximum factor by which the delay grows for a member that stays unreachable.
+ * The delay is part of the time until a member that can be reached again
+ * receives what is accepted.
  */
-const maxBackoffFactor = 20;
+const maxBackoffFactor = 5;
 
 interface OutgoingLink {
   member: Member;
@@ -58,8 +62,8 @@
   retryTimer: Subscription | undefined;
   /** Connection attempts since the last message. */
   attempts: number;
-  /** When the other end last sent a message. */
-  lastMessageAt: number;
+  /** Detects that the other end no longer sends messages. */
+  watch: SilenceWatch;
   isWanted: boolean;
 }
 
@@ -70,11 +74,15 @@
  */
 export async function createPeers(options: PeersOptions): Promise<Peers> {
   const {self, network, timers, random, log, reconnectDelay} = options;
+  const checkPeriod = options.silenceTimeout / pingsPerTimeout;
   const outgoing = new Map<string, OutgoingLink>();
   const accepted = new Set<Link>();
   let closedBytes = 0;
   let isStopped = false;
 
+  const createWatch = () =>
+    createSilenceWatch(timers, checkPeriod, options.silenceTimeout);
+
   function dial(target: OutgoingLink): void {
     if (isStopped || !target.isWanted) return;
     const {address, name} = target.member;
@@ -106,14 +114,15 @@
   }
 
   /**
-   * After a long network cut the operating system's retransmissions are minutes
-   * apart, so a member that is reachable again would stay disconnected for that
-   * long. A link without messages is therefore opened again.
+   * After a network cut the operating system's retransmissions are up to as far
+   * apart as the cut has lasted, so a member that is reachable again would stay
+   * disconnected for that long. A link without messages is therefore opened
+   * again.
    */
   function checkLink(target: OutgoingLink): void {
     const {link} = target;
     if (link === undefined) return;
-    if (timers.now() - target.lastMessageAt < options.silenceTimeout) {
+    if (target.watch.check() !== 'silent') {
       link.send({kind: 'ping'});
       return;
     }
@@ -139,10 +148,10 @@
     }
     target.link = link;
     log.info('link to member opened', {member: target.member.name});
-    target.lastMessageAt = timers.now();
+    target.watch = createWatch();
     link.onMessage(() => {
       target.attempts = 0;
-      target.lastMessageAt = timers.now();
+      target.watch.recordActivity();
     });
     link.onClose(() => detachLink(target, link));
     link.send(options.hello());
@@ -183,12 +192,9 @@
   }
 
   const listener: Listener = await network.listen(self.address, accept);
-  const linkChecks = timers.every(
-    options.silenceTimeout / pingsPerTimeout,
-    () => {
-      for (const target of outgoing.values()) checkLink(target);
-    },
-  );
+  const linkChecks = timers.every(checkPeriod, () => {
+    for (const target of outgoing.values()) checkLink(target);
+  });
 
   return {
     maintainLink(member) {
@@ -204,7 +210,7 @@
         link: undefined,
         retryTimer: undefined,
         attempts: 0,
-        lastMessageAt: timers.now(),
+        watch: createWatch(),
         isWanted: true,
       };
       outgoing.set(member.name, target);
--- a/src/consensus/recovery.test.ts
+++ b/src/consensus/recovery.test.ts
@@ -130,19 +130,21 @@
   t.deepEqual(await votersOf(group), ['b', 'c', 'd', 'e', other].sort());
 });
 
-/** Milliseconds within which a change must reach every member in contact. */
-const maxDelay = 2_000;
-/** Milliseconds for which the members must have been in contact before. */
-const settlingTime = 3_000;
+/**
+ * Milliseconds after the last fault within which every member must have what was
+ * accepted in the meantime, so that its nodes have it too.
+ */
+const maxDelay = 3_000;
 
 /**
  * Cuts the leader off for `duration` milliseconds, after which links over which
- * something was sent stay silent. Returns how long an entry that is accepted
- * later takes to reach it. With `isRestarted` the others are killed as the cut
- * ends.
+ * something was sent stay silent. Returns how long after the last fault it takes
+ * until the former leader has an entry that was accepted at once. With
+ * `isRestarted` the others are killed as the cut ends.
  */
 async function catchUpAfterCut(
   seed: number,
+  duration: number,
   isRestarted: boolean,
 ): Promise<number> {
   const group = createTestGroup(3, {
@@ -155,17 +157,16 @@
   const others = group.names.filter(name => name !== old);
   group.network.silenceAfterCut();
   group.isolate(old);
-  await group.run(3_000 + 300 * seed);
+  await group.run(duration);
   if (isRestarted) for (const name of others) group.kill(name);
   group.network.heal();
-  await group.run(1_500);
+  if (isRestarted) await group.run(1_500);
   if (isRestarted) for (const name of others) await group.start(name);
-  await group.run(settlingTime);
-  await accept(group, 'late');
-  const acceptedAt = group.timers.now();
+  const faultEnd = group.timers.now();
+  while (!(await group.propose(await group.elect(), 'late')).ok);
   const {journal} = group.member(old);
   await group.until(() => journal.entries.some(({text}) => text === 'late'));
-  return group.timers.now() - acceptedAt;
+  return group.timers.now() - faultEnd;
 }
 
 // Guards against nodes that keep an old version because their home, the former
@@ -175,8 +176,10 @@
   const others = isRestarted ? 'others that restart' : 'others';
   test(`a former leader catches up in time after a cut from the ${others}`, async t => {
     for (let seed = 1; seed <= 20; seed++) {
-      const delay = await catchUpAfterCut(seed, isRestarted);
-      t.true(delay <= maxDelay, `seed ${seed}: ${delay} ms`);
+      for (const duration of [300 * seed, 20_000 + 97 * seed]) {
+        const delay = await catchUpAfterCut(seed, duration, isRestarted);
+        t.true(delay <= maxDelay, `seed ${seed}: ${delay} ms`);
+      }
     }
   });
 }
