--- a/src/distribution/home-mesh.ts
+++ b/src/distribution/home-mesh.ts
@@ -7,6 +7,15 @@
 import {createHomeConnection} from './home-connection.js';
 import type {HomeConnection} from './home-connection.js';
 
+/** Period of the pings to a peer home, in milliseconds. */
+const heartbeat = 1000;
+/**
+ * Maximum delay before another attempt to connect to a peer home, in
+ * milliseconds. Until then its nodes learn nothing of the instances of this
+ * home's nodes.
+ */
+const maxReconnectDelay = 500;
+
 /** Options of createHomeMesh. */
 export interface HomeMeshOptions {
   readonly network: Network;
@@ -48,7 +57,8 @@
     const connection = createHomeConnection({
       ...shared,
       homes: [peer],
-      heartbeat: 1000,
+      heartbeat,
+      maxReconnectDelay,
     });
     connections.set(peer, connection);
     for (const observe of channelsObservers) connection.onChannels(observe);
