A change is answered only by the entry of its own term

Answers to changes were found by the index of the applied entry. A former leader that learns of the next one by a message with entries and a commit index applies these entries before it gives its leadership up, so a change that was never committed could be answered 'accepted' with another one's version.

--- a/src/consensus/applier.ts
+++ b/src/consensus/applier.ts
@@ -43,7 +43,7 @@
     applied++;
     if (entry.kind === 'command') {
       const answer = machine.apply(entry.index, entry.data);
-      proposals.onApplied(entry.index, answer);
+      proposals.onApplied(entry, answer);
     }
     notify();
   }
--- a/src/consensus/core-state.ts
+++ b/src/consensus/core-state.ts
@@ -90,7 +90,12 @@
     }
   /** Entries up to `index` may be applied. */
   | {readonly kind: 'commit'; readonly index: number}
-  | {readonly kind: 'proposed'; readonly id: number; readonly index: number}
+  | {
+      readonly kind: 'proposed';
+      readonly id: number;
+      readonly index: number;
+      readonly term: number;
+    }
   /** Leadership ended, so the outcome of pending proposals is unknown. */
   | {readonly kind: 'leadership-lost'}
   | {
--- a/src/consensus/core.ts
+++ b/src/consensus/core.ts
@@ -86,7 +86,8 @@
       data,
     }));
     proposals.forEach(({id}, offset) => {
-      state.actions.push({kind: 'proposed', id, index: first + offset});
+      const index = first + offset;
+      state.actions.push({kind: 'proposed', id, index, term: state.term});
     });
     replication.append(entries);
   }
--- a/src/consensus/proposals.ts
+++ b/src/consensus/proposals.ts
@@ -3,6 +3,7 @@
 import {consensusCodes} from './codes.js';
 import type {Action} from './core-state.js';
 import type {Proposal} from './core.js';
+import type {Entry} from './messages.js';
 
 /** Changes between the call of `propose` and its result. */
 export interface Proposals {
@@ -15,7 +16,8 @@
   /** Returns the changes that were added since the last call. */
   take(): Proposal[];
   onProposed(action: Action & {kind: 'proposed'}): void;
-  onApplied(index: number, answer: Uint8Array): void;
+  /** Answers the change of an entry that was applied. */
+  onApplied(entry: EntryPosition, answer: Uint8Array): void;
   /**
    * A snapshot replaced the entries up to `index`, so their results are
    * unknown.
@@ -32,13 +34,21 @@
   abandon(): void;
 }
 
+/** Identifies an entry: another leader's may take the same index. */
+type EntryPosition = Pick<Entry, 'index' | 'term'>;
+
+interface AppendedProposal {
+  readonly term: number;
+  readonly settle: Settle;
+}
+
 type Settle = (result: Result<Uint8Array>) => void;
 
 /** Creates the register of pending changes. */
 export function createProposals(): Proposals {
   const queued = new Map<number, {data: Uint8Array; settle: Settle}>();
   const submitted = new Map<number, Settle>();
-  const appended = new Map<number, Settle>();
+  const appended = new Map<number, AppendedProposal>();
   let nextId = 1;
   let bytes = 0;
 
@@ -74,18 +84,19 @@
       queued.clear();
       return proposals;
     },
-    onProposed({id, index}) {
+    onProposed({id, index, term}) {
       const settle = submitted.get(id)!;
       submitted.delete(id);
-      appended.set(index, settle);
+      appended.set(index, {term, settle});
     },
-    onApplied(index, answer) {
-      const settle = appended.get(index);
+    onApplied({index, term}, answer) {
+      const proposal = appended.get(index);
       appended.delete(index);
-      settle?.(success(answer));
+      const isSame = proposal?.term === term;
+      proposal?.settle(isSame ? success(answer) : outcomeUnknown());
     },
     onRestored(index) {
-      for (const [entryIndex, settle] of appended) {
+      for (const [entryIndex, {settle}] of appended) {
         if (entryIndex > index) continue;
         appended.delete(entryIndex);
         settle(outcomeUnknown());
@@ -98,7 +109,7 @@
     abandon() {
       for (const {settle} of queued.values()) settle(outcomeUnknown());
       for (const settle of submitted.values()) settle(outcomeUnknown());
-      for (const settle of appended.values()) settle(outcomeUnknown());
+      for (const {settle} of appended.values()) settle(outcomeUnknown());
       queued.clear();
       submitted.clear();
       appended.clear();
