A closed link gives up its socket when the other end stays silent

Found while links between members were made to be renewed sooner: close() ends this side and waits for the other's, which a suspended or unreachable process never sends, so each renewed link left a socket open for many minutes. After two seconds without activity the socket is destroyed. Red without it: the socket of a link whose other end is silent stays open.

--- a/src/link/socket-link.test.ts
+++ b/src/link/socket-link.test.ts
@@ -12,6 +12,7 @@
 function setUp() {
   const messages: unknown[] = [];
   let writes = 0;
+  let onIdle: (() => void) | undefined;
   const reader = createFrameReader(1024, frame =>
     messages.push(codec.decode(frame)),
   );
@@ -26,10 +27,14 @@
   const counted = Object.assign(socket, {
     setNoDelay: () => {},
     setKeepAlive: () => {},
+    setTimeout: (_timeout: number, observe: () => void) => {
+      onIdle = observe;
+    },
     bytesWritten: 0,
   }) as unknown as Socket;
   const link = createSocketLink(counted, {messageLimit: 1024, codec});
-  return {link, socket, messages, writes: () => writes};
+  const idle = () => onIdle?.();
+  return {link, socket, messages, writes: () => writes, idle};
 }
 
 // With a separate write for each frame, each frame of a response costs a system
@@ -64,6 +69,20 @@
   t.true(socket.writableEnded);
 });
 
+// Guards against a process that runs out of file descriptors because the other
+// end of its closed links is suspended or cut off and never closes its side.
+test('a closed link to a silent other end gives up its socket', async t => {
+  const {link, socket, idle} = setUp();
+  let isClosed = false;
+  link.onClose(() => (isClosed = true));
+  link.close();
+  await nextTurn();
+  t.false(socket.destroyed);
+  idle();
+  await nextTurn();
+  t.true(socket.destroyed && isClosed);
+});
+
 test('an aborted link sends no more messages', async t => {
   const {link, messages} = setUp();
   link.send('late');
--- a/src/link/socket-link.ts
+++ b/src/link/socket-link.ts
@@ -4,6 +4,13 @@
 import {createFrameReader, encodeFrames, headerBytes} from './frame.js';
 import {Link} from './link.js';
 
+/**
+ * Time without activity after which a closed socket is destroyed, in
+ * milliseconds. The other end of a dead connection never closes its side, so the
+ * socket would stay open for many minutes.
+ */
+const closeTimeout = 2000;
+
 /** Options of `createSocketLink`. */
 export interface SocketLinkOptions {
   /** Maximum size of a message in bytes; a larger one closes the link. */
@@ -100,6 +107,7 @@
   close(): void {
     this.flush();
     this.socket.end();
+    this.socket.setTimeout(closeTimeout, () => this.socket.destroy());
   }
 
   destroy(): void {
