--- a/src/distribution/limits.ts
+++ b/src/distribution/limits.ts
@@ -35,6 +35,8 @@
    * search.
    */
   maxOverdueProbes: 4,
+  /** Minimum time between two log lines about searches without a result. */
+  failedSearchLogPeriod: 5000,
   /**
    * How long a home may be silent before its link is closed. Other homes are
    * probed long before that; on a full link the messages of the home may still
