The scenario of restarts beside a cut counts its bound from the acceptance

It allowed 100 ms more than the 2 s in which a change must be in force, since the bound was taken after a pause.

--- a/scenarios/restarts-beside-a-cut.test.ts
+++ b/scenarios/restarts-beside-a-cut.test.ts
@@ -103,9 +103,9 @@
   const late: string[] = [];
   while (timers.now() - restartedAt < 8_000) {
     const version = await accept(cluster, isCutEnding ? all : others);
+    const due = Math.max(timers.now() + maxDelay, restartedAt + settlingTime);
     await timers.advanceAsync(100);
     if (version === undefined) continue;
-    const due = Math.max(timers.now() + maxDelay, restartedAt + settlingTime);
     const isInForce = () =>
       nodeNames.every(
         name => cluster.node(name).subscriber.current()!.version >= version,
