Bench of claims reserves its ports like the other tests with processes

The bench let the system choose a port, closed it and listened on it later, and the port lies in the range for outgoing connections, so another test's connection can take it in between. reservePorts, which stands for this reason, is used in its place.

--- a/bench/claims/placements.ts
+++ b/bench/claims/placements.ts
@@ -3,8 +3,6 @@
  * `Claims`.
  */
 import {mkdtemp, rm} from 'node:fs/promises';
-import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {Packr} from 'msgpackr';
@@ -29,6 +27,7 @@
 import {createSilentLog} from '../../src/log/log.js';
 import {createRandom} from '../../src/random/random.js';
 import type {Timers} from '../../src/time/timers.js';
+import {reservePorts} from '../deployment/ports.js';
 
 /** Claims with the parts that store them. */
 export interface Placement {
@@ -61,13 +60,14 @@
   timers: Timers,
   network: Network,
 ): Promise<Placement & {readonly assignment: KeeperAssignment}> {
+  const ports = await reservePorts();
   const members: Keeper[] = [];
   const keepers: ClaimKeeper[] = [];
   for (const failureDomain of domains) {
     const self = {
       instance: `stock-desk-${failureDomain}`,
       incarnation: members.length + 1,
-      address: await freeAddress(),
+      address: ports.nextAddress(),
       failureDomain,
     };
     members.push(self);
@@ -90,6 +90,7 @@
     async stop() {
       claims.stop();
       for (const keeper of keepers) await keeper.stop();
+      ports.release();
     },
   };
 }
@@ -102,10 +103,11 @@
   network: Network,
 ): Promise<Placement> {
   const folder = await mkdtemp(join(tmpdir(), 'claims-log-'));
+  const ports = await reservePorts();
   const members: Member[] = [];
   for (const failureDomain of domains) {
     const name = `control-${failureDomain}`;
-    members.push({name, address: await freeAddress(), failureDomain});
+    members.push({name, address: ports.nextAddress(), failureDomain});
   }
   const group: Consensus[] = [];
   const tables: ClaimTable[] = [];
@@ -129,7 +131,7 @@
     );
   }
   const leader = await findLeader(group, timers);
-  const address = await freeAddress();
+  const address = ports.nextAddress();
   const listener = await network.listen(address, link =>
     serveProposals(link, leader),
   );
@@ -148,6 +150,7 @@
       link.close();
       await listener.close();
       for (const member of group) await member.stop();
+      ports.release();
       await rm(folder, {recursive: true, force: true});
     },
   };
@@ -243,12 +246,3 @@
     await new Promise<void>(done => timers.after(20, done));
   }
 }
-
-/** Returns a loopback address whose port was free when it was checked. */
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
-  const {port} = server.address() as AddressInfo;
-  await new Promise<void>(done => server.close(() => done()));
-  return `127.0.0.1:${port}`;
-}
