One record for each suspicion of a home; no option that equals another

Read again: the end of a suspicion and its kind were kept in two collections that had to agree, and overdueSearchDelay was always freshness. Behaviour is the same, random numbers are drawn in the same order.

--- a/src/distribution/home-connection-options.ts
+++ b/src/distribution/home-connection-options.ts
@@ -45,12 +45,6 @@
   readonly overdueAge: number;
   /** Delay before the next search for a home. */
   readonly reconnectDelay: BackoffBounds;
-  /**
-   * Maximum delay between search rounds while the confirmation is overdue and no
-   * home is better. It does not grow with their number: it is part of the time
-   * until a change is in force after the control processes work again.
-   */
-  readonly overdueSearchDelay: number;
   readonly safeguards: {readonly freshness: boolean; readonly silence: boolean};
 }
 
@@ -65,7 +59,6 @@
     freshness,
     overdueAge: freshness * limits.overdueShare,
     reconnectDelay: {...limits.reconnectDelay, most},
-    overdueSearchDelay: freshness,
     safeguards: {freshness: true, silence: true, ...options.safeguards},
   };
 }
--- a/src/distribution/home-selector.ts
+++ b/src/distribution/home-selector.ts
@@ -47,21 +47,26 @@
   trust(home: HomeAddress): void;
 }
 
+/** A home that failed, or whose state was not received. */
+interface Suspicion {
+  /** Local time at which it ends. */
+  readonly endsAt: number;
+  readonly isUndelivered: boolean;
+}
+
 /** Creates a selector without suspected homes. */
 export function createHomeSelector(options: HomeSelectorOptions): HomeSelector {
   const {clock, random} = options;
   const knownHomes = createKnownHomes(options.self, options.homes);
-  const suspicionEnds = new Map<Address, number>();
-  /** The suspected homes whose state was not received. */
-  const undelivered = new Set<Address>();
+  const suspicions = new Map<Address, Suspicion>();
   /** Number of homes left in a row because their state was not received. */
   let undeliveredInRow = 0;
 
-  const suspectedUntil = (home: HomeAddress) =>
-    suspicionEnds.get(home.address) ?? 0;
+  const suspectedUntil = ({address}: HomeAddress) =>
+    suspicions.get(address)?.endsAt ?? 0;
   const isSuspected = (home: HomeAddress) => suspectedUntil(home) > clock.now();
-  const isUndelivered = (home: HomeAddress) =>
-    isSuspected(home) && undelivered.has(home.address);
+  const isExcluded = (home: HomeAddress) =>
+    isSuspected(home) && suspicions.get(home.address)!.isUndelivered;
   const trusted = () => knownHomes.list().filter(home => !isSuspected(home));
 
   function ordered(): HomeAddress[] {
@@ -77,12 +82,11 @@
    * node that cannot read what it receives: trying all homes in turn would only
    * load them.
    */
-  function suspect(home: HomeAddress): void {
+  function suspect({address}: HomeAddress, isUndelivered: boolean): void {
     const doublings = Math.min(undeliveredInRow, limits.maxSuspicionDoublings);
     const duration =
       limits.suspicionPeriod * 2 ** doublings * (0.5 + random.fraction());
-    suspicionEnds.set(home.address, clock.now() + duration);
-    undelivered.delete(home.address);
+    suspicions.set(address, {endsAt: clock.now() + duration, isUndelivered});
   }
 
   return {
@@ -90,17 +94,16 @@
     learn: knownHomes.learn,
     trusted,
     ordered,
-    alternatives: () => ordered().filter(home => !isUndelivered(home)),
+    alternatives: () => ordered().filter(home => !isExcluded(home)),
     isNearer: (home, than) => knownHomes.rankOf(home) < knownHomes.rankOf(than),
-    suspect,
+    suspect: home => suspect(home, false),
     suspectUndelivered(home) {
-      suspect(home);
-      undelivered.add(home.address);
+      suspect(home, true);
       undeliveredInRow++;
     },
     trust(home) {
       undeliveredInRow = 0;
-      suspicionEnds.delete(home.address);
+      suspicions.delete(home.address);
     },
   };
 }
