--- a/scenarios/cluster.ts
+++ b/scenarios/cluster.ts
@@ -61,8 +61,6 @@
    * up.
    */
   submit(command: Command): Promise<Answer | undefined>;
-  /** Advances the time until a promise has settled. */
-  settled(promise: Promise<void>): Promise<void>;
   cutOff(name: string): void;
   /** Restores all connections. */
   heal(): void;
@@ -249,12 +247,6 @@
     },
     send,
     submit,
-    async settled(promise) {
-      let isSettled = false;
-      void promise.finally(() => (isSettled = true));
-      await until('a promise', () => isSettled);
-      await promise;
-    },
     cutOff(name) {
       const memberName = controls.get(name)!.name;
       const others = [...controls.values(), ...nodes.values()];
--- a/scenarios/restarts-beside-a-cut.test.ts
+++ b/scenarios/restarts-beside-a-cut.test.ts
@@ -98,7 +98,7 @@
   }
   const restarted = restart(cluster, others, random);
   if (isCutEnding) network.heal();
-  await cluster.settled(restarted);
+  await restarted;
   const restartedAt = timers.now();
   const late: string[] = [];
   while (timers.now() - restartedAt < 8_000) {
