Orders of roll-outs in the replicated configuration, and instances' versions

This is the state: one record a service with the stable versions, the order, the phase and the share, changed by 'start rollout', 'roll back' and by the leader's steps. Instances announce their version.

Ruled out: a log of its own for roll-outs (two orders of events at a node), and an expected version for each step (any other change would refuse it).

--- a/bench/experiments/request-balance.ts
+++ b/bench/experiments/request-balance.ts
@@ -108,6 +108,7 @@
   policies: new Map(),
   drains: new Map(),
   quarantines: new Map(),
+  rollouts: new Map(),
 } as unknown as Configuration;
 
 /** The parameters of one measured point, other than the rule. */
--- a/bench/requests/messages.ts
+++ b/bench/requests/messages.ts
@@ -82,4 +82,5 @@
   ]),
   drains: new Map(),
   quarantines: new Map(),
+  rollouts: new Map(),
 };
--- a/scripts/settings-page.ts
+++ b/scripts/settings-page.ts
@@ -35,6 +35,7 @@
     section('Members of the control group', controlSchema.shape.members, [
       'member',
     ]),
+    section('Roll-outs', controlSchema.shape.rollouts, ['rollouts']),
     section('The upstream beside a node', nodeSchema.shape.upstream, [
       'upstream',
     ]),
--- a/src/configuration/history.ts
+++ b/src/configuration/history.ts
@@ -1,3 +1,4 @@
+import type {Item} from './configuration.js';
 import type {Command, Edit} from './messages.js';
 
 /** An accepted change. */
@@ -28,6 +29,19 @@
 }
 
 function describeEdit(edit: Edit): string {
-  if (edit.action === 'remove') return `remove ${edit.kind} ${edit.name}`;
-  return `put ${edit.item.kind} ${edit.item.value.name}`;
+  switch (edit.action) {
+    case 'remove':
+      return `remove ${edit.kind} ${edit.name}`;
+    case 'start-rollout':
+      return `start rollout of ${edit.service} to ${edit.target}`;
+    case 'roll-back':
+      return `roll back ${edit.service}`;
+    case 'put':
+      return describePut(edit.item);
+  }
+}
+
+function describePut({kind, value}: Item): string {
+  if (kind !== 'rollout') return `put ${kind} ${value.name}`;
+  return `put rollout ${value.name} ${value.phase}, share ${value.share}`;
 }
--- a/src/configuration/limits.ts
+++ b/src/configuration/limits.ts
@@ -39,6 +39,8 @@
   readonly deadline: number;
   /** Maximum slow start of a service, in milliseconds. */
   readonly slowStart: number;
+  /** Maximum duration of a roll-out, in milliseconds. */
+  readonly rollout: number;
   /** Maximum number of attempts of a policy. */
   readonly attempts: number;
   /** Maximum body limit of a policy, in bytes. */
--- a/src/distribution/messages.ts
+++ b/src/distribution/messages.ts
@@ -2,6 +2,7 @@
   Drain,
   Policy,
   Quarantine,
+  Rollout,
   Route,
   Service,
 } from '../configuration/configuration.js';
@@ -19,6 +20,8 @@
   readonly drains: readonly Drain[];
   /** Absent if there are none. */
   readonly quarantines?: readonly Quarantine[];
+  /** Which versions of the service get requests; absent for all. */
+  readonly rollout?: Rollout;
 }
 
 /**
--- a/src/distribution/section-source.ts
+++ b/src/distribution/section-source.ts
@@ -89,6 +89,7 @@
 function isSame(left: Section, right: Section): boolean {
   return (
     left.service === right.service &&
+    left.rollout === right.rollout &&
     isSameList(left.routes, right.routes) &&
     isSameList(left.policies, right.policies) &&
     isSameList(left.drains, right.drains) &&
--- a/src/distribution/section.test.ts
+++ b/src/distribution/section.test.ts
@@ -3,6 +3,7 @@
   Configuration,
   Route,
   Quarantine,
+  Rollout,
 } from '../configuration/configuration.js';
 import {buildCandidateState} from './candidate-state.js';
 import type {HeldState} from './candidate-state.js';
@@ -20,6 +21,19 @@
   return {name, prefix: `/${name}`, methods: [], service, policy: 'lookups'};
 }
 
+const rollout: Rollout = {
+  name: 'records',
+  stable: ['v1'],
+  order: {target: 'v2', duration: 12_000, number: 1},
+  phase: 'running',
+  elapsed: 500,
+  share: 0.01,
+  routeShares: [{route: 'records', share: 0.2}],
+  spread: 2,
+  offset: 0,
+  reason: 'ordered',
+};
+
 const quarantine: Quarantine = {
   name: 'a'.repeat(32),
   service: 'records',
@@ -54,6 +68,7 @@
     policies: new Map([[policy.name, policy]]),
     drains: new Map([['r-1', {name: 'r-1', service: 'records'}]]),
     quarantines: new Map([[quarantine.name, quarantine]]),
+    rollouts: new Map([[rollout.name, rollout]]),
   };
 }
 
@@ -103,6 +118,7 @@
   t.deepEqual(sorted(held.configuration.routes), sorted(configuration.routes));
   t.deepEqual(held.configuration.drains, configuration.drains);
   t.deepEqual(held.configuration.quarantines, configuration.quarantines);
+  t.deepEqual(held.configuration.rollouts, configuration.rollouts);
 });
 
 test('an interest in a service covers all its parts and no other service', t => {
--- a/src/distribution/section.ts
+++ b/src/distribution/section.ts
@@ -5,6 +5,7 @@
   Drain,
   Policy,
   Quarantine,
+  Rollout,
   Route,
   Service,
 } from '../configuration/configuration.js';
@@ -46,6 +47,7 @@
         policies: policiesOf(partRoutes, configuration),
         drains: part === 0 ? (drains.get(service.name) ?? []) : [],
         ...(part === 0 && quarantinesOf(quarantines.get(service.name))),
+        ...(part === 0 && rolloutOf(service.name, configuration)),
       });
     }
   }
@@ -103,6 +105,7 @@
   const policies = new Map<string, Policy>();
   const drains = new Map<string, Drain>();
   const quarantines = new Map<string, Quarantine>();
+  const rollouts = new Map<string, Rollout>();
   for (const section of sections) {
     const problem = findBadReference(section, routes);
     if (problem !== undefined && isChecked) {
@@ -114,8 +117,18 @@
     for (const drain of section.drains) drains.set(drain.name, drain);
     for (const quarantine of section.quarantines ?? [])
       quarantines.set(quarantine.name, quarantine);
+    const {rollout} = section;
+    if (rollout !== undefined) rollouts.set(rollout.name, rollout);
   }
-  return success({version, services, routes, policies, drains, quarantines});
+  return success({
+    version,
+    services,
+    routes,
+    policies,
+    drains,
+    quarantines,
+    rollouts,
+  });
 }
 
 function findBadReference(
@@ -158,6 +171,14 @@
   return quarantines === undefined ? {} : {quarantines};
 }
 
+function rolloutOf(
+  service: string,
+  {rollouts}: Configuration,
+): Pick<Section, 'rollout'> {
+  const rollout = rollouts.get(service);
+  return rollout === undefined ? {} : {rollout};
+}
+
 function policiesOf(
   routes: readonly Route[],
   configuration: Configuration,
--- a/src/endpoints/messages.ts
+++ b/src/endpoints/messages.ts
@@ -32,6 +32,8 @@
   readonly gate: Address;
   readonly failureDomain: string;
   readonly region: string;
+  /** Version of the upstream's software; absent if it is not announced. */
+  readonly version?: string;
   /** Maximum number of concurrent requests. */
   readonly slots: number;
   /** Maximum number of open connections. */
--- a/src/language/edit-parser.ts
+++ b/src/language/edit-parser.ts
@@ -54,6 +54,8 @@
       {ALT: () => this.SUBRULE(this.drain)},
       {ALT: () => this.SUBRULE(this.undrain)},
       {ALT: () => this.SUBRULE(this.release)},
+      {ALT: () => this.SUBRULE(this.startRollout)},
+      {ALT: () => this.SUBRULE(this.rollBack)},
     ]),
   );
 
@@ -237,6 +239,34 @@
     }));
   });
 
+  private readonly startRollout = this.RULE('startRollout', (): Edit => {
+    this.key('start');
+    this.key('rollout');
+    this.key('of');
+    const service = this.CONSUME1(Word);
+    this.key('to');
+    const target = this.CONSUME2(Word);
+    this.key('within');
+    const duration = this.CONSUME3(Word);
+    return this.ACTION(() => ({
+      action: 'start-rollout',
+      service: values.toName(service),
+      target: values.toVersion(target),
+      duration: values.toPositiveDuration(duration),
+    }));
+  });
+
+  private readonly rollBack = this.RULE('rollBack', (): Edit => {
+    this.key('roll');
+    this.key('back');
+    const service = this.CONSUME(Word);
+    return this.ACTION(() => ({
+      action: 'roll-back',
+      service: values.toName(service),
+      reason: 'by an operator',
+    }));
+  });
+
   protected key(text: Keyword): IToken {
     return this.CONSUME(keyword(text));
   }
--- a/src/language/parser.ts
+++ b/src/language/parser.ts
@@ -130,6 +130,7 @@
       {ALT: () => this.kind('policies', 'policy')},
       {ALT: () => this.kind('drains', 'drain')},
       {ALT: () => this.kind('quarantines', 'quarantine')},
+      {ALT: () => this.kind('rollouts', 'rollout')},
     ]);
     let name: string | undefined;
     this.OPTION(() => {
--- a/src/language/values.ts
+++ b/src/language/values.ts
@@ -46,6 +46,18 @@
   return value ?? reject(token, 'a duration such as 250ms, 5s or 2m');
 }
 
+/** Reads a duration of at least a millisecond. */
+export function toPositiveDuration(token: IToken): number {
+  const value = toDuration(token);
+  return value > 0 ? value : reject(token, 'a duration above zero');
+}
+
+/** Reads a version of a service's software. */
+export function toVersion(token: IToken): string {
+  if (/^[!-~]{1,64}$/.test(token.image)) return token.image;
+  return reject(token, 'a version of 1 to 64 characters without spaces');
+}
+
 /** Reads a size such as `64MiB`; returns bytes. */
 export function toSize(token: IToken): number {
   const value = scale(token.image, bytes);
--- a/src/operator/help.ts
+++ b/src/operator/help.ts
@@ -9,12 +9,14 @@
   drain INSTANCE of SERVICE
   undrain INSTANCE
   release QUARANTINE           end a request's quarantine
+  start rollout of SERVICE to VERSION within DURATION
+  roll back SERVICE            end its roll-out; the new version gets nothing
   apply "FILE"                 apply all edits of a file as one change
 Before a change:
   as OPERATOR/SEQUENCE         the command's id; a resend gets the first answer
   expect VERSION               refuse unless this version is in force
 Queries:
-  show services|policies|routes|drains|quarantines [NAME]
+  show services|policies|routes|drains|quarantines|rollouts [NAME]
   show in force                versions in force, and the nodes that are behind
   show control                 state of the control group
   history [N]                  the last changes
--- a/src/operator/render.ts
+++ b/src/operator/render.ts
@@ -3,6 +3,7 @@
   Item,
   Policy,
   Quarantine,
+  Rollout,
   Route,
   Service,
 } from '../configuration/configuration.js';
@@ -38,6 +39,8 @@
       return renderDrains(values as Drain[]);
     case 'quarantine':
       return renderQuarantines(values as Quarantine[]);
+    case 'rollout':
+      return renderRollouts(values as Rollout[]);
   }
 }
 
@@ -89,6 +92,21 @@
   );
 }
 
+function renderRollouts(rollouts: readonly Rollout[]): string {
+  return renderTable(
+    ['service', 'stable', 'target', 'phase', 'share', 'elapsed', 'reason'],
+    rollouts.map(rollout => [
+      rollout.name,
+      rollout.stable.join(' ') || 'all others',
+      rollout.order?.target ?? '-',
+      rollout.phase,
+      formatShare(Number(rollout.share.toFixed(4))),
+      formatDuration(Math.round(rollout.elapsed)),
+      rollout.reason,
+    ]),
+  );
+}
+
 function renderDrains(drains: readonly Drain[]): string {
   return renderTable(
     ['instance', 'of'],
--- a/src/request/fakes/configurations.ts
+++ b/src/request/fakes/configurations.ts
@@ -4,6 +4,7 @@
   Drain,
   Policy,
   Quarantine,
+  Rollout,
   Route,
   Service,
 } from '../../configuration/configuration.js';
@@ -42,6 +43,7 @@
   readonly policies?: readonly Policy[];
   readonly drains?: readonly Drain[];
   readonly quarantines?: readonly Quarantine[];
+  readonly rollouts?: readonly Rollout[];
 }
 
 /** Creates a configuration; absent parts are empty. */
@@ -53,6 +55,7 @@
     policies: byName(parts.policies ?? []),
     drains: byName(parts.drains ?? []),
     quarantines: byName(parts.quarantines ?? []),
+    rollouts: byName(parts.rollouts ?? []),
   };
 }
 
--- a/src/settings/limits.ts
+++ b/src/settings/limits.ts
@@ -25,6 +25,7 @@
     edits: count.default(limits.edits),
     deadline: count.default(limits.deadline),
     slowStart: count.default(limits.slowStart),
+    rollout: count.default(limits.rollout),
     attempts: count.default(limits.attempts),
     bodyLimit: count.default(limits.bodyLimit),
     sequenceAhead: count.default(limits.sequenceAhead),
