Roll-outs: evidence of all nodes, a sequential comparison, a planned share

Nodes choose the version before the instance, by counting, and count what became of it; counts only grow, so reports may come twice or over two homes. The leader compares the target with the stable versions by likelihood ratios, a route at a time and together, with a few bad VMs allowed, and spends a planned part of the allowance before the target gets a third and then everything. It completes when every node in touch has reported that nothing runs at a stable version. A gate refuses as not run if its own version was never ordered.

--- a/src/link/channel.ts
+++ b/src/link/channel.ts
@@ -1,7 +1,8 @@
 import type {Link} from './link.js';
 
 /** The planes, that is protocols, that share one link between a node and its home. */
-export type Plane = 'configuration' | 'endpoints' | 'fleet' | 'quarantine';
+export type Plane =
+  'configuration' | 'endpoints' | 'fleet' | 'quarantine' | 'rollouts';
 
 interface Envelope {
   readonly plane: Plane;
--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -10,6 +10,7 @@
 import {createEntry} from '../request/entry.js';
 import type {Entry} from '../request/entry.js';
 import type {Gate} from '../request/gate.js';
+import type {OutcomeRecorder} from '../rollouts/recorder.js';
 import {createGateServer} from '../request/transport/gate-server.js';
 import type {GateServer} from '../request/transport/gate-server.js';
 import {defaults} from '../settings/defaults.js';
@@ -32,6 +33,7 @@
   readonly membership: Membership;
   readonly gate: Gate;
   readonly linkShare: LinkShare | undefined;
+  readonly outcomes: OutcomeRecorder;
   /** Called with each request that was answered after an earlier attempt lost its upstream. */
   readonly onCleared: (request: string) => void;
 }
@@ -89,6 +91,7 @@
       onUnreachable: ({instance, incarnation}) =>
         membership.reportUnreachable(instance, incarnation),
     },
+    outcomes: options.outcomes,
     onCleared: options.onCleared,
     onOutcome: outcome => reportOutcome(metrics, configuration(), outcome),
   });
@@ -98,7 +101,7 @@
 }
 
 /** Whether a quorum confirmed within `freshness` milliseconds that no newer version exists. */
-function isConfirmed(
+export function isConfirmed(
   home: HomeConnection,
   timers: Timers,
   freshness: number,
--- a/src/node/upstream-gate.ts
+++ b/src/node/upstream-gate.ts
@@ -96,5 +96,5 @@
 function identityOf(announcement: Announcement, upstream: Upstream): string {
   const {instance, service, incarnation, slots, connections} = announcement;
   const parts = [instance, service, incarnation, slots, connections];
-  return [...parts, upstream.address].join(' ');
+  return [...parts, announcement.version, upstream.address].join(' ');
 }
--- a/src/relay/distribution-host.ts
+++ b/src/relay/distribution-host.ts
@@ -18,6 +18,8 @@
 import type {Log} from '../log/log.js';
 import {createEvidenceExchange} from '../quarantine/evidence-exchange.js';
 import type {EvidenceExchange} from '../quarantine/evidence-exchange.js';
+import {createRolloutExchange} from '../rollouts/exchange.js';
+import type {RolloutExchange} from '../rollouts/exchange.js';
 import type {Random} from '../random/random.js';
 import type {Timers} from '../time/timers.js';
 
@@ -48,6 +50,7 @@
   readonly fleet: Fleet;
   readonly registry: Registry;
   readonly evidence: EvidenceExchange;
+  readonly rollouts: RolloutExchange;
   /** Exchanges endpoints and reports over a link that this process opened. */
   attach(channels: Channels): void;
   /** Updates the links to the other homes after `peers` has changed. */
@@ -78,15 +81,19 @@
   });
 
   const evidence = createEvidenceExchange({timers, log});
+  const rollouts = createRolloutExchange({timers, log});
 
   fleet.onHello((hello, channels) => {
     distributor.accept(channels);
     if (hello.kind === 'node') {
       registry.accept(channels);
       evidence.accept(channels);
+      rollouts.accept(channels);
     } else {
       registry.peer(channels);
       evidence.peer(channels);
+      if (hello.kind === 'relay') rollouts.acceptRelay(channels);
+      else rollouts.peer(channels);
     }
   });
 
@@ -94,6 +101,7 @@
     fleet.report(channels);
     registry.peer(channels);
     evidence.peer(channels);
+    rollouts.peer(channels);
   }
 
   const links = new Set<Channels>();
@@ -120,6 +128,7 @@
     fleet,
     registry,
     evidence,
+    rollouts,
     attach,
     updatePeers: () => mesh.setPeers(options.peers()),
     async stop() {
@@ -127,6 +136,7 @@
       distributor.stop();
       fleet.stop();
       registry.close();
+      rollouts.stop();
       for (const channels of links) channels.link.close();
       await listener.close();
     },
--- a/src/request/messages/safeguards.ts
+++ b/src/request/messages/safeguards.ts
@@ -23,6 +23,8 @@
   readonly visibleCuts: boolean;
   /** A gate accepts only calls that are addressed to its instance. */
   readonly instanceCheck: boolean;
+  /** A gate refuses calls if its instance's version was never ordered. */
+  readonly versionCheck: boolean;
   /**
    * Only the first part of a large upload is sent before its admission, so that
    * it can be retried.
@@ -47,6 +49,7 @@
   framing: true,
   visibleCuts: true,
   instanceCheck: true,
+  versionCheck: true,
   heldUploads: true,
   cancellation: true,
   heldSlots: true,
