--- a/bench/rollouts/simulation.ts
+++ b/bench/rollouts/simulation.ts
@@ -20,6 +20,7 @@
 import type {Channels} from '../../src/link/channel.js';
 import {createFakeNetwork} from '../../src/link/fakes/fake-network.js';
 import {createRecordedLog} from '../../src/log/fakes/recorded-log.js';
+import {createNoMetrics} from '../../src/metrics/metrics.js';
 import {createRandom} from '../../src/random/random.js';
 import type {Random} from '../../src/random/random.js';
 import {createVersionChooser} from '../../src/request/decisions/version-choice.js';
@@ -242,6 +243,7 @@
       timers,
       log,
       limits,
+      metrics: createNoMetrics(),
       recordsVersions: true,
       ...(options.analysis !== undefined && {analysis: options.analysis}),
       ...(options.safeguards !== undefined && {safeguards: options.safeguards}),
--- a/model/checks.ts
+++ b/model/checks.ts
@@ -11,7 +11,8 @@
 export interface Check {
   /** Unique name; that of a mutant says which safeguard is removed. */
   readonly name: string;
-  readonly specification: 'consensus' | 'claims' | 'meeting' | 'trials';
+  readonly specification:
+    'consensus' | 'claims' | 'meeting' | 'trials' | 'rollouts';
   readonly bounds: Bounds;
   /**
    * - `holds`: no reachable state violates an invariant; the search covers all
@@ -45,6 +46,9 @@
   STARTED: true,
   APART: true,
 };
+const rolloutWork = {ORDERS: 1, FAULTS: 0, CUTS: 1};
+const rolloutFaults = {ORDERS: 1, FAULTS: 1, CUTS: 0, WORK: 0};
+const rolloutLease = {ORDERS: 1, FAULTS: 1, CUTS: 1, WORK: 0};
 const earlySets = {...threeSets, EARLY: true};
 
 /** The invariants, with bounds that a search exhausts in under a minute. */
@@ -90,6 +94,9 @@
     TRIALS: 3,
     LIVES: 3,
   }),
+  holdRollouts('a roll-out stops no version that has work', rolloutWork),
+  holdRollouts('a roll-out counts each failure once', rolloutFaults),
+  holdRollouts('a share ends with its lease', rolloutLease),
 ];
 
 const mutants: readonly Check[] = [
@@ -118,6 +125,11 @@
   refuteTrials('ANY_LIFE'),
   refuteTrials('MANY_STARTS'),
   refuteTrials('RUNNING_ONLY'),
+  refuteRollouts('NO_LEASE', rolloutLease, 'isSettled'),
+  refuteRollouts('ANY_VERSION', rolloutWork, 'running'),
+  refuteRollouts('COMPLETES_EARLY', rolloutWork, 'running'),
+  refuteRollouts('NO_STEP_CHECK', rolloutWork, 'phase<2'),
+  refuteRollouts('COUNTED_TWICE', rolloutFaults, 'failed[0]+failed[1]'),
 ];
 
 const witnesses: readonly Check[] = [
@@ -131,6 +143,7 @@
   },
   {...reach('MET', {LOSSES: 0}, 'met[3]'), specification: 'meeting'},
   {...reach('TRIED', {TRIALS: 3, LIVES: 3}, 'starts'), specification: 'trials'},
+  {...reach('COMPLETED', rolloutWork, 'phase'), specification: 'rollouts'},
 ];
 
 /** All checks; the fast ones are last. */
@@ -156,6 +169,18 @@
   return {...hold(name, bounds), specification: 'trials'};
 }
 
+function holdRollouts(name: string, bounds: Bounds): Check {
+  return {...hold(name, bounds), specification: 'rollouts'};
+}
+
+function refuteRollouts(
+  mutant: string,
+  bounds: Bounds,
+  assertion: string,
+): Check {
+  return {...refute(mutant, bounds, assertion), specification: 'rollouts'};
+}
+
 function refute(mutant: string, bounds: Bounds, assertion: string): Check {
   return {
     name: `MUTANT_${mutant}`,
--- a/src/rollouts/controller.ts
+++ b/src/rollouts/controller.ts
@@ -13,6 +13,7 @@
 import type {Fleet} from '../fleet/fleet.js';
 import type {Fields, Log} from '../log/log.js';
 import {commonCodes} from '../result/codes.js';
+import type {Metrics} from '../metrics/metrics.js';
 import type {Timers} from '../time/timers.js';
 import {totalAnswers} from './analysis.js';
 import type {RolloutAnalysis, Span} from './analysis.js';
@@ -45,6 +46,7 @@
   readonly timers: Timers;
   readonly log: Log;
   readonly limits: ExposureLimits;
+  readonly metrics: Pick<Metrics, 'rollout'>;
   /**
    * Whether the version of a service's first instances is recorded, so that
    * instances of another one get no requests before it is ordered.
@@ -127,6 +129,9 @@
   function update(rollout: Rollout, version: number): void {
     const {name, order, phase} = rollout;
     if (order === undefined) return;
+    const {share} = rollout;
+    const isOngoing = isUnderWay(rollout);
+    options.metrics.rollout({service: name, share, isUnderWay: isOngoing});
     const now = timers.now();
     const known = courses.get(name);
     const course: Course =
@@ -147,7 +152,7 @@
     if (course.phase === phase) return;
     Object.assign(course, {phase, phaseAt: now, phaseVersion: version});
     log.info('rollout phase', describe(rollout));
-    if (!isUnderWay(rollout)) discardLater(rollout);
+    if (!isOngoing) discardLater(rollout);
   }
 
   function discardLater({name, order}: Rollout): void {
