--- a/src/rollouts/controller.ts
+++ b/src/rollouts/controller.ts
@@ -14,7 +14,7 @@
 import type {Fields, Log} from '../log/log.js';
 import {commonCodes} from '../result/codes.js';
 import type {Metrics} from '../metrics/metrics.js';
-import type {Timers} from '../time/timers.js';
+import type {Subscription, Timers} from '../time/timers.js';
 import {totalAnswers} from './analysis.js';
 import type {RolloutAnalysis, Span} from './analysis.js';
 import {since} from './evidence.js';
@@ -110,9 +110,11 @@
     machine,
     clock: timers,
   });
+  const isLeading = () => consensus.status().role === 'leader';
   const courses = new Map<string, Course>();
   let applied: Configuration['rollouts'] = new Map();
   let isProposing = false;
+  let steps: Subscription | undefined;
 
   function follow(): void {
     const {rollouts, version} = machine.current();
@@ -124,6 +126,19 @@
       if (!rollouts.has(service)) discard(service);
     }
     applied = rollouts;
+    schedule();
+  }
+
+  /** Steps are taken only while a roll-out is under way. */
+  function schedule(): void {
+    if (![...applied.values()].some(isUnderWay)) {
+      steps?.cancel();
+      steps = undefined;
+      return;
+    }
+    steps ??= timers.every(stepInterval, () => {
+      if (isLeading() && !isProposing) void put(planAll());
+    });
   }
 
   function update(rollout: Rollout, version: number): void {
@@ -297,20 +312,15 @@
     isProposing = false;
   }
 
-  const isLeading = () => consensus.status().role === 'leader';
-
   machine.onChange(follow);
   follow();
-  const steps = timers.every(stepInterval, () => {
-    if (courses.size > 0 && isLeading() && !isProposing) void put(planAll());
-  });
   const records = timers.every(recordInterval, () => {
     if (options.recordsVersions && isLeading()) void put(planRecords());
   });
 
   return {
     stop: () => {
-      steps.cancel();
+      steps?.cancel();
       records.cancel();
     },
   };
