Slow versions are compared without the speeds of single VMs taken for granted

An instance's own scale explained too much of a slow version, and few answers said too much. Now a scale differs by one bucket at most and costs more, 20 answers are needed, and the score for 'suspect' is 8.

--- a/src/rollouts/plan.ts
+++ b/src/rollouts/plan.ts
@@ -61,7 +61,7 @@
 const plannedPart = 0.8;
 
 /** Least part of the planned requests that is spent before the switch. */
-const trialPart = 0.35;
+const trialPart = 0.4;
 
 /** Milliseconds from a decision until it is in force and reported back. */
 const settleTime = 500;
--- a/src/rollouts/sequential-analysis.ts
+++ b/src/rollouts/sequential-analysis.ts
@@ -15,7 +15,7 @@
 const badScore = 12;
 
 /** Log likelihood ratio from which the target is suspect. */
-const suspectScore = 5;
+const suspectScore = 8;
 
 /** Factor by which the share of failures may exceed the usual one. */
 const failureTolerance = 1.5;
@@ -39,6 +39,9 @@
  */
 const ownFaultPenalty = 4.5;
 
+/** Answers of the target below which their durations say nothing. */
+const minTargetDurations = 20;
+
 /** Answers of the stable versions below which their durations say nothing. */
 const minDurations = 30;
 
@@ -46,10 +49,10 @@
  * Scales of one instance's durations in buckets of a factor of 1.25: its VM may
  * be faster or slower than most.
  */
-const scales = [-2, -1, 0, 1, 2] as const;
+const scales = [-1, 0, 1] as const;
 
 /** Log likelihood that a scale other than the usual one must gain. */
-const scalePenalty = 1.5;
+const scalePenalty = 2.5;
 
 interface SlowFault {
   /** Share of answers that are slow. */
@@ -127,7 +130,8 @@
     slownessFit(measured, usual, instance),
   );
   const targets = measured.flatMap(each => [...each.targets.values()]);
-  const answers = sum(targets, each => each.answers);
+  const answers = sum(targets, ({durations}) => sum(durations));
+  if (answers < minTargetDurations) return noFinding;
   const reason =
     `many of ${answers} answers ${span} on ${routesOf(measured)} ` +
     'are several times slower than at the stable versions';
