Roll-outs with real processes; answers well within the objective are not slow

New connections and code that had not run take 40 to 60 ms where work takes 5. Durations below a fifth of the route's objective now count as one. The stand-in upstream has versions, failing and slow answers.

--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -55,6 +55,8 @@
   readonly work: number;
   /** A request whose path or body contains this word crashes its upstream. */
   readonly crash?: string | undefined;
+  /** Further options of the upstream beside a node, by the node's name. */
+  readonly upstreamOptions?: ((node: string) => readonly string[]) | undefined;
   /**
    * Returns the next upstream's address; default: some ports above its node's.
    */
@@ -129,6 +131,7 @@
       ],
       ...['--work', String(options.work)],
       ...(options.crash === undefined ? [] : ['--crash', options.crash]),
+      ...(options.upstreamOptions?.(nodeSettings.name) ?? []),
     ];
     const upstream = startUpstream(`upstream of ${nodeSettings.name}`, command);
     return {settings: nodeSettings, service, node, upstream, upstreamAddress};
--- a/bench/deployment/small-deployment.ts
+++ b/bench/deployment/small-deployment.ts
@@ -25,6 +25,8 @@
   readonly work?: number;
   /** A request whose path or body contains this word crashes its upstream. */
   readonly crash?: string;
+  /** Further options of the upstream beside a node, by the node's name. */
+  readonly upstreamOptions?: (node: string) => readonly string[];
 }
 
 const defaultWork = 5;
@@ -51,6 +53,7 @@
     folder,
     work: options.work ?? defaultWork,
     crash: options.crash,
+    upstreamOptions: options.upstreamOptions,
     upstreamAddress: ports.nextAddress,
   });
 
--- a/bench/rollouts/simulation.ts
+++ b/bench/rollouts/simulation.ts
@@ -90,6 +90,9 @@
 const leastDelay = 60;
 const mostDelay = 300;
 
+/** Milliseconds within which an answer is good. */
+const objective = 1_000;
+
 const tick = 10;
 const limits = {share: 0.1, slack: 50} as const;
 
@@ -414,7 +417,10 @@
       const observed =
         choice === undefined
           ? undefined
-          : entry.chooser.observe(pooled(instance), roleOf(instance), route);
+          : entry.chooser.observe(pooled(instance), roleOf(instance), {
+              route,
+              objective,
+            });
       observed?.began();
       if (!instance.isNew) entry.addStable(1);
       count(entry, instance);
--- a/bench/upstreams/announcement.ts
+++ b/bench/upstreams/announcement.ts
@@ -8,6 +8,7 @@
 export interface SelfDescription {
   readonly instance: string;
   readonly service: string;
+  readonly version?: string;
   readonly address: string;
   readonly slots: number;
   readonly connections: number;
--- a/bench/upstreams/main.ts
+++ b/bench/upstreams/main.ts
@@ -25,6 +25,12 @@
     'cold-start': {type: 'string', default: '0'},
     seed: {type: 'string', default: '1'},
     lag: {type: 'string', default: '0'},
+    /** Version of the software, as it is announced. */
+    version: {type: 'string'},
+    /** Share of answers that are failures. */
+    failing: {type: 'string', default: '0'},
+    /** Share of answers that take four times as long. */
+    slow: {type: 'string', default: '0'},
     overload: {type: 'string', default: 'queue'},
     /** A request whose path or body contains this word crashes the process. */
     crash: {type: 'string'},
@@ -54,6 +60,8 @@
   work: Number(values.work ?? shape.work),
   coldStart: Number(values['cold-start']),
   lag: Number(values.lag),
+  failing: Number(values.failing),
+  slow: Number(values.slow),
   overload: values.overload as Overload,
   ...(values.crash !== undefined && {crash: values.crash}),
   timers,
@@ -69,6 +77,7 @@
         () => ({
           instance: values.instance ?? `${service}-${port}`,
           service,
+          ...(values.version !== undefined && {version: values.version}),
           address,
           slots: Number(values.slots ?? shape.slots),
           connections: Number(values.connections ?? shape.connections),
--- a/bench/upstreams/upstream.ts
+++ b/bench/upstreams/upstream.ts
@@ -28,6 +28,10 @@
   /** Milliseconds by which health and load responses are out of date. */
   readonly lag: number;
   readonly overload: Overload;
+  /** Share of answers that are failures, 0 to 1; default 0. */
+  readonly failing?: number;
+  /** Share of answers that take four times as long, 0 to 1; default 0. */
+  readonly slow?: number;
   /** A request whose path or body contains this word crashes the process. */
   readonly crash?: string;
   readonly timers: Timers;
@@ -52,6 +56,9 @@
 
 /** At the start of a cold start, work takes `1 + coldFactor` times as long. */
 const coldFactor = 9;
+
+/** How much longer the slow answers of a bad version take. */
+const slowFactor = 4;
 const maxStoredFileBytes = 8 * 1024 * 1024;
 const maxStoredFiles = 64;
 const idlePollInterval = 20;
@@ -99,7 +106,8 @@
   function duration(): number {
     const cold =
       options.coldStart > 0 ? 1 + coldFactor * remainingColdStart() : 1;
-    return work * cold * (0.5 + random.fraction());
+    const slow = random.fraction() < (options.slow ?? 0) ? slowFactor : 1;
+    return work * cold * slow * (0.5 + random.fraction());
   }
 
   /**
@@ -182,6 +190,9 @@
     if (isCrashing(request, body)) process.exit(crashCode);
     if (kind === 'upload') storeUpload(request.path, body);
     tally.finished++;
+    if (random.fraction() < (options.failing ?? 0)) {
+      return sendPlain(response, 500, 'this version fails');
+    }
     sendAnswer(request, response, createAnswerBody(request, kind, body), fault);
   }
 
--- a/src/request/decisions/version-choice.ts
+++ b/src/request/decisions/version-choice.ts
@@ -66,10 +66,17 @@
   observe(
     target: PooledInstance,
     choice: VersionChoice,
-    route: string,
+    match: ObservedMatch,
   ): PooledInstance;
 }
 
+/** What is known of the request's route. */
+export interface ObservedMatch {
+  readonly route: string;
+  /** Milliseconds within which an answer is good. */
+  readonly objective: number;
+}
+
 interface ServiceState {
   readonly rollout: Rollout;
   readonly stable: VersionChoice;
@@ -82,6 +89,9 @@
 
 const defaultSafeguards: VersionSafeguards = {confirmation: true};
 
+/** Part of the objective below which durations are not told apart. */
+const fastPart = 0.2;
+
 /** Codes of attempts that ran into a fault of the version, or may have. */
 const failureCodes: ReadonlySet<Code> = new Set([
   requestCodes.upstreamLost,
@@ -181,7 +191,7 @@
       if (role === 'target') return state.stable;
       return isUnderWay(rollout) ? state.target : undefined;
     },
-    observe(target, {role, rollout}, route) {
+    observe(target, {role, rollout}, {route, objective}) {
       if (recorder === undefined || !isUnderWay(rollout)) return target;
       const {announcement} = target;
       const request = {
@@ -190,6 +200,7 @@
         role,
         route,
         instance: announcement.instance,
+        fastEnough: objective * fastPart,
         isWarming: announcement.state === 'warming',
       };
       let recordEnd: ((kind: OutcomeKind) => void) | undefined;
--- a/src/rollouts/recorder.ts
+++ b/src/rollouts/recorder.ts
@@ -20,6 +20,11 @@
   readonly role: VersionRole;
   readonly route: string;
   readonly instance: string;
+  /**
+   * Milliseconds below which an answer counts as that fast: it is soon enough,
+   * and a new connection or code that has not run yet take as long.
+   */
+  readonly fastEnough: number;
   /** Whether the instance has just started; its durations are not counted. */
   readonly isWarming: boolean;
 }
@@ -119,7 +124,8 @@
         row.answers++;
         if (kind === 'failed') row.failures++;
         else if (!request.isWarming) {
-          row.durations[bucketOf(clock.now() - startedAt)]!++;
+          const duration = clock.now() - startedAt;
+          row.durations[bucketOf(Math.max(request.fastEnough, duration))]!++;
         }
         row.changedAt = ++changes;
       };
