--- a/src/language/parse.test.ts
+++ b/src/language/parse.test.ts
@@ -242,3 +242,31 @@
     'end as a name does not close the block',
   );
 });
+
+test('a roll-out is started and rolled back by one edit each', t => {
+  t.deepEqual(parse('start rollout of crewbook to v2 within 12s'), {
+    kind: 'change',
+    edits: [
+      {
+        action: 'start-rollout',
+        service: 'crewbook',
+        target: 'v2',
+        duration: 12_000,
+      },
+    ],
+  });
+  t.deepEqual(parse('roll back crewbook'), {
+    kind: 'change',
+    edits: [
+      {action: 'roll-back', service: 'crewbook', reason: 'by an operator'},
+    ],
+  });
+  t.deepEqual(parse('show rollouts'), {kind: 'show', items: 'rollout'});
+});
+
+test('a roll-out needs a duration above zero', t => {
+  t.regex(
+    String(parse('start rollout of crewbook to v2 within 0s')),
+    /a duration above zero/,
+  );
+});
--- a/src/operator/service.test.ts
+++ b/src/operator/service.test.ts
@@ -119,3 +119,41 @@
   await timers.advanceAsync(1100);
   t.false((await waited).inForce);
 });
+
+const rollout = {service: 'a', target: 'v2', duration: 5_000};
+
+async function startTestRollout() {
+  const test = createTestService();
+  await test.service.change(command);
+  const first = await test.service.startRollout(rollout);
+  const phase = () =>
+    test.group.machine('control-1').current().rollouts.get('a')?.phase;
+  const back = {action: 'roll-back', service: 'a', reason: 'asked'} as const;
+  await test.service.change({operator: 'amina', sequence: 2, edits: [back]});
+  return {...test, first, phase};
+}
+
+// Guards against an order whose answer was lost and which, sent again by the
+// platform without an id, starts a version that was rolled back meanwhile.
+test('the same order soon after is a resend, also when its roll-out has ended', async t => {
+  const {service, first, phase, timers} = await startTestRollout();
+  t.true(first.ok);
+  timers.advance(4_000);
+  const again = await service.startRollout(rollout);
+  t.like(again, {ok: true, value: {code: 1000}});
+  t.is(phase(), 'rolled-back');
+});
+
+test('the same order much later starts again', async t => {
+  const {service, phase, timers} = await startTestRollout();
+  timers.advance(60_000);
+  await service.startRollout(rollout);
+  t.is(phase(), 'running');
+});
+
+test('an operator cannot put or remove the state of a roll-out', async t => {
+  const {service} = await startTestRollout();
+  const edits = [{action: 'remove', kind: 'rollout', name: 'a'}] as const;
+  const reply = await service.change({operator: 'amina', sequence: 3, edits});
+  t.like(reply, {ok: false, refusal: {name: 'rollout-reserved'}});
+});
