--- a/src/configuration/rollout-edits.test.ts
+++ b/src/configuration/rollout-edits.test.ts
@@ -10,7 +10,7 @@
 } from './fakes/sample.js';
 import {decodeAnswer} from './log-entry.js';
 import type {Edit, StartRollout} from './messages.js';
-import {ended} from './rollout-edits.js';
+import {ended, recordedVersion} from './rollout-edits.js';
 import {rolloutControllerName} from './system-name.js';
 
 const order: StartRollout = {
@@ -36,26 +36,12 @@
     apply([{action: 'put', item: {kind: 'rollout', value}}], system);
   const rollout = () => machine.current().rollouts.get('records');
   apply([putService('records')]);
-  if (baseline !== undefined) step(recorded(baseline));
+  if (baseline !== undefined) step(recordedVersion('records', baseline));
   return {machine, rollout, step, change: (edit: Edit) => apply([edit])};
 }
 
 const system = rolloutControllerName('control-1');
 
-function recorded(version: string): Rollout {
-  return {
-    name: 'records',
-    stable: [version],
-    phase: 'idle',
-    elapsed: 0,
-    share: 0,
-    routeShares: [],
-    spread: 0,
-    offset: 0,
-    reason: 'first',
-  };
-}
-
 test('an order starts a roll-out without a share', t => {
   const {change, rollout} = setUp('v1');
   t.is(change(order), ok);
@@ -142,7 +128,7 @@
 test('a recorded version does not replace an order', t => {
   const {change, rollout, step} = setUp('v1');
   change(order);
-  t.is(step(recorded('v2')), codes.rolloutEnded.number);
+  t.is(step(recordedVersion('records', 'v2')), codes.rolloutEnded.number);
   t.is(rollout()?.phase, 'running');
 });
 
--- a/src/configuration/rollout-edits.ts
+++ b/src/configuration/rollout-edits.ts
@@ -31,14 +31,26 @@
     order: {target, duration, number},
     phase: 'running',
     elapsed: 0,
-    share: 0,
-    routeShares: [],
-    spread: 0,
-    offset: 0,
+    ...noShare,
     reason: 'ordered',
   });
 }
 
+/** A target that gets no requests. */
+const noShare = {share: 0, routeShares: [], spread: 0, offset: 0} as const;
+
+/** The state of a service whose version is known and of which none is ordered. */
+export function recordedVersion(service: string, version: string): Rollout {
+  return {
+    name: service,
+    stable: [version],
+    phase: 'idle',
+    elapsed: 0,
+    ...noShare,
+    reason: 'the version of its first instances',
+  };
+}
+
 /** Whether the order is a resend of the last one. */
 function isSameOrder(
   before: Rollout,
@@ -75,10 +87,8 @@
     order: order!,
     phase,
     elapsed,
+    ...noShare,
     share: phase === 'completed' ? 1 : 0,
-    routeShares: [],
-    spread: 0,
-    offset: 0,
     reason,
   };
 }
--- a/src/rollouts/controller.ts
+++ b/src/rollouts/controller.ts
@@ -6,6 +6,7 @@
 import {isUnderWay} from '../configuration/configuration.js';
 import type {Configuration, Rollout} from '../configuration/configuration.js';
 import type {ConfigurationMachine} from '../configuration/create-configuration-machine.js';
+import {recordedVersion} from '../configuration/rollout-edits.js';
 import {rolloutControllerName} from '../configuration/system-name.js';
 import {createSystemProposer} from '../configuration/system-proposer.js';
 import type {Consensus} from '../consensus/consensus.js';
@@ -87,9 +88,8 @@
 interface Course {
   readonly order: number;
   phase: Rollout['phase'];
-  /** When the last state was applied here, and its version. */
+  /** When the last state was applied here. */
   appliedAt: number;
-  appliedVersion: number;
   /** When the present phase was applied here, and its version. */
   phaseAt: number;
   phaseVersion: number;
@@ -156,14 +156,13 @@
             order: order.number,
             phase: 'idle',
             appliedAt: now,
-            appliedVersion: version,
             phaseAt: now,
             phaseVersion: version,
             hasTargetAppeared: false,
             snapshots: [],
           };
     courses.set(name, course);
-    Object.assign(course, {appliedAt: now, appliedVersion: version});
+    course.appliedAt = now;
     if (course.phase === phase) return;
     Object.assign(course, {phase, phaseAt: now, phaseVersion: version});
     log.info('rollout phase', describe(rollout));
@@ -289,7 +288,7 @@
       .filter(service => !rollouts.has(service))
       .flatMap(service => {
         const version = mostFrequentVersion(endpoints.instances(service));
-        return version === undefined ? [] : [recordOf(service, version)];
+        return version === undefined ? [] : [recordedVersion(service, version)];
       });
   }
 
@@ -333,20 +332,6 @@
   };
 }
 
-function recordOf(service: string, version: string): Rollout {
-  return {
-    name: service,
-    stable: [version],
-    phase: 'idle',
-    elapsed: 0,
-    share: 0,
-    routeShares: [],
-    spread: 0,
-    offset: 0,
-    reason: 'the version of its first instances',
-  };
-}
-
 function describe(rollout: Rollout): Fields {
   const {name, order, phase, elapsed, share, spread, reason} = rollout;
   return {
