Nodes read what an instance reports in its answers; log lines and metrics of it

Nothing is decided by it yet. Logs and metrics could not tell whether an instance had named a limit, since when, or whether it had said that it leaves.

Answers of any status count, also those that are rejected or that nobody waits for. A malformed value neither sets nor lifts a limit.

--- a/src/admin/report-load.ts
+++ b/src/admin/report-load.ts
@@ -1,8 +1,11 @@
+import type {UpstreamReport} from '../request/decisions/upstream-report.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {Subscription, Timers} from '../time/timers.js';
 
 /** The load of a gate. */
 export interface LoadedGate {
+  /** What the upstream has reported; undefined without an upstream. */
+  readonly report: UpstreamReport | undefined;
   readonly running: number;
   /** Running and waiting requests divided by the number of slots. */
   readonly load: number;
@@ -36,5 +39,11 @@
     const queued = Math.round(gate.load * slots) - gate.running;
     const {unsent} = answers;
     metrics.load({queued, running: gate.running, slots, unsent});
+    if (gate.report !== undefined) reportSignals(gate.report, metrics);
   });
 }
+
+function reportSignals(report: UpstreamReport, metrics: Metrics): void {
+  const {limiter, isLeaving, malformed} = report;
+  metrics.signals({limit: limiter.rate, isLeaving, malformed});
+}
--- a/src/node/upstream-gate.ts
+++ b/src/node/upstream-gate.ts
@@ -64,6 +64,9 @@
     get service() {
       return gate?.service ?? '';
     },
+    get report() {
+      return gate?.report;
+    },
     get running() {
       return gate?.running ?? 0;
     },
--- /dev/null
+++ b/src/request/decisions/upstream-report.ts
@@ -0,0 +1,132 @@
+/**
+ * What one process of an upstream has reported about itself in its answers. It
+ * outlives a gate that is replaced while the upstream keeps running.
+ */
+import type {Log} from '../../log/log.js';
+import type {Timers} from '../../time/timers.js';
+import type {UpstreamSignals} from '../messages/upstream-signals.js';
+import {createRateLimiter} from './rate-limiter.js';
+import type {RateLimiter} from './rate-limiter.js';
+
+/** The state that an upstream has reported. */
+export interface UpstreamReport {
+  /** Holds the limit that the upstream names. */
+  readonly limiter: RateLimiter;
+  /** Whether the upstream is shutting down; never taken back. */
+  readonly isLeaving: boolean;
+  /** Values that could not be parsed and were ignored. */
+  readonly malformed: number;
+  /** Applies what an answer reports. */
+  apply(signals: UpstreamSignals): void;
+  /**
+   * Applies a limit that an entry has heard, unless this process has heard the
+   * upstream itself. A gate that has restarted knows no limit, and would send
+   * many calls until the first answer.
+   */
+  adopt(limit: number): void;
+  /** Calls `observe` when the upstream reports that it is shutting down. */
+  onLeaving(observe: () => void): void;
+}
+
+/** Options of `createUpstreamReport`. */
+export interface UpstreamReportOptions {
+  /** Name of the upstream instance, for the log. */
+  readonly instance: string;
+  readonly timers: Timers;
+  readonly log: Log;
+}
+
+/**
+ * Milliseconds for which a limit is kept after the last answer that named it,
+ * if other answers don't. Answers on several connections can be read in another
+ * order than they were sent.
+ */
+const liftDelay = 500;
+
+/** Minimum milliseconds between two log lines about a changed limit. */
+const logPeriod = 1_000;
+
+/** Creates the report of an upstream that has not answered yet. */
+export function createUpstreamReport(
+  options: UpstreamReportOptions,
+): UpstreamReport {
+  const {instance, timers, log} = options;
+  const limiter = createRateLimiter(timers);
+  const leavingObservers: Array<() => void> = [];
+  let isLeaving = false;
+  let malformed = 0;
+  let hasAnswered = false;
+  let namedAt = 0;
+  let loggedAt = -Infinity;
+
+  function setLimit(limit: number | undefined): void {
+    const previous = limiter.rate;
+    limiter.setRate(limit);
+    const {rate} = limiter;
+    if (rate === previous) return;
+    if (rate === undefined) {
+      log.info('upstream limit lifted', {instance, previous});
+      loggedAt = -Infinity;
+      return;
+    }
+    if (timers.now() - loggedAt < logPeriod) return;
+    loggedAt = timers.now();
+    log.info('upstream limit named', {instance, limit, previous});
+  }
+
+  function applyLimit(limit: UpstreamSignals['limit']): void {
+    const now = timers.now();
+    if (typeof limit === 'number') {
+      namedAt = now;
+      setLimit(limit);
+    } else if (limit === 'none' && now - namedAt >= liftDelay) {
+      setLimit(undefined);
+    }
+  }
+
+  function applyLeaving(): void {
+    if (isLeaving) return;
+    isLeaving = true;
+    log.info('upstream is leaving', {instance});
+    for (const observe of leavingObservers) observe();
+  }
+
+  function recordMalformed(signals: UpstreamSignals): void {
+    malformed++;
+    // Each answer may repeat it; the metric counts them.
+    if (malformed > 1) return;
+    const {limit, leaving} = signals;
+    log.warn('malformed header of the upstream ignored', {
+      instance,
+      limit,
+      leaving,
+    });
+  }
+
+  return {
+    limiter,
+    get isLeaving() {
+      return isLeaving;
+    },
+    get malformed() {
+      return malformed;
+    },
+    apply(signals) {
+      const {limit, leaving} = signals;
+      if (limit === 'malformed' || leaving === 'malformed') {
+        recordMalformed(signals);
+      }
+      if (!hasAnswered) {
+        hasAnswered = true;
+        namedAt = -Infinity;
+      }
+      applyLimit(limit);
+      if (leaving === 'yes') applyLeaving();
+    },
+    adopt(limit) {
+      if (hasAnswered) return;
+      setLimit(Math.min(limit, limiter.rate ?? Infinity));
+    },
+    onLeaving: observe => void leavingObservers.push(observe),
+  };
+}
--- a/src/request/messages/hops.ts
+++ b/src/request/messages/hops.ts
@@ -7,6 +7,7 @@
 import type {Announcement} from '../../endpoints/messages.js';
 import type {Answer} from './answer.js';
 import type {AnswerHead, Call, Cancel, Refusal} from './call.js';
+import type {UpstreamSignals} from './upstream-signals.js';
 
 /**
  * A node's gate, as used by its listeners and by the entry of the same node.
@@ -72,6 +73,11 @@
    * The first byte is about to be written; from now on the call may have run.
    */
   began(): void;
+  /**
+   * The head of an answer reports about the upstream; called before `head` and
+   * `rejected`, also for an answer that nobody waits for any more.
+   */
+  signals(signals: UpstreamSignals): void;
   /** The status and headers of the answer arrived. */
   head(head: AnswerHead): void;
   /** The head of an answer arrived that must not be passed on. */
--- a/src/request/outgoing-link.test.ts
+++ b/src/request/outgoing-link.test.ts
@@ -160,6 +160,7 @@
         safeguards: allSafeguards,
         ended: () => {},
         onAnswered: () => {},
+        onSignals: () => {},
         onLost: () => {},
       });
       run.offer();
--- a/src/request/transport/upstream-link.ts
+++ b/src/request/transport/upstream-link.ts
@@ -32,6 +32,8 @@
       began: () => receiver.began(),
       interim: () => {},
       head: (status, reason, raw) => {
+        const signals = protocol.signals(call, {status, headers: raw});
+        if (signals !== undefined) receiver.signals(signals);
         const rejection = safeguards.framing
           ? protocol.checkAnswer(call, {status, headers: raw})
           : undefined;
