A limit outlives the gate that heard it, and entries know it

Two faults of the same class, found by reading before they were seen.

A gate is replaced when its instance's slots or connections change, by a configuration too, and the new one knew no limit. What an instance reports is now kept for its process, not for its gate.

Gates tell entries what their instance reports, with each answer and refusal; entries tell it to a gate with each call. A gate takes it as long as it has heard no answer itself, and only if the name of the instance's process is the same, so the word of one instance never binds the next at its address.

--- a/bench/rollouts/simulation.ts
+++ b/bench/rollouts/simulation.ts
@@ -543,6 +543,8 @@
       throw new Error('not used');
     },
     updateLoad: () => {},
+    reported: () => undefined,
+    updateReported: () => {},
     began: () => {},
     ended: () => {},
   };
--- a/src/node/upstream-gate.ts
+++ b/src/node/upstream-gate.ts
@@ -5,17 +5,31 @@
  */
 import type {Announcer, Upstream} from '../endpoints/announcer.js';
 import type {Announcement} from '../endpoints/messages.js';
+import type {Log} from '../log/log.js';
+import {incarnationId} from '../quarantine/messages.js';
 import type {Answer} from '../request/messages/answer.js';
 import {requestCodes} from '../request/messages/codes.js';
+import {createUpstreamReport} from '../request/decisions/upstream-report.js';
+import type {UpstreamReport} from '../request/decisions/upstream-report.js';
 import type {Gate} from '../request/gate.js';
 import type {Call, Cancel} from '../request/messages/call.js';
 import {createRefusal} from '../request/messages/refusal.js';
+import type {Timers} from '../time/timers.js';
 
 /** Options of `createUpstreamGate`; times in milliseconds. */
 export interface UpstreamGateOptions {
   readonly announcer: Announcer;
-  /** Creates the gate of one upstream. */
-  readonly create: (announcement: Announcement, upstream: Upstream) => Gate;
+  /**
+   * Creates the gate of one upstream; `report` is shared by all gates of the
+   * same process of the upstream.
+   */
+  readonly create: (
+    announcement: Announcement,
+    upstream: Upstream,
+    report: UpstreamReport,
+  ) => Gate;
+  readonly timers: Timers;
+  readonly log: Log;
   /** How long requests at a replaced upstream may still run. */
   readonly stopDeadline: number;
 }
@@ -24,6 +38,8 @@
 export function createUpstreamGate(options: UpstreamGateOptions): Gate {
   const {announcer} = options;
   let gate: Gate | undefined;
+  let report: UpstreamReport | undefined;
+  let reportedProcess = '';
   let identity = '';
   let isStopping = false;
   const retiring = new Set<Promise<void>>();
@@ -35,13 +51,30 @@
     const nextIdentity = identityOf(announcement, upstream);
     if (nextIdentity !== identity) {
       retire();
-      gate = options.create(announcement, upstream);
+      gate = options.create(
+        announcement,
+        upstream,
+        reportOf(announcement, upstream),
+      );
       identity = nextIdentity;
     }
     if (announcement.state === 'draining') gate?.drain();
     else if (!isStopping) gate?.undrain();
   }
 
+  function reportOf(
+    announcement: Announcement,
+    upstream: Upstream,
+  ): UpstreamReport {
+    const process = processOf(announcement, upstream);
+    if (report !== undefined && process === reportedProcess) return report;
+    const {timers, log} = options;
+    const {instance} = announcement;
+    reportedProcess = process;
+    report = createUpstreamReport({instance, process, timers, log});
+    return report;
+  }
+
   function retire(): void {
     if (gate !== undefined && !isStopping)
       awaitStop(gate.stop(options.stopDeadline));
@@ -73,6 +106,9 @@
     get load() {
       return gate?.load ?? 0;
     },
+    get reported() {
+      return gate?.reported;
+    },
     loadFor: policy => gate?.loadFor(policy) ?? 0,
     handle(call: Call, answer: Answer): Cancel {
       if (gate !== undefined) return gate.handle(call, answer);
@@ -95,6 +131,19 @@
   };
 }
 
+/**
+ * Identifies the process of an upstream, also after a restart of the node. An
+ * upstream that names none counts as a new process in each incarnation.
+ */
+function processOf(
+  {instance, incarnation}: Announcement,
+  {identity, started, address}: Upstream,
+): string {
+  const isNamed = identity !== undefined || started !== undefined;
+  const name = [identity ?? instance, started ?? ''].join(' ');
+  return `${address} ${isNamed ? name : incarnationId(instance, incarnation)}`;
+}
+
 /** Identifies a gate: another incarnation, address or size requires a new one. */
 function identityOf(announcement: Announcement, upstream: Upstream): string {
   const {instance, service, incarnation, slots, connections} = announcement;
--- a/src/request/decisions/attempt-answer.test.ts
+++ b/src/request/decisions/attempt-answer.test.ts
@@ -19,6 +19,8 @@
     }),
     began: () => {},
     updateLoad: () => {},
+    reported: () => undefined,
+    updateReported: () => {},
     ended: (code: {name: string} | undefined, status: number) =>
       void results.push(`${code?.name} ${status}`),
   };
--- a/src/request/decisions/upstream-report.test.ts
+++ b/src/request/decisions/upstream-report.test.ts
@@ -8,6 +8,7 @@
   const timers = createFakeTimers(1_000);
   const report = createUpstreamReport({
     instance: 'stock-desk-1',
+    process: 'this',
     timers,
     log: createSilentLog(),
   });
@@ -67,12 +68,16 @@
   // After a restart beside a running upstream, many calls were sent before an
   // answer named the limit.
   const {report, hear, rate} = setUp();
-  report.adopt(20);
-  report.adopt(5);
-  report.adopt(30);
+  const adopt = (limit: number, process = 'this') =>
+    report.adopt({process, limit});
+  adopt(1, 'the one before');
+  t.is(rate(), undefined);
+  adopt(20);
+  adopt(5);
+  adopt(30);
   t.is(rate(), 5);
   hear('none');
   t.is(rate(), undefined);
-  report.adopt(5);
+  adopt(5);
   t.is(rate(), undefined);
 });
--- a/src/request/decisions/upstream-report.ts
+++ b/src/request/decisions/upstream-report.ts
@@ -4,6 +4,7 @@
  */
 import type {Log} from '../../log/log.js';
 import type {Timers} from '../../time/timers.js';
+import type {ReportedState} from '../messages/reported-state.js';
 import type {UpstreamSignals} from '../messages/upstream-signals.js';
 import {createRateLimiter} from './rate-limiter.js';
 import type {RateLimiter} from './rate-limiter.js';
@@ -12,6 +13,8 @@
 export interface UpstreamReport {
   /** Holds the limit that the upstream names. */
   readonly limiter: RateLimiter;
+  /** The state for entries; undefined if nothing is reported. */
+  readonly state: ReportedState | undefined;
   /** Whether the upstream is shutting down; never taken back. */
   readonly isLeaving: boolean;
   /** Values that could not be parsed and were ignored. */
@@ -19,11 +22,11 @@
   /** Applies what an answer reports. */
   apply(signals: UpstreamSignals): void;
   /**
-   * Applies a limit that an entry has heard, unless this process has heard the
-   * upstream itself. A gate that has restarted knows no limit, and would send
-   * many calls until the first answer.
+   * Applies what an entry has heard of the same process. A gate that has
+   * restarted knows no limit, and would send many calls until the first answer;
+   * after that only answers count.
    */
-  adopt(limit: number): void;
+  adopt(state: ReportedState): void;
   /** Calls `observe` when the upstream reports that it is shutting down. */
   onLeaving(observe: () => void): void;
 }
@@ -32,6 +35,8 @@
 export interface UpstreamReportOptions {
   /** Name of the upstream instance, for the log. */
   readonly instance: string;
+  /** Identifies the process of the upstream; see `ReportedState`. */
+  readonly process: string;
   readonly timers: Timers;
   readonly log: Log;
 }
@@ -50,7 +55,7 @@
 export function createUpstreamReport(
   options: UpstreamReportOptions,
 ): UpstreamReport {
-  const {instance, timers, log} = options;
+  const {instance, process, timers, log} = options;
   const limiter = createRateLimiter(timers);
   const leavingObservers: Array<() => void> = [];
   let isLeaving = false;
@@ -105,6 +110,10 @@
 
   return {
     limiter,
+    get state() {
+      const limit = limiter.rate;
+      return limit === undefined ? undefined : {process, limit};
+    },
     get isLeaving() {
       return isLeaving;
     },
@@ -123,8 +132,9 @@
       applyLimit(limit);
       if (leaving === 'yes') applyLeaving();
     },
-    adopt(limit) {
-      if (hasAnswered) return;
+    adopt({process: reporter, limit}) {
+      if (reporter !== process) return;
+      if (hasAnswered || limit === undefined) return;
       setLimit(Math.min(limit, limiter.rate ?? Infinity));
     },
     onLeaving: observe => void leavingObservers.push(observe),
--- a/src/request/decisions/version-choice.test.ts
+++ b/src/request/decisions/version-choice.test.ts
@@ -255,6 +255,8 @@
       throw new Error('not used');
     },
     updateLoad: () => {},
+    reported: () => undefined,
+    updateReported: () => {},
     began: () => {},
     ended: () => {},
   };
--- a/src/request/decisions/version-choice.ts
+++ b/src/request/decisions/version-choice.ts
@@ -208,6 +208,8 @@
         announcement,
         logFields: () => target.logFields(),
         updateLoad: load => target.updateLoad(load),
+        reported: () => target.reported(),
+        updateReported: state => target.updateReported(state),
         began() {
           target.began();
           recordEnd = recorder.begin(request);
--- a/src/request/fakes/mesh.ts
+++ b/src/request/fakes/mesh.ts
@@ -52,6 +52,8 @@
   readonly timers: FakeTimers;
   /** The entry's URL, without a path. */
   readonly url: string;
+  /** Replaces a gate by a new one, as if its node had been killed. */
+  restartGate(index: number): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -66,23 +68,34 @@
   const endpoints = createFakeEndpoints();
   const timers = createFakeTimers();
   const members: Member[] = [];
-  for (const [index, listener] of options.upstreams.entries()) {
-    const member = await createMember(
-      `stock-desk-${index + 1}`,
-      listener,
-      configuration,
-      options,
-      timers,
-    );
-    members.push(member);
+  let lastIncarnation = 1;
+  const upstreamAddresses: string[] = [];
+
+  async function addMember(
+    index: number,
+    upstream: Server,
+    incarnation: number,
+  ): Promise<void> {
+    const instance = `stock-desk-${index + 1}`;
+    const address = upstreamAddresses[index]!;
+    const context = {configuration, options, timers};
+    const member = await createMember(instance, upstream, address, context);
+    members[index] = member;
     endpoints.put(
       announcementOf({
-        instance: member.instance,
+        instance,
+        incarnation,
         gate: member.server.address,
         slots: options.gate?.slots ?? 20,
       }),
     );
   }
+
+  for (const [index, listener] of options.upstreams.entries()) {
+    const upstream = createServer(listener);
+    upstreamAddresses.push(await listen(upstream));
+    await addMember(index, upstream, 1);
+  }
   const entry = createEntry({
     name: 'entry',
     failureDomain: 'rusayl-a',
@@ -105,6 +118,12 @@
     entry,
     timers,
     url: `http://${entry.address}`,
+    restartGate: async index => {
+      const {upstream, gate, server} = members[index]!;
+      await advanceUntilDone(timers, server.stop(0));
+      await advanceUntilDone(timers, gate.stop(0));
+      await addMember(index, upstream, ++lastIncarnation);
+    },
     close: async () => {
       await advanceUntilDone(timers, entry.stop(0));
       await advanceUntilDone(timers, Promise.all(members.map(closeMember)));
@@ -112,18 +131,23 @@
   };
 }
 
+/** What all members of a mesh share. */
+interface MeshContext {
+  readonly configuration: () => Configuration | undefined;
+  readonly options: MeshOptions;
+  readonly timers: FakeTimers;
+}
+
 async function createMember(
   instance: string,
-  listener: RequestListener,
-  configuration: () => Configuration | undefined,
-  options: MeshOptions,
-  timers: FakeTimers,
+  upstream: Server,
+  address: string,
+  {configuration, options, timers}: MeshContext,
 ): Promise<Member> {
-  const upstream = createServer(listener);
   const gate = createGate({
     instance,
     service: 'stock-desk',
-    upstream: await listen(upstream),
+    upstream: address,
     slots: 20,
     connections: 110,
     queueLength: 64,
--- a/src/request/messages/hops.ts
+++ b/src/request/messages/hops.ts
@@ -7,6 +7,7 @@
 import type {Announcement} from '../../endpoints/messages.js';
 import type {Answer} from './answer.js';
 import type {AnswerHead, Call, Cancel, Refusal} from './call.js';
+import type {ReportedState} from './reported-state.js';
 import type {UpstreamSignals} from './upstream-signals.js';
 
 /**
@@ -20,6 +21,8 @@
   readonly load: number;
   /** Load for calls under a policy: that of the scarcest resource they need. */
   loadFor(policy: string | undefined): number;
+  /** What the upstream has reported; undefined if nothing. */
+  readonly reported: ReportedState | undefined;
   /** Handles one call; `answer` receives its answer or a refusal. */
   handle(call: Call, answer: Answer): Cancel;
 }
@@ -29,6 +32,10 @@
   readonly announcement: Announcement;
   /** Stores the load that the gate reported: calls divided by slots. */
   updateLoad(load: number): void;
+  /** What the upstream has reported, as far as this entry has heard. */
+  reported(): ReportedState | undefined;
+  /** Stores what the gate told of the upstream's reports. */
+  updateReported(state: ReportedState | undefined): void;
 }
 
 /** Links to the gates of other nodes. */
--- a/src/request/outgoing-link.test.ts
+++ b/src/request/outgoing-link.test.ts
@@ -141,6 +141,7 @@
     get load() {
       return admission.load;
     },
+    reported: undefined,
     loadFor: policy =>
       reservations.isLarge(policy)
         ? Math.max(admission.load, reservations.load)
--- a/src/request/transport/framed-call.ts
+++ b/src/request/transport/framed-call.ts
@@ -38,8 +38,9 @@
   let isBegun = false;
 
   const receiver: FrameReceiver = {
-    head: ({status, reason, headers, load}) => {
+    head: ({status, reason, headers, load, reported}) => {
       peer.updateLoad(load);
+      peer.updateReported(reported);
       isStarted = true;
       answer.start({
         status,
@@ -60,9 +61,10 @@
       timeoutTimer.cancel();
       answer.cut();
     },
-    refused: ({code, retryAfter, load}) => {
+    refused: ({code, retryAfter, load, reported}) => {
       timeoutTimer.cancel();
       peer.updateLoad(load);
+      peer.updateReported(reported);
       answer.refuse(createRefusal(codeOf(code), undefined, retryAfter));
     },
     lost: fail,
@@ -85,6 +87,7 @@
     isBegun = true;
     const {instance, service} = peer.announcement;
     const {body} = call;
+    const reported = peer.reported();
     return {
       type: 'call',
       call: number,
@@ -100,6 +103,7 @@
       key: call.key,
       instance,
       service,
+      ...(reported !== undefined && {reported}),
       ...timeLeft(call, timers),
     };
   }
--- a/src/request/transport/framed-gate.ts
+++ b/src/request/transport/framed-gate.ts
@@ -11,6 +11,7 @@
 import type {CallFrame, EntryFrame, GateFrame} from './frames.js';
 import type {CallHandler} from '../messages/hops.js';
 import type {Call, Cancel} from '../messages/call.js';
+import type {ReportedState} from '../messages/reported-state.js';
 import {createRefusal, toRefusal} from '../messages/refusal.js';
 import type {Safeguards} from '../messages/safeguards.js';
 import type {EgressQueue} from './egress-queue.js';
@@ -138,7 +139,10 @@
   function beginCall(entryLink: EntryLink, frame: CallFrame): void {
     const framedAnswer = createFramedAnswer(frame.call, {
       send: message => send(entryLink, message),
-      load: () => gate.loadFor(frame.policy),
+      state: () => ({
+        load: gate.loadFor(frame.policy),
+        ...(gate.reported !== undefined && {reported: gate.reported}),
+      }),
       ended: () => callEnded(entryLink, frame.call),
     });
     const queuedAnswer = options.egressQueue?.to(framedAnswer);
@@ -244,6 +248,7 @@
     priority: frame.priority,
     repeatability: frame.repeatability,
     key: frame.key,
+    reported: frame.reported,
     deadline: now + left,
     goodUntil: now + goodFor,
   };
@@ -252,7 +257,7 @@
 /** Options of `createFramedAnswer`. */
 interface FramedAnswerOptions {
   readonly send: (frame: GateFrame) => void;
-  readonly load: () => number;
+  readonly state: () => {load: number; reported?: ReportedState};
   /** Called once after the last frame was sent. */
   readonly ended: () => void;
 }
@@ -265,7 +270,7 @@
 
 function createFramedAnswer(
   call: number,
-  {send, load, ended}: FramedAnswerOptions,
+  {send, state, ended}: FramedAnswerOptions,
 ): FramedAnswer {
   /** Bytes that were sent and that the caller has not taken yet. */
   let unacknowledged = 0;
@@ -280,7 +285,7 @@
     // The call frame contained the whole body, so no upload waits for this.
     admit: () => {},
     start: ({status, reason, headers}) =>
-      send({type: 'head', call, status, reason, headers, load: load()}),
+      send({type: 'head', call, status, reason, headers, ...state()}),
     write: chunk => {
       unacknowledged += chunk.length;
       send({type: 'data', call, chunk});
@@ -296,7 +301,7 @@
         call,
         code: code.number,
         retryAfter,
-        load: load(),
+        ...state(),
       }),
     cut: () => finish({type: 'cut', call}),
     taken: bytes => {
--- a/src/request/transport/frames.ts
+++ b/src/request/transport/frames.ts
@@ -8,6 +8,7 @@
   Priority,
   Repeatability,
 } from '../../configuration/configuration.js';
+import type {ReportedState} from '../messages/reported-state.js';
 
 /** Name and version of the protocol in the HTTP upgrade that opens a link. */
 export const framedProtocol = 'foxbarrow-link/1';
@@ -36,6 +37,8 @@
   readonly priority: Priority;
   readonly repeatability: Repeatability;
   readonly key: string | undefined;
+  /** What the entry has heard of the upstream's reports. */
+  readonly reported?: ReportedState | undefined;
   /** Milliseconds until the deadline. */
   readonly left: number;
   /** Milliseconds within which an answer counts as good. */
@@ -61,6 +64,8 @@
       readonly headers: string[];
       /** Number of running and waiting requests, divided by the slots. */
       readonly load: number;
+      /** What the upstream has reported; absent if nothing. */
+      readonly reported?: ReportedState;
     }
   | {readonly type: 'data'; readonly call: number; readonly chunk: Buffer}
   | {readonly type: 'end'; readonly call: number}
@@ -72,6 +77,7 @@
       /** Seconds after which the caller should retry. */
       readonly retryAfter: number;
       readonly load: number;
+      readonly reported?: ReportedState;
     }
   | {readonly type: 'pong'}
   /**
--- a/src/request/transport/http-call.ts
+++ b/src/request/transport/http-call.ts
@@ -18,6 +18,10 @@
 import {endToEndHeaders, findHeader, headerNames} from './headers.js';
 import type {Call, Cancel, Refusal} from '../messages/call.js';
 import type {GateTarget, PendingRequest} from '../messages/hops.js';
+import {
+  formatReportedState,
+  parseReportedState,
+} from '../messages/reported-state.js';
 import {createRefusal} from '../messages/refusal.js';
 import type {Safeguards} from '../messages/safeguards.js';
 import {sendRequest} from './sending.js';
@@ -52,6 +56,8 @@
     head: (status, reason, raw) => {
       const load = findHeader(raw, headerNames.load);
       if (load !== undefined) peer.updateLoad(Number(load));
+      const reported = findHeader(raw, headerNames.reported);
+      peer.updateReported(parseReportedState(reported));
       const code = findHeader(raw, headerNames.code);
       if (code !== undefined) {
         isRefused = true;
@@ -113,6 +119,7 @@
   const {call, bodyLimit, peer, timers} = options;
   const {instance, service} = peer.announcement;
   const {left, goodFor} = timeLeft(call, timers);
+  const reported = peer.reported();
   return [
     ...call.headers,
     ...[headerNames.request, call.id],
@@ -122,6 +129,9 @@
     ...[headerNames.service, service],
     ...(call.caller === undefined ? [] : [headerNames.caller, call.caller]),
     ...(call.policy === undefined ? [] : [headerNames.policy, call.policy]),
+    ...(reported === undefined
+      ? []
+      : [headerNames.reported, formatReportedState(reported)]),
     ...[headerNames.priority, call.priority],
     ...[headerNames.repeatability, call.repeatability],
     ...[headerNames.bodyLimit, String(bodyLimit)],
