An instance whose answers report its shutdown gets no new requests

The gate refuses new and waiting requests from the first such answer on, with 'draining' as for an announced drain; entries take those elsewhere without using up a budget. The node announces the instance as draining, and a later announcement that it serves does not take that back: it holds until the process of the instance ends. Entries keep it and tell a gate that has restarted, which refuses if the process is still the same; so an entry that passed on such an answer cannot reach the instance through a new gate, and the next instance at the address is used at once.

--- a/src/endpoints/announcer.test.ts
+++ b/src/endpoints/announcer.test.ts
@@ -79,3 +79,45 @@
   const result = announcer.announce(upstream({instance: 'crewbook-2'}));
   t.is(!result.ok && result.code, endpointCodes.announcementForeign);
 });
+
+test('an upstream that reports its shutdown drains whatever it announces', t => {
+  // A later announcement that it serves would take back what its answers said.
+  const {timers, announcer, states} = start();
+  announcer.announce(upstream({started: 1}));
+  timers.advance(5000);
+  announcer.leave();
+  announcer.leave();
+  announcer.announce(upstream({started: 1}));
+  announcer.announce(upstream({started: 1, slots: 5}));
+  t.deepEqual(states, [
+    '1000000.1 warming',
+    '1000000.2 serving',
+    '1000000.3 draining',
+    '1000000.4 draining',
+  ]);
+});
+
+test('the next process of an upstream does not leave', t => {
+  const {announcer, states} = start();
+  announcer.announce(upstream({started: 1}));
+  announcer.leave();
+  announcer.announce(upstream({started: 2}));
+  t.is(states.at(-1), '1000001.1 warming');
+  announcer.leave();
+  announcer.withdraw();
+  announcer.announce(upstream());
+  t.is(states.at(-1), '1000002.1 warming');
+  announcer.leave();
+  announcer.setReachable(false);
+  announcer.setReachable(true);
+  t.is(states.at(-1), '1000003.1 warming');
+});
+
+test('an upstream that leaves still does so when it can be reached again', t => {
+  const {announcer, states} = start();
+  announcer.announce(upstream({started: 1}));
+  announcer.leave();
+  announcer.setReachable(false);
+  announcer.setReachable(true);
+  t.is(states.at(-1), '1000001.1 draining');
+});
--- a/src/node/upstream-gate.test.ts
+++ b/src/node/upstream-gate.test.ts
@@ -76,3 +76,18 @@
   t.is(reports.length, 2);
   t.is(gate.reported, undefined);
 });
+
+test('a reported shutdown holds until the process ends', t => {
+  const {announcer, gate, reports} = startNode();
+  const states: string[] = [];
+  announcer.onChange(({state}) => states.push(state));
+  announcer.announce(upstream({started: 1}));
+  reports[0]!.apply({limit: 'none', leaving: 'yes'});
+  announcer.announce(upstream({started: 1}));
+  t.is(states.at(-1), 'draining');
+  t.true(gate.reported?.leaving);
+  announcer.announce(upstream({started: 2}));
+  reports[0]!.apply({limit: 'none', leaving: 'yes'});
+  t.is(states.at(-1), 'warming');
+  t.is(gate.reported, undefined);
+});
--- a/src/node/upstream-gate.ts
+++ b/src/node/upstream-gate.ts
@@ -3,6 +3,7 @@
  * the underlying gate when the upstream is replaced or its size changes; code that
  * uses this gate does not notice.
  */
+import {namesProcess} from '../endpoints/announcer.js';
 import type {Announcer, Upstream} from '../endpoints/announcer.js';
 import type {Announcement} from '../endpoints/messages.js';
 import type {Log} from '../log/log.js';
@@ -72,6 +73,9 @@
     const {instance} = announcement;
     reportedProcess = process;
     report = createUpstreamReport({instance, process, timers, log});
+    report.onLeaving(() => {
+      if (reportedProcess === process) announcer.leave();
+    });
     return report;
   }
 
@@ -139,9 +143,9 @@
   {instance, incarnation}: Announcement,
   {identity, started, address}: Upstream,
 ): string {
-  const isNamed = identity !== undefined || started !== undefined;
   const name = [identity ?? instance, started ?? ''].join(' ');
-  return `${address} ${isNamed ? name : incarnationId(instance, incarnation)}`;
+  const life = incarnationId(instance, incarnation);
+  return `${address} ${namesProcess({identity, started}) ? name : life}`;
 }
 
 /** Identifies a gate: another incarnation, address or size requires a new one. */
--- a/src/request/decisions/instance-pool.test.ts
+++ b/src/request/decisions/instance-pool.test.ts
@@ -126,3 +126,15 @@
     t.is(chooseLarge().announcement.instance, 'b');
   }
 });
+
+test('an instance that reports its shutdown gets no calls as long as it is announced as before', t => {
+  const {endpoints, choose} = setUp(['a']);
+  const target = choose()!;
+  const state = {process: 'a 1', leaving: true} as const;
+  target.updateReported({...state, life: 'a/0'});
+  t.truthy(choose());
+  target.updateReported({...state, life: 'a/1'});
+  t.is(choose(), undefined);
+  endpoints.put(announcementOf({instance: 'a', incarnation: 2}));
+  t.deepEqual(choose()!.reported(), {...state, life: 'a/1'});
+});
--- a/src/request/decisions/report-memory.ts
+++ b/src/request/decisions/report-memory.ts
@@ -14,8 +14,11 @@
   set(instance: string, state: ReportedState | undefined): void;
 }
 
-/** Milliseconds for which a state is kept after it was last heard. */
-const maxAge = 60_000;
+/**
+ * Milliseconds for which a state is kept after it was last heard; an instance
+ * that shuts down may take minutes.
+ */
+const maxAge = 600_000;
 
 interface HeardState {
   readonly state: ReportedState;
--- a/src/request/decisions/upstream-report.ts
+++ b/src/request/decisions/upstream-report.ts
@@ -24,7 +24,7 @@
   /**
    * Applies what an entry has heard of the same process. A gate that has
    * restarted knows no limit, and would send many calls until the first answer;
-   * after that only answers count.
+   * after that only answers name limits. A shutdown applies at any time.
    */
   adopt(state: ReportedState): void;
   /** Calls `observe` when the upstream reports that it is shutting down. */
@@ -112,7 +112,8 @@
     limiter,
     get state() {
       const limit = limiter.rate;
-      return limit === undefined ? undefined : {process, limit};
+      if (limit === undefined && !isLeaving) return undefined;
+      return {process, limit, ...(isLeaving && {leaving: true})};
     },
     get isLeaving() {
       return isLeaving;
@@ -132,8 +133,9 @@
       applyLimit(limit);
       if (leaving === 'yes') applyLeaving();
     },
-    adopt({process: reporter, limit}) {
+    adopt({process: reporter, limit, leaving}) {
       if (reporter !== process) return;
+      if (leaving === true) applyLeaving();
       if (hasAnswered || limit === undefined) return;
       setLimit(Math.min(limit, limiter.rate ?? Infinity));
     },
--- a/src/request/fakes/mesh.ts
+++ b/src/request/fakes/mesh.ts
@@ -12,6 +12,8 @@
 import {createRandom} from '../../random/random.js';
 import {createFakeTimers, settle} from '../../time/fakes/fake-timers.js';
 import type {FakeTimers} from '../../time/fakes/fake-timers.js';
+import {incarnationId} from '../../quarantine/messages.js';
+import {createUpstreamReport} from '../decisions/upstream-report.js';
 import {createEntry} from '../entry.js';
 import type {Entry, EntryOptions} from '../entry.js';
 import {createGate} from '../gate.js';
@@ -52,8 +54,11 @@
   readonly timers: FakeTimers;
   /** The entry's URL, without a path. */
   readonly url: string;
-  /** Replaces a gate by a new one, as if its node had been killed. */
-  restartGate(index: number): Promise<void>;
+  /**
+   * Replaces a gate by a new one, as if its node had been killed; `process`
+   * names another process of the upstream.
+   */
+  restartGate(index: number, process?: string): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -75,10 +80,19 @@
     index: number,
     upstream: Server,
     incarnation: number,
+    process?: string,
   ): Promise<void> {
     const instance = `stock-desk-${index + 1}`;
     const address = upstreamAddresses[index]!;
-    const context = {configuration, options, timers};
+    const life = incarnationId(instance, incarnation);
+    const report = createUpstreamReport({
+      instance,
+      process: process ?? instance,
+      timers,
+      log,
+    });
+    const gate = {life, report};
+    const context = {configuration, options, timers, gate};
     const member = await createMember(instance, upstream, address, context);
     members[index] = member;
     endpoints.put(
@@ -118,11 +132,11 @@
     entry,
     timers,
     url: `http://${entry.address}`,
-    restartGate: async index => {
+    restartGate: async (index, process) => {
       const {upstream, gate, server} = members[index]!;
       await advanceUntilDone(timers, server.stop(0));
       await advanceUntilDone(timers, gate.stop(0));
-      await addMember(index, upstream, ++lastIncarnation);
+      await addMember(index, upstream, ++lastIncarnation, process);
     },
     close: async () => {
       await advanceUntilDone(timers, entry.stop(0));
@@ -136,13 +150,14 @@
   readonly configuration: () => Configuration | undefined;
   readonly options: MeshOptions;
   readonly timers: FakeTimers;
+  readonly gate: Pick<GateOptions, 'life' | 'report'>;
 }
 
 async function createMember(
   instance: string,
   upstream: Server,
   address: string,
-  {configuration, options, timers}: MeshContext,
+  {configuration, options, timers, gate: gateOptions}: MeshContext,
 ): Promise<Member> {
   const gate = createGate({
     instance,
@@ -155,6 +170,7 @@
     claims: options.claims,
     timers,
     log,
+    ...gateOptions,
     ...options.gate,
   });
   const server = createGateServer({
--- a/src/request/messages/reported-state.ts
+++ b/src/request/messages/reported-state.ts
@@ -4,12 +4,22 @@
   readonly process: string;
   /** Requests per second that it takes; undefined without a limit. */
   readonly limit?: number | undefined;
+  /** Whether it is shutting down. */
+  readonly leaving?: boolean;
+  /**
+   * The incarnation as which it is announced, in the reports of a gate. It
+   * changes when the node restarts, while the process keeps running.
+   */
+  readonly life?: string | undefined;
 }
 
 /** Formats the state as the value of a header. */
-export function formatReportedState({process, limit}: ReportedState): string {
+export function formatReportedState(state: ReportedState): string {
+  const {process, limit, leaving, life} = state;
   const parameters = new URLSearchParams({process});
   if (limit !== undefined) parameters.set('limit', String(limit));
+  if (leaving === true) parameters.set('leaving', '1');
+  if (life !== undefined) parameters.set('life', life);
   return parameters.toString();
 }
 
@@ -22,5 +32,10 @@
   const process = parameters.get('process');
   const limit = Number(parameters.get('limit') ?? NaN);
   if (process === null) return undefined;
-  return Number.isFinite(limit) ? {process, limit} : {process};
+  return {
+    process,
+    ...(Number.isFinite(limit) && {limit}),
+    ...(parameters.has('leaving') && {leaving: true}),
+    ...(parameters.has('life') && {life: parameters.get('life')!}),
+  };
 }
