--- a/bench/upstreams/upstream.ts
+++ b/bench/upstreams/upstream.ts
@@ -10,6 +10,7 @@
 import type {FaultKind} from './faults.js';
 import {createCounts} from './counts.js';
 import type {Counts} from './counts.js';
+import {createReports} from './reports.js';
 import {digestHeader, serviceShapes, tagHeader} from './service.js';
 import type {WorkKind, ServiceName} from './service.js';
 import {createDelayedValue, createSlots} from './slots.js';
@@ -70,6 +71,7 @@
 export function createUpstream(options: UpstreamOptions): Upstream {
   const {timers, random} = options;
   const tally = createCounts();
+  const reports = createReports(timers);
   const faults = createFaultQueue();
   const files = new Map<string, Buffer>();
   const started = timers.now();
@@ -160,6 +162,8 @@
       tag: tagOf(request),
       received: body.digest,
       runs: tally.runs[header(request, 'idempotency-key') ?? ''],
+      process: process.pid,
+      reported: reports.current(),
       note: 'x'.repeat(300),
     };
     return Buffer.from(JSON.stringify(fields));
@@ -201,6 +205,7 @@
     response: ServerResponse,
     kind: WorkKind,
   ): Promise<void> {
+    reports.arrived(tagOf(request));
     if (!(await slots.acquire())) {
       tally.shed++;
       request.resume();
@@ -248,8 +253,15 @@
         if (query.has('lag')) lag = number('lag');
         if (query.has('overload')) overload = query.get('overload') as Overload;
         break;
+      case 'report':
+        reports.change(query.get('limit'), query.get('leaving'));
+        break;
       default:
-        return sendPlain(response, 404, 'drain, undrain, fault, lie or set');
+        return sendPlain(
+          response,
+          404,
+          'drain, undrain, fault, lie, set or report',
+        );
     }
     sendPlain(response, 200, 'done');
   }
@@ -279,15 +291,19 @@
   app.get('/counts', (_: IncomingMessage, response: ServerResponse) =>
     sendJson(response, counts()),
   );
+  app.get('/reports', (_: IncomingMessage, response: ServerResponse) =>
+    sendJson(response, reports.record()),
+  );
   app.post(
     '/control/:name',
     (request: IncomingMessage, response: ServerResponse) =>
       command(request as Request, response),
   );
   const server = app.server!;
-  server.on('request', (request, response) =>
-    app.handler(request as Request, response),
-  );
+  server.on('request', (request, response) => {
+    reports.addTo(response);
+    app.handler(request as Request, response);
+  });
   let openConnections = 0;
   server.on('connection', socket => {
     openConnections++;
