Entries consider a limited instance as often as its limit takes calls

Cause: as the others fill up, an instance at its limit is no worse by load than they are, so it is considered as often as they are and refuses most of it; the refused attempts use up the budget for moves.

The gate now tells entries with a limit how often to consider its instance: a share that it moves until about as many calls are offered as the limit takes. Entries draw by it, as in a slow start, and still compare loads. An old share fades in 10 s, since an instance that is not chosen reports no other.

--- a/bench/limits/simulation.test.ts
+++ b/bench/limits/simulation.test.ts
@@ -33,6 +33,29 @@
   }
 });
 
+// With tokens in use as the only measure, 0.84 were served; an instance without
+// limits and with the same capacity as is left serves 0.91.
+test('with limits, callers are served as by unlimited instances of the same capacity', t => {
+  const busy = {
+    ...service,
+    speeds: [0.5, 1, 1, 1.5],
+    load: 0.65,
+    limited: 4,
+    limitShare: 0.35,
+  };
+  // 4 of 8.5 parts of the speed are limited.
+  const left = (4.5 + 4 * busy.load * busy.limitShare) / 8.5;
+  for (const seed of [1, 2, 3]) {
+    const {served} = simulateLimits(busy, seed);
+    const load = busy.load / left;
+    const without = simulateLimits({...busy, limited: 0, load}, seed);
+    t.true(
+      served >= without.served - 0.03,
+      `${served}, ${without.served} without, seed ${seed}`,
+    );
+  }
+});
+
 test('if all instances have limits, as many requests are served as these allow', t => {
   const all = {...service, load: 0.6, limited: 9, limitShare: 0.5};
   for (const seed of [1, 2, 3]) {
--- a/bench/limits/simulation.ts
+++ b/bench/limits/simulation.ts
@@ -20,7 +20,7 @@
 } from '../../src/request/fakes/configurations.js';
 import type {Answer} from '../../src/request/messages/answer.js';
 import type {Call} from '../../src/request/messages/call.js';
-import type {GateLinks} from '../../src/request/messages/hops.js';
+import type {CallHandler, GateLinks} from '../../src/request/messages/hops.js';
 import type {Announcement} from '../../src/endpoints/messages.js';
 import {createSilentLog} from '../../src/log/log.js';
 import {createRandom} from '../../src/random/random.js';
@@ -44,6 +44,10 @@
   readonly limited: number;
   /** Their limit divided by their share of the requests without limits. */
   readonly limitShare: number;
+  /** Speeds of the instances, repeated; 1 by default. */
+  readonly speeds?: readonly number[];
+  /** Maximum number of attempts of a request; 3 by default. */
+  readonly attempts?: number;
   readonly duration: number;
 }
 
@@ -69,6 +73,7 @@
 const domains = ['hall-a', 'hall-b', 'hall-c'];
 
 interface SimulatedInstance {
+  readonly speed: number;
   readonly announcement: Announcement;
   readonly admission: Admission;
   readonly limiter: RateLimiter;
@@ -83,9 +88,14 @@
   const {slots, instances: instanceCount, work, load} = parameters;
   const timers = createFakeTimers(1);
   const random = createRandom(seed);
-  const capacity = (slots * instanceCount) / work;
+  const speeds = Array.from({length: instanceCount}, (_none, index) =>
+    speedOf(parameters, index),
+  );
+  const totalSpeed = speeds.reduce((sum, speed) => sum + speed, 0);
+  const capacity = (slots * totalSpeed) / work;
   const rate = capacity * load;
-  const limit = (rate / instanceCount) * 1_000 * parameters.limitShare;
+  const limitOf = (index: number) =>
+    (rate / totalSpeed) * speeds[index]! * 1_000 * parameters.limitShare;
   const instances = Array.from({length: instanceCount}, (_none, index) =>
     createInstance(index, parameters, timers),
   );
@@ -93,11 +103,14 @@
     instances.map(each => [each.announcement.instance, each]),
   );
   const links = createLinks(byName, parameters, timers, random);
-  const pools = Array.from({length: parameters.entries}, (_none, index) =>
-    createPool(index, instances, timers, random),
-  );
+  const entries = Array.from({length: parameters.entries}, (_none, index) => {
+    const own = instances[index];
+    const gate = own && createLocalGate(own, parameters, timers, random);
+    const pool = createPool(index, instances, gate, timers, random);
+    return {pool, gate};
+  });
   const limited = instances.slice(0, parameters.limited);
-  for (const {limiter} of limited) limiter.setRate(limit);
+  limited.forEach(({limiter}, index) => limiter.setRate(limitOf(index)));
 
   const counts = {offered: 0, served: 0, inTime: 0, attempts: 0};
   const configuration = configurationOf({
@@ -105,6 +118,7 @@
     policies: [
       policyOf({
         deadline: parameters.objective * 2,
+        attempts: parameters.attempts ?? 3,
         objective: {target: 0.99, latency: parameters.objective},
       }),
     ],
@@ -126,15 +140,16 @@
       counts.served++;
       if (timers.now() <= call.goodUntil!) counts.inTime++;
     });
+    const {pool, gate} = random.pick(entries);
     const attempts = createAttempts({
       call,
       match: {route, policy, service},
       configuration,
       answer: answer(() => (counts.attempts += attempts.count())),
-      pool: random.pick(pools),
+      pool,
       sizes,
       links,
-      gate: undefined,
+      gate,
       timers,
       trace: tracer.begin(call.id),
       quarantine: () => undefined,
@@ -155,18 +170,20 @@
     inTime: counts.inTime / offered,
     served: counts.served / offered,
     attemptsPerRequest: counts.attempts / offered,
-    used: usedShare(limited, limit, parameters.duration),
-    worstWindow: worstWindow(limited, limit),
+    used: usedShare(limited, limitOf, parameters.duration),
+    worstWindow: worstWindow(limited, limitOf),
   };
 }
 
 function createInstance(
   index: number,
-  {slots}: LimitedService,
+  parameters: LimitedService,
   timers: FakeTimers,
 ): SimulatedInstance {
+  const {slots} = parameters;
   const limiter = createRateLimiter(timers);
   return {
+    speed: speedOf(parameters, index),
     announcement: {
       ...benchAnnouncement(`${service}-${index + 1}`, '', slots),
       service,
@@ -186,6 +203,7 @@
 function createPool(
   index: number,
   instances: readonly SimulatedInstance[],
+  gate: CallHandler | undefined,
   timers: FakeTimers,
   random: Random,
 ): InstancePool {
@@ -194,49 +212,88 @@
     failureDomain: domains[index % domains.length]!,
     endpoints: {instances: () => announcements, onChange: () => {}},
     balancer: createPowerOfTwoBalancer(random),
+    gate,
     timers,
     log: createSilentLog(),
   });
 }
 
+/** Runs a call at an instance; `finish` gets how its answer ends. */
+function runCall(
+  {admission, arrivals, speed}: SimulatedInstance,
+  call: Call,
+  {work, objective}: LimitedService,
+  timers: FakeTimers,
+  random: Random,
+  finish: (end: (answer: Answer) => void) => void,
+): void {
+  admission.offer({
+    priority: call.priority,
+    kind: call.policy,
+    deadline: call.deadline,
+    goodUntil: call.goodUntil!,
+    tokenUntil: timers.now() + objective / 4,
+    refuse: reason => finish(answer => answer.refuse(reason)),
+    start: () => {
+      arrivals.push(timers.now());
+      const duration = exponential(work / speed, random);
+      timers.after(duration, () => {
+        admission.done(duration, call.policy);
+        finish(answer => answer.end());
+      });
+    },
+  });
+}
+
+/** The gate of the instance beside an entry. */
+function createLocalGate(
+  instance: SimulatedInstance,
+  parameters: LimitedService,
+  timers: FakeTimers,
+  random: Random,
+): CallHandler {
+  const {admission, announcement, limiter} = instance;
+  return {
+    instance: announcement.instance,
+    service,
+    get load() {
+      return admission.load;
+    },
+    loadFor: () => admission.load,
+    get reported() {
+      const limit = limiter.rate;
+      return limit === undefined
+        ? undefined
+        : {process: '', limit, share: limiter.share};
+    },
+    handle: (call, answer) => {
+      runCall(instance, call, parameters, timers, random, end => end(answer));
+      return () => {};
+    },
+  };
+}
+
 /** Links that take some time and end at the admission of an instance. */
 function createLinks(
   instances: ReadonlyMap<string, SimulatedInstance>,
-  {work, objective}: LimitedService,
+  parameters: LimitedService,
   timers: FakeTimers,
   random: Random,
 ): GateLinks {
-  function arrive(
-    {admission, arrivals}: SimulatedInstance,
-    call: Call,
-    finish: (end: (answer: Answer) => void) => void,
-  ): void {
-    admission.offer({
-      priority: call.priority,
-      kind: call.policy,
-      deadline: call.deadline,
-      goodUntil: call.goodUntil!,
-      tokenUntil: timers.now() + objective / 4,
-      refuse: reason => finish(answer => answer.refuse(reason)),
-      start: () => {
-        arrivals.push(timers.now());
-        const duration = exponential(work, random);
-        timers.after(duration, () => {
-          admission.done(duration, call.policy);
-          finish(answer => answer.end());
-        });
-      },
-    });
-  }
-
   return {
     handle: (call, _bodyLimit, target, answer) => {
       const instance = instances.get(target.announcement.instance)!;
       timers.after(oneWay, () =>
-        arrive(instance, call, end => {
+        runCall(instance, call, parameters, timers, random, end => {
           const load = instance.admission.load;
+          const limit = instance.limiter.rate;
+          const reported =
+            limit === undefined
+              ? undefined
+              : {process: '', limit, share: instance.limiter.share};
           timers.after(oneWay, () => {
             target.updateLoad(load);
+            target.updateReported(reported);
             end(answer);
           });
         }),
@@ -264,33 +321,39 @@
 
 function usedShare(
   limited: readonly SimulatedInstance[],
-  limit: number,
+  limitOf: (index: number) => number,
   duration: number,
 ): number {
-  if (limited.length === 0) return 0;
   const seconds = (duration - contact) / 1_000;
-  const count = limited
-    .flatMap(({arrivals}) => arrivals)
-    .filter(at => at >= contact && at < duration).length;
-  return count / seconds / limit / limited.length;
+  let used = 0;
+  let allowed = 0;
+  limited.forEach(({arrivals}, index) => {
+    used += arrivals.filter(at => at >= contact && at < duration).length;
+    allowed += limitOf(index) * seconds;
+  });
+  return allowed === 0 ? 0 : used / allowed;
 }
 
 function worstWindow(
   limited: readonly SimulatedInstance[],
-  limit: number,
+  limitOf: (index: number) => number,
 ): number {
-  const allowed = 1.5 * limit * (window / 1_000) + 5;
   let worst = 0;
-  for (const {arrivals} of limited) {
+  limited.forEach(({arrivals}, number) => {
+    const allowed = 1.5 * limitOf(number) * (window / 1_000) + 5;
     let first = 0;
     arrivals.forEach((at, index) => {
       while (arrivals[first]! <= at - window) first++;
       worst = Math.max(worst, (index - first + 1) / allowed);
     });
-  }
+  });
   return worst;
 }
 
+function speedOf({speeds = [1]}: LimitedService, index: number): number {
+  return speeds[index % speeds.length]!;
+}
+
 function exponential(mean: number, random: Random): number {
   return -Math.log(1 - random.fraction()) * mean;
 }
--- a/src/request/decisions/rate-limiter.test.ts
+++ b/src/request/decisions/rate-limiter.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {createRandom} from '../../random/random.js';
 import {createFakeTimers} from '../../time/fakes/fake-timers.js';
 import {createRateLimiter} from './rate-limiter.js';
 
@@ -89,3 +90,23 @@
   t.is(limiter.load(0), 1);
   t.is(limiter.load(5), 2);
 });
+
+test('the share falls until about as many calls are offered as the limit takes', t => {
+  const limited = setUp(20);
+  const {timers, limiter} = limited;
+  const random = createRandom(1);
+  let offered = 0;
+  for (let time = 0; time < 30_000; time += 10) {
+    timers.advance(10);
+    // 100 calls per second without a limit.
+    if (random.fraction() >= limiter.share) continue;
+    limiter.offered();
+    if (time >= 10_000) offered++;
+  }
+  const rate = offered / 20;
+  t.true(rate > 17 && rate < 26, `${rate} calls per second`);
+  limiter.setRate(undefined);
+  t.is(limiter.share, 1);
+  limiter.setRate(50);
+  t.is(limiter.share, 1);
+});
--- a/src/request/decisions/rate-limiter.ts
+++ b/src/request/decisions/rate-limiter.ts
@@ -12,6 +12,13 @@
   setRate(rate: number | undefined): void;
   /** Time until a call with `ahead` others before it gets a token. */
   wait(ahead: number): number;
+  /** Records a call that needs a token, whether it gets one or not. */
+  offered(): void;
+  /**
+   * How often entries should consider the upstream, compared to one without a
+   * limit: above 0, and 1 without a limit.
+   */
+  readonly share: number;
   take(): void;
   /** Returns the token of a call that was not sent. */
   giveBack(): void;
@@ -37,6 +44,15 @@
  */
 const minRate = 0.5;
 
+/** Time constant in milliseconds of the average rate of offered calls. */
+const demandTime = 1_000;
+/** Milliseconds between two adjustments of the share. */
+const sharePeriod = 250;
+/** Minimum share, with which the upstream still gets some calls. */
+const minShare = 0.02;
+/** Maximum factor by which one adjustment changes the share. */
+const maxShareStep = Math.SQRT2;
+
 /** Tolerance for tokens that are sums of fractions. */
 const tolerance = 1e-6;
 
@@ -47,6 +63,10 @@
   let size = 1;
   let tokens = 1;
   let filledAt = 0;
+  let share = 1;
+  let demand = 0;
+  let demandAt = 0;
+  let shareAdjustedAt = 0;
   let wakeUp: Subscription | undefined;
 
   function fill(limit: number): void {
@@ -64,6 +84,24 @@
     return (missing / rate) * millisecondsPerSecond;
   }
 
+  /** Adds a call to the average rate of offered calls. */
+  function updateDemand(): void {
+    const now = timers.now();
+    demand *= Math.exp((demandAt - now) / demandTime);
+    demand += millisecondsPerSecond / demandTime;
+    demandAt = now;
+  }
+
+  /** Moves the share so that entries offer about as many calls as the limit. */
+  function adjustShare(limit: number): void {
+    const now = timers.now();
+    if (now - shareAdjustedAt < sharePeriod) return;
+    shareAdjustedAt = now;
+    const wanted = Math.sqrt(limit / demand);
+    const step = clamp(wanted, 1 / maxShareStep, maxShareStep);
+    share = clamp(share * step, minShare, 1);
+  }
+
   function notifyObservers(): void {
     wakeUp?.cancel();
     wakeUp = undefined;
@@ -80,7 +118,10 @@
       if (rate !== undefined) fill(rate);
       // A new limit begins with a single token: how many calls the upstream got
       // just before is not known.
-      else tokens = 1;
+      else {
+        tokens = 1;
+        share = 1;
+      }
       filledAt = timers.now();
       rate = next;
       size = Math.max(1, (next ?? 0) * burst);
@@ -88,6 +129,13 @@
       notifyObservers();
     },
     wait,
+    get share() {
+      return rate === undefined ? 1 : share;
+    },
+    offered() {
+      updateDemand();
+      if (rate !== undefined) adjustShare(rate);
+    },
     take() {
       if (rate === undefined) return;
       fill(rate);
@@ -109,3 +157,7 @@
     onToken: observe => void observers.push(observe),
   };
 }
+
+function clamp(value: number, min: number, max: number): number {
+  return Math.min(max, Math.max(min, value));
+}
--- a/src/request/decisions/report-memory.ts
+++ b/src/request/decisions/report-memory.ts
@@ -10,6 +10,11 @@
 export interface ReportMemory {
   /** The last state; undefined if there is none or it is too old. */
   get(instance: string): ReportedState | undefined;
+  /**
+   * How often an instance should be considered, 1 if it names no limit. An old
+   * share fades, since an instance that is not chosen cannot report another.
+   */
+  share(instance: string): number;
   /** Stores what a gate told; undefined if the instance reports nothing. */
   set(instance: string, state: ReportedState | undefined): void;
 }
@@ -20,6 +25,9 @@
  */
 const maxAge = 600_000;
 
+/** Time constant in milliseconds with which a share fades. */
+const shareAge = 10_000;
+
 interface HeardState {
   readonly state: ReportedState;
   readonly heardAt: number;
@@ -43,6 +51,13 @@
       if (found === undefined) return undefined;
       return clock.now() - found.heardAt > maxAge ? undefined : found.state;
     },
+    share(instance) {
+      if (heard.size === 0) return 1;
+      const found = heard.get(instance);
+      if (found?.state.share === undefined) return 1;
+      const age = clock.now() - found.heardAt;
+      return 1 - (1 - found.state.share) * Math.exp(-age / shareAge);
+    },
     set(instance, state) {
       if (state === undefined) return void heard.delete(instance);
       if (!heard.has(instance)) removeOld();
--- a/src/request/decisions/upstream-report.ts
+++ b/src/request/decisions/upstream-report.ts
@@ -113,7 +113,8 @@
     get state() {
       const limit = limiter.rate;
       if (limit === undefined && !isLeaving) return undefined;
-      return {process, limit, ...(isLeaving && {leaving: true})};
+      const {share} = limiter;
+      return {process, limit, share, ...(isLeaving && {leaving: true})};
     },
     get isLeaving() {
       return isLeaving;
--- a/src/request/messages/reported-state.ts
+++ b/src/request/messages/reported-state.ts
@@ -4,6 +4,11 @@
   readonly process: string;
   /** Requests per second that it takes; undefined without a limit. */
   readonly limit?: number | undefined;
+  /**
+   * With a limit: how often entries should consider the instance, compared to
+   * one without a limit.
+   */
+  readonly share?: number;
   /** Whether it is shutting down. */
   readonly leaving?: boolean;
   /**
@@ -15,9 +20,10 @@
 
 /** Formats the state as the value of a header. */
 export function formatReportedState(state: ReportedState): string {
-  const {process, limit, leaving, life} = state;
+  const {process, limit, share, leaving, life} = state;
   const parameters = new URLSearchParams({process});
   if (limit !== undefined) parameters.set('limit', String(limit));
+  if (share !== undefined) parameters.set('share', share.toFixed(3));
   if (leaving === true) parameters.set('leaving', '1');
   if (life !== undefined) parameters.set('life', life);
   return parameters.toString();
@@ -31,10 +37,12 @@
   const parameters = new URLSearchParams(value);
   const process = parameters.get('process');
   const limit = Number(parameters.get('limit') ?? NaN);
+  const share = Number(parameters.get('share') ?? NaN);
   if (process === null) return undefined;
   return {
     process,
     ...(Number.isFinite(limit) && {limit}),
+    ...(share > 0 && share <= 1 && {share}),
     ...(parameters.has('leaving') && {leaving: true}),
     ...(parameters.has('life') && {life: parameters.get('life')!}),
   };
