--- a/src/endpoints/health-monitor.test.ts
+++ b/src/endpoints/health-monitor.test.ts
@@ -86,6 +86,7 @@
 
 test('the probe distinguishes a refused connection from a failed health check', async t => {
   const server = createServer((incoming, response) => {
+    response.setHeader('foxbarrow-limit', '5');
     response.statusCode = incoming.url === '/health' ? 200 : 503;
     response.end();
   });
@@ -94,10 +95,17 @@
   });
   const {port} = server.address() as AddressInfo;
   const address = `127.0.0.1:${port}`;
-  const probe = createProbe(5000);
+  const answers: string[][] = [];
+  const probe = createProbe({
+    timeout: 5000,
+    onAnswer: (_upstream, headers) => void answers.push(headers),
+  });
   t.is(await probe(upstream({address})), 'well');
   t.is(await probe(upstream({address, healthPath: '/health'})), 'well');
   t.is(await probe(upstream({address, healthPath: '/bad'})), 'unwell');
+  // An instance that gets no other requests reports its limit in these answers.
+  const values = answers.map(each => each[each.indexOf('foxbarrow-limit') + 1]);
+  t.deepEqual(values, ['5', '5']);
   await new Promise(resolve => {
     server.close(resolve);
     server.closeAllConnections();
