--- a/src/admin/report-load.ts
+++ b/src/admin/report-load.ts
@@ -7,8 +7,7 @@
   /** What the upstream has reported; undefined without an upstream. */
   readonly report: UpstreamReport | undefined;
   readonly running: number;
-  /** Running and waiting requests divided by the number of slots. */
-  readonly load: number;
+  readonly waiting: number;
 }
 
 /** The answers of a gate's listener. */
@@ -36,9 +35,8 @@
   return timers.every(reportInterval, () => {
     const slots = source.upstream()?.slots ?? 0;
     if (slots === 0) return;
-    const queued = Math.round(gate.load * slots) - gate.running;
-    const {unsent} = answers;
-    metrics.load({queued, running: gate.running, slots, unsent});
+    const {running, waiting: queued} = gate;
+    metrics.load({queued, running, slots, unsent: answers.unsent});
     if (gate.report !== undefined) reportSignals(gate.report, metrics);
   });
 }
--- a/src/admin/reports.test.ts
+++ b/src/admin/reports.test.ts
@@ -2,9 +2,10 @@
 import {emptyConfiguration} from '../configuration/configuration.js';
 import type {Policy} from '../configuration/configuration.js';
 import {createNoMetrics} from '../metrics/metrics.js';
-import type {AnsweredRequest} from '../metrics/metrics.js';
+import type {AnsweredRequest, GateLoad} from '../metrics/metrics.js';
 import {createFakeTimers} from '../time/fakes/fake-timers.js';
 import {createConvergenceTracker} from './convergence.js';
+import {reportLoad} from './report-load.js';
 import {reportOutcome} from './report-outcome.js';
 
 const outcome = {
@@ -79,3 +80,17 @@
   t.deepEqual(times, [60_000]);
   convergence.stop();
 });
+
+test('queued requests are those that wait, also at an instance with a limit', t => {
+  // They were derived from the load, which a limit raises without a queue.
+  const timers = createFakeTimers();
+  const queued: number[] = [];
+  const metrics = Object.assign(createNoMetrics(), {
+    load: (load: GateLoad) => void queued.push(load.queued),
+  });
+  const gate = {running: 1, waiting: 2, load: 5, report: undefined};
+  const source = {upstream: () => ({slots: 8})};
+  reportLoad(gate, {unsent: 0}, source, metrics, timers);
+  timers.advance(1000);
+  t.deepEqual(queued, [2]);
+});
--- a/src/node/upstream-gate.ts
+++ b/src/node/upstream-gate.ts
@@ -107,6 +107,9 @@
     get running() {
       return gate?.running ?? 0;
     },
+    get waiting() {
+      return gate?.waiting ?? 0;
+    },
     get load() {
       return gate?.load ?? 0;
     },
