--- a/src/request/limited-instance.test.ts
+++ b/src/request/limited-instance.test.ts
@@ -95,19 +95,22 @@
 });
 
 for (const size of [1, 128 * 1024]) {
-  test(`a gate that has restarted keeps to a limit that entries know, bodies of ${size} bytes`, async t => {
-    // It knew no limit until the first answer, and all its slots were used.
-    const {mesh, arrivals} = await startMesh(t, 1);
-    const body = Buffer.alloc(size);
-    await sendSteadily(mesh, 500, body);
-    const before = arrivals[0]!.length;
-    await mesh.restartGate(0);
-    const send = async () => {
-      const sent = request(`${mesh.url}/stock/7`, {method: 'PUT', body});
-      await (await sent).body.dump();
-    };
-    await Promise.all(Array.from({length: 12}, send));
-    const sent = arrivals[0]!.length - before;
-    t.true(sent <= 2, `${sent} requests at once`);
-  });
+  for (const adoptedReports of [true, false]) {
+    test(`a gate that has restarted keeps to a limit that entries know, bodies of ${size} bytes: ${adoptedReports}`, async t => {
+      // It knew no limit until the first answer, and all its slots were used.
+      const gate = {safeguards: {adoptedReports}};
+      const {mesh, arrivals} = await startMesh(t, 1, {gate});
+      const body = Buffer.alloc(size);
+      await sendSteadily(mesh, 500, body);
+      const before = arrivals[0]!.length;
+      await mesh.restartGate(0);
+      const send = async () => {
+        const sent = request(`${mesh.url}/stock/7`, {method: 'PUT', body});
+        await (await sent).body.dump();
+      };
+      await Promise.all(Array.from({length: 12}, send));
+      const sent = arrivals[0]!.length - before;
+      t.is(sent <= 2, adoptedReports, `${sent} requests at once`);
+    });
+  }
 }
--- a/src/request/messages/safeguards.ts
+++ b/src/request/messages/safeguards.ts
@@ -38,6 +38,12 @@
   readonly drainAtStart: boolean;
   /** A quarantined request is refused. */
   readonly quarantine: boolean;
+  /** A gate keeps to the limit that its upstream names in answers. */
+  readonly limit: boolean;
+  /** A gate refuses calls once its upstream reports its shutdown in answers. */
+  readonly reportedShutdown: boolean;
+  /** A gate that has restarted takes over what entries heard of its upstream. */
+  readonly adoptedReports: boolean;
 }
 
 /** The safeguards of a process. */
@@ -55,6 +61,9 @@
   heldSlots: true,
   drainAtStart: true,
   quarantine: true,
+  limit: true,
+  reportedShutdown: true,
+  adoptedReports: true,
 };
 
 /** All safeguards, with the changes of a test. */
