A refusal by another instance's gate says nothing of the one that was called

Found by reading: addresses are reused, and the refusal of the gate that took an address over made an entry forget that the former instance leaves. The metrics of an upstream's reports end with the upstream.

With the check taken out both new tests fail.

--- a/src/admin/report-load.ts
+++ b/src/admin/report-load.ts
@@ -33,15 +33,21 @@
   timers: Timers,
 ): Subscription {
   return timers.every(reportInterval, () => {
+    reportSignals(gate.report, metrics);
     const slots = source.upstream()?.slots ?? 0;
     if (slots === 0) return;
     const {running, waiting: queued} = gate;
     metrics.load({queued, running, slots, unsent: answers.unsent});
-    if (gate.report !== undefined) reportSignals(gate.report, metrics);
   });
 }
 
-function reportSignals(report: UpstreamReport, metrics: Metrics): void {
-  const {limiter, isLeaving, malformed} = report;
-  metrics.signals({limit: limiter.rate, isLeaving, malformed});
+function reportSignals(
+  report: UpstreamReport | undefined,
+  metrics: Metrics,
+): void {
+  metrics.signals({
+    limit: report?.limiter.rate,
+    isLeaving: report?.isLeaving ?? false,
+    malformed: report?.malformed ?? 0,
+  });
 }
--- a/src/request/leaving-instance.test.ts
+++ b/src/request/leaving-instance.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
 import {request} from 'undici';
+import {announcementOf} from './fakes/fake-endpoints.js';
 import {createMesh} from './fakes/mesh.js';
 
 /** A mesh whose upstreams report their shutdown if `isLeaving`. */
@@ -57,3 +58,24 @@
   t.is(await send(), 200);
   t.is(arrivals[0], 2);
 });
+
+for (const size of [1, 128 * 1024]) {
+  test(`the gate of another instance at the address says nothing of the one that left, bodies of ${size} bytes`, async t => {
+    // Its refusals would make entries forget that the instance leaves.
+    const {mesh, arrivals, send} = await startMesh(t, [true, false]);
+    const [leaving, other] = mesh.members;
+    while (arrivals[0] === 0) t.is(await send(), 200);
+    const announce = (gate: string, incarnation: number) =>
+      mesh.endpoints.put(
+        announcementOf({instance: leaving!.instance, gate, incarnation}),
+      );
+    announce(other!.server.address, 2);
+    for (let count = 0; count < 20; count++) {
+      t.is(await send(Buffer.alloc(size)), 200);
+    }
+    await mesh.restartGate(0);
+    mesh.timers.advance(3_000);
+    for (let count = 0; count < 20; count++) t.is(await send(), 200);
+    t.is(arrivals[0], 1);
+  });
+}
--- a/src/request/transport/framed-call.ts
+++ b/src/request/transport/framed-call.ts
@@ -9,6 +9,7 @@
 import {
   codeOf,
   decisionMargin,
+  isOwnReport,
   refusalForFailure,
   timeLeft,
 } from './gate-call.js';
@@ -64,8 +65,9 @@
     refused: ({code, retryAfter, load, reported}) => {
       timeoutTimer.cancel();
       peer.updateLoad(load);
-      peer.updateReported(reported);
-      answer.refuse(createRefusal(codeOf(code), undefined, retryAfter));
+      const refusal = createRefusal(codeOf(code), undefined, retryAfter);
+      if (isOwnReport(refusal)) peer.updateReported(reported);
+      answer.refuse(refusal);
     },
     lost: fail,
     unsupported: () => {
--- a/src/request/transport/gate-call.ts
+++ b/src/request/transport/gate-call.ts
@@ -36,6 +36,14 @@
   return codes.get(number) ?? requestCodes.gateLost;
 }
 
+/**
+ * Whether what comes with a refusal is about the instance that was addressed.
+ * Addresses are reused, so another gate may have refused the call.
+ */
+export function isOwnReport({code}: Refusal): boolean {
+  return code !== requestCodes.wrongInstance;
+}
+
 /** The result codes of refusals by gates, by number. */
 const codes: ReadonlyMap<number, Code> = new Map(
   [commonCodes, claimCodes, requestCodes]
--- a/src/request/transport/http-call.ts
+++ b/src/request/transport/http-call.ts
@@ -12,6 +12,7 @@
 import {
   codeOf,
   decisionMargin,
+  isOwnReport,
   refusalForFailure,
   timeLeft,
 } from './gate-call.js';
@@ -56,14 +57,18 @@
     head: (status, reason, raw) => {
       const load = findHeader(raw, headerNames.load);
       if (load !== undefined) peer.updateLoad(Number(load));
-      const reported = findHeader(raw, headerNames.reported);
-      peer.updateReported(parseReportedState(reported));
+      const reported = parseReportedState(
+        findHeader(raw, headerNames.reported),
+      );
       const code = findHeader(raw, headerNames.code);
       if (code !== undefined) {
         isRefused = true;
-        answer.refuse(readRefusal(Number(code), raw));
+        const refusal = readRefusal(Number(code), raw);
+        if (isOwnReport(refusal)) peer.updateReported(reported);
+        answer.refuse(refusal);
         return;
       }
+      peer.updateReported(reported);
       isStarted = true;
       answer.start({status, reason, headers: endToEndHeaders(raw, {foreign})});
     },
