Soak with nodes cut off from control, by a relay of bytes between real processes

The relay forwards nothing in either direction for 4 s and closes nothing, as a network that loses all packets does.

--- a/bench/deployment/small-deployment.ts
+++ b/bench/deployment/small-deployment.ts
@@ -5,6 +5,8 @@
 import {startDeployment} from './deployment.js';
 import type {Deployment} from './deployment.js';
 import {reservePorts} from './ports.js';
+import {createRelay} from './relay.js';
+import type {Relay} from './relay.js';
 import type {PortRange} from './ports.js';
 
 /** Options of startSmallDeployment. */
@@ -19,6 +21,11 @@
   }>;
   /** Additional settings of each node, such as `claimRetention`. */
   readonly node?: object;
+  /**
+   * Relays between each node and its homes are passed to this function with the
+   * node's name; default: nodes reach their homes without relays.
+   */
+  readonly onRelay?: (node: string, relay: Relay) => void;
   /** Additional settings of each control process. */
   readonly control?: object;
   /** Duration of a piece of the upstreams' work in milliseconds; default 5. */
@@ -48,7 +55,8 @@
 ): Promise<Deployment> {
   const folder = await mkdtemp(join(tmpdir(), 'foxbarrow-settings-'));
   const ports = await reservePorts();
-  await writeSettings(folder, ports, options);
+  const homeRelays: Relay[] = [];
+  await writeSettings(folder, ports, options, homeRelays);
   const deployment = await startDeployment({
     folder,
     work: options.work ?? defaultWork,
@@ -59,6 +67,7 @@
 
   async function release(): Promise<void> {
     ports.release();
+    for (const relay of homeRelays) relay.close();
     await rm(folder, {recursive: true, force: true});
   }
 
@@ -80,6 +89,7 @@
   folder: string,
   {nextAddress}: PortRange,
   options: SmallDeploymentOptions,
+  homeRelays: Relay[],
 ): Promise<void> {
   const members = Array.from({length: options.controls}, (_, index) => ({
     name: `control-${index + 1}`,
@@ -119,7 +129,18 @@
       relays: relays.map(one => one.distributionAddress),
     });
   }
-  const homes = relays.length > 0 ? relays : members;
+  const homes = (relays.length > 0 ? relays : members).map(
+    home => home.distributionAddress,
+  );
+
+  async function homesOf(node: string): Promise<readonly string[]> {
+    if (options.onRelay === undefined) return homes;
+    const relay = await createRelay(homes);
+    homeRelays.push(relay);
+    options.onRelay(node, relay);
+    return relay.addresses;
+  }
+
   for (const service of options.services) {
     for (let number = 1; number <= service.instances; number++) {
       await write({
@@ -132,7 +153,7 @@
         announceAddress: nextAddress(),
         adminAddress: nextAddress(),
         keeperAddress: nextAddress(),
-        homes: homes.map(home => home.distributionAddress),
+        homes: await homesOf(`${service.name}-${number}`),
         ...options.node,
       });
     }
--- a/bench/limits/soak.ts
+++ b/bench/limits/soak.ts
@@ -1,6 +1,7 @@
 /**
  * Real processes whose upstreams name limits and report shutdowns, while nodes,
- * upstreams and control processes are killed and frozen.
+ * upstreams and control processes are killed and frozen, and nodes are cut off
+ * from control.
  */
 import {setTimeout as pause} from 'node:timers/promises';
 import {Agent, request} from 'undici';
@@ -8,6 +9,7 @@
 import {createRandom} from '../../src/random/random.js';
 import type {DeployedInstance, Deployment} from '../deployment/deployment.js';
 import type {Program} from '../deployment/program.js';
+import type {Relay} from '../deployment/relay.js';
 import {setUp} from '../deployment/setup.js';
 import {startSmallDeployment} from '../deployment/small-deployment.js';
 import type {ReportChange, ReportRecord} from '../upstreams/reports.js';
@@ -26,6 +28,7 @@
 const eventGap = 700;
 const freezeTime = 1_500;
 const controlFreezeTime = 2_500;
+const cutTime = 4_000;
 const settleTime = 3_000;
 const leaveTime = 4_000;
 const limitTime = 6_000;
@@ -52,7 +55,9 @@
 
 /** Runs the soak and returns what callers and instances saw. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const relays = new Map<string, Relay>();
   const deployment = await startSmallDeployment({
+    onRelay: (node, relay) => void relays.set(node, relay),
     controls: 3,
     services: [
       {name: 'crewbook', instances: options.instances},
@@ -63,7 +68,7 @@
   });
   try {
     await setUp(deployment, 'examples/agency/setup.fox');
-    return await observe(deployment, options);
+    return await observe(deployment, relays, options);
   } finally {
     await deployment.killAll();
   }
@@ -71,6 +76,7 @@
 
 async function observe(
   deployment: Deployment,
+  relays: ReadonlyMap<string, Relay>,
   {seed, rate, duration, instances: count}: SoakOptions,
 ): Promise<SoakResult> {
   const random = createRandom(seed);
@@ -83,7 +89,7 @@
       isReporting: false,
       isDisturbed: false,
     }));
-  const events = createEvents(deployment, instances, rate / count);
+  const events = createEvents(deployment, relays, instances, rate / count);
   const load = sendContinuously(instances, rate, createRandom(seed));
   const counts: Record<string, number> = {};
   const running: Array<Promise<void>> = [];
@@ -110,6 +116,7 @@
 /** Changes of reports, and faults of processes, that overlap each other. */
 function createEvents(
   deployment: Deployment,
+  relays: ReadonlyMap<string, Relay>,
   instances: readonly RunningInstance[],
   share: number,
 ) {
@@ -195,6 +202,12 @@
   const faults: Record<string, SoakEvent> = {
     killedNode: instance => restartNode(instance, 'SIGKILL'),
     stoppedNode: instance => restartNode(instance, 'SIGTERM'),
+    async cutNode({deployed}) {
+      const relay = relays.get(deployed.settings.name)!;
+      relay.cut();
+      await pause(cutTime);
+      relay.heal();
+    },
     async frozenNode({deployed, node}) {
       disturbed.push({node: deployed.settings.name, at: Date.now()});
       await freeze([node], freezeTime);
