--- a/bench/limits/soak.ts
+++ b/bench/limits/soak.ts
@@ -11,6 +11,7 @@
 import type {Program} from '../deployment/program.js';
 import type {Relay} from '../deployment/relay.js';
 import {setUp} from '../deployment/setup.js';
+import {until} from '../deployment/until.js';
 import {startSmallDeployment} from '../deployment/small-deployment.js';
 import type {ReportChange, ReportRecord} from '../upstreams/reports.js';
 import type {ObservedRun, ProcessRecord, SentRequest} from './checks.js';
@@ -34,6 +35,7 @@
 const limitTime = 6_000;
 const restartTime = 1_500;
 const callTimeout = 5_000;
+const startTimeout = 60_000;
 
 const malformed = ['abc', '-5', 'NaN', '1e999', '', '5,0'];
 
@@ -150,8 +152,10 @@
     await saveRecord(instance);
     instance.upstream.signal('SIGKILL');
     await instance.upstream.ended();
-    instance.upstream = deployment.restart(
-      `upstream of ${deployed.settings.name}`,
+    const name = `upstream of ${deployed.settings.name}`;
+    instance.upstream = deployment.restart(name);
+    await until(`the ${name} answers`, startTimeout, () =>
+      isAnswering(deployed.upstreamAddress),
     );
     await pause(restartTime);
   }
@@ -240,6 +244,18 @@
   };
 }
 
+/** Whether an upstream has started. */
+async function isAnswering(address: string): Promise<boolean> {
+  try {
+    const answer = await request(`http://${address}/load`);
+    await answer.body.dump();
+    return true;
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code === 'ECONNREFUSED') return false;
+    throw error;
+  }
+}
+
 /** Suspends programs for some time, in which nothing they hold changes. */
 async function freeze(
   programs: readonly Program[],
