--- a/src/request/decisions/upstream-report.ts
+++ b/src/request/decisions/upstream-report.ts
@@ -61,7 +61,7 @@
   let isLeaving = false;
   let malformed = 0;
   let hasAnswered = false;
-  let namedAt = 0;
+  let namedAt = -Infinity;
   let loggedAt = -Infinity;
 
   function setLimit(limit: number | undefined): void {
@@ -127,10 +127,7 @@
       if (limit === 'malformed' || leaving === 'malformed') {
         recordMalformed(signals);
       }
-      if (!hasAnswered) {
-        hasAnswered = true;
-        namedAt = -Infinity;
-      }
+      hasAnswered = true;
       applyLimit(limit);
       if (leaving === 'yes') applyLeaving();
     },
--- a/src/request/transport/framed-gate.ts
+++ b/src/request/transport/framed-gate.ts
@@ -139,10 +139,11 @@
   function beginCall(entryLink: EntryLink, frame: CallFrame): void {
     const framedAnswer = createFramedAnswer(frame.call, {
       send: message => send(entryLink, message),
-      state: () => ({
-        load: gate.loadFor(frame.policy),
-        ...(gate.reported !== undefined && {reported: gate.reported}),
-      }),
+      state: () => {
+        const load = gate.loadFor(frame.policy);
+        const {reported} = gate;
+        return reported === undefined ? {load} : {load, reported};
+      },
       ended: () => callEnded(entryLink, frame.call),
     });
     const queuedAnswer = options.egressQueue?.to(framedAnswer);
