--- a/bench/experiments/request-balance.ts
+++ b/bench/experiments/request-balance.ts
@@ -107,6 +107,7 @@
   routes: new Map(),
   policies: new Map(),
   drains: new Map(),
+  workspaces: new Map(),
   quarantines: new Map(),
   rollouts: new Map(),
 } as unknown as Configuration;
--- a/bench/requests/messages.ts
+++ b/bench/requests/messages.ts
@@ -81,6 +81,7 @@
     ],
   ]),
   drains: new Map(),
+  workspaces: new Map(),
   quarantines: new Map(),
   rollouts: new Map(),
 };
--- a/src/configuration/limits.ts
+++ b/src/configuration/limits.ts
@@ -19,6 +19,8 @@
   readonly drains: number;
   /** Maximum number of quarantines. */
   readonly quarantines: number;
+  /** Maximum number of workspaces. */
+  readonly workspaces: number;
   /** Number of operators, most recently active, whose answers are stored. */
   readonly operators: number;
   /** Number of answers, those of the highest sequences, stored per operator. */
@@ -57,6 +59,7 @@
     policies: limits.policies,
     drains: limits.drains,
     quarantines: limits.quarantines,
+    workspaces: limits.workspaces,
     operators: limits.operators,
     answers: limits.answers,
     history: limits.history,
--- a/src/distribution/messages.ts
+++ b/src/distribution/messages.ts
@@ -5,6 +5,7 @@
   Rollout,
   Route,
   Service,
+  Workspace,
 } from '../configuration/configuration.js';
 
 /**
@@ -22,6 +23,8 @@
   readonly quarantines?: readonly Quarantine[];
   /** Which versions of the service get requests; absent for all. */
   readonly rollout?: Rollout;
+  /** Absent in the sections of services; see `section-name.ts`. */
+  readonly workspaces?: readonly Workspace[];
 }
 
 /**
--- a/src/distribution/section-name.ts
+++ b/src/distribution/section-name.ts
@@ -7,6 +7,12 @@
 /** Does not occur in names of services. */
 const separator = '/';
 
+/**
+ * Stands for a service in the names of the sections with workspaces; no service
+ * can have this name.
+ */
+export const workspacesSection = '~workspaces';
+
 /** Returns the name of one part of a service. */
 export function sectionName(service: string, part: number): string {
   return part === 0 ? service : `${service}${separator}${part}`;
--- a/src/distribution/section-source.ts
+++ b/src/distribution/section-source.ts
@@ -93,7 +93,8 @@
     isSameList(left.routes, right.routes) &&
     isSameList(left.policies, right.policies) &&
     isSameList(left.drains, right.drains) &&
-    isSameList(left.quarantines ?? [], right.quarantines ?? [])
+    isSameList(left.quarantines ?? [], right.quarantines ?? []) &&
+    isSameList(left.workspaces ?? [], right.workspaces ?? [])
   );
 }
 
--- a/src/distribution/section.test.ts
+++ b/src/distribution/section.test.ts
@@ -66,6 +66,7 @@
     services: new Map(services.map(service => [service.name, service])),
     routes: new Map(routes.map(route => [route.name, route])),
     policies: new Map([[policy.name, policy]]),
+    workspaces: new Map(),
     drains: new Map([['r-1', {name: 'r-1', service: 'records'}]]),
     quarantines: new Map([[quarantine.name, quarantine]]),
     rollouts: new Map([[rollout.name, rollout]]),
--- a/src/distribution/section.ts
+++ b/src/distribution/section.ts
@@ -8,6 +8,7 @@
   Rollout,
   Route,
   Service,
+  Workspace,
 } from '../configuration/configuration.js';
 import {compress, decompress} from '../configuration/compression.js';
 import {sortKeys} from '../configuration/sort-keys.js';
@@ -15,7 +16,7 @@
 import {failure, success} from '../result/failure.js';
 import type {Result} from '../result/failure.js';
 import type {PackedSection, Section} from './messages.js';
-import {sectionName, serviceOf} from './section-name.js';
+import {sectionName, serviceOf, workspacesSection} from './section-name.js';
 
 const packr = new Packr({useRecords: false, variableMapSize: true});
 
@@ -27,6 +28,12 @@
  */
 const routesPerSection = 64;
 
+/**
+ * Approximate number of workspaces per section, so that a change of one
+ * workspace sends a few kB to every node.
+ */
+const workspacesPerSection = 64;
+
 /**
  * Divides a configuration into sections: one per service, or several for a
  * service with many routes.
@@ -39,7 +46,7 @@
   const quarantines = groupByService(configuration.quarantines.values());
   const sections = new Map<string, Section>();
   for (const service of configuration.services.values()) {
-    const parts = divideRoutes(routes.get(service.name) ?? []);
+    const parts = divide(routes.get(service.name) ?? [], routesPerSection);
     for (const [part, partRoutes] of parts.entries()) {
       sections.set(sectionName(service.name, part), {
         service,
@@ -51,21 +58,46 @@
       });
     }
   }
+  addWorkspaces(sections, [...configuration.workspaces.values()]);
   return sections;
 }
 
 /**
- * Divides the routes of a service into parts. The part of a route is determined
- * by its name and by the number of parts, a power of two, so that adding,
- * changing or removing a route leaves the other parts unchanged.
+ * Adds the sections of workspaces. They have the form of a service's sections,
+ * so that processes of an earlier release pass them on.
+ */
+function addWorkspaces(
+  sections: Map<string, Section>,
+  workspaces: readonly Workspace[],
+): void {
+  if (workspaces.length === 0) return;
+  const sorted = [...workspaces].sort(byName);
+  const parts = divide(sorted, workspacesPerSection);
+  for (const [part, members] of parts.entries()) {
+    sections.set(sectionName(workspacesSection, part), {
+      service: {name: workspacesSection, slowStart: 0},
+      routes: [],
+      policies: [],
+      drains: [],
+      workspaces: members,
+    });
+  }
+}
+
+/**
+ * Divides items into parts. The part of an item is determined by its name and by
+ * the number of parts, a power of two, so that adding, changing or removing an
+ * item leaves the other parts unchanged.
  */
-function divideRoutes(routes: readonly Route[]): Route[][] {
+function divide<T extends {readonly name: string}>(
+  items: readonly T[],
+  partSize: number,
+): T[][] {
   let count = 1;
-  while (count * routesPerSection < routes.length) count *= 2;
-  if (count === 1) return [[...routes]];
-  const parts = Array.from({length: count}, (): Route[] => []);
-  for (const route of routes)
-    parts[murmurhash.v3(route.name) % count]!.push(route);
+  while (count * partSize < items.length) count *= 2;
+  if (count === 1) return [[...items]];
+  const parts = Array.from({length: count}, (): T[] => []);
+  for (const item of items) parts[murmurhash.v3(item.name) % count]!.push(item);
   return parts;
 }
 
@@ -103,6 +135,7 @@
   const services = new Map<string, Service>();
   const routes = new Map<string, Route>();
   const policies = new Map<string, Policy>();
+  const workspaces = new Map<string, Workspace>();
   const drains = new Map<string, Drain>();
   const quarantines = new Map<string, Quarantine>();
   const rollouts = new Map<string, Rollout>();
@@ -111,6 +144,9 @@
     if (problem !== undefined && isChecked) {
       return failure(distributionCodes.badReference, problem);
     }
+    for (const workspace of section.workspaces ?? [])
+      workspaces.set(workspace.name, workspace);
+    if (section.service.name === workspacesSection) continue;
     services.set(section.service.name, section.service);
     for (const route of section.routes) routes.set(route.name, route);
     for (const policy of section.policies) policies.set(policy.name, policy);
@@ -125,6 +161,7 @@
     services,
     routes,
     policies,
+    workspaces,
     drains,
     quarantines,
     rollouts,
--- a/src/operator/render.ts
+++ b/src/operator/render.ts
@@ -6,6 +6,7 @@
   Rollout,
   Route,
   Service,
+  Workspace,
 } from '../configuration/configuration.js';
 import type {Member} from '../consensus/consensus.js';
 import type {FleetSummary} from '../fleet/summary.js';
@@ -35,6 +36,8 @@
       return renderRoutes(values as Route[]);
     case 'policy':
       return renderPolicies(values as Policy[]);
+    case 'workspace':
+      return renderWorkspaces(values as Workspace[]);
     case 'drain':
       return renderDrains(values as Drain[]);
     case 'quarantine':
@@ -92,6 +95,19 @@
   );
 }
 
+function renderWorkspaces(workspaces: readonly Workspace[]): string {
+  return renderTable(
+    ['workspace', 'keys', 'priority', 'rate', 'burst'],
+    workspaces.map(({name, keys, priority, quota}) => [
+      name,
+      `${keys.length}`,
+      priority ?? '-',
+      quota === undefined ? '-' : `${quota.rate}/s`,
+      quota === undefined ? '-' : `${quota.burst}`,
+    ]),
+  );
+}
+
 function renderRollouts(rollouts: readonly Rollout[]): string {
   return renderTable(
     ['service', 'stable', 'target', 'phase', 'share', 'elapsed', 'reason'],
--- a/src/request/fakes/configurations.ts
+++ b/src/request/fakes/configurations.ts
@@ -7,6 +7,7 @@
   Rollout,
   Route,
   Service,
+  Workspace,
 } from '../../configuration/configuration.js';
 
 /** A policy for tests; `changes` override the defaults. */
@@ -41,6 +42,7 @@
   readonly services?: readonly Service[];
   readonly routes?: readonly Route[];
   readonly policies?: readonly Policy[];
+  readonly workspaces?: readonly Workspace[];
   readonly drains?: readonly Drain[];
   readonly quarantines?: readonly Quarantine[];
   readonly rollouts?: readonly Rollout[];
@@ -53,6 +55,7 @@
     services: byName(parts.services ?? []),
     routes: byName(parts.routes ?? []),
     policies: byName(parts.policies ?? []),
+    workspaces: byName(parts.workspaces ?? []),
     drains: byName(parts.drains ?? []),
     quarantines: byName(parts.quarantines ?? []),
     rollouts: byName(parts.rollouts ?? []),
--- a/src/settings/limits.ts
+++ b/src/settings/limits.ts
@@ -17,6 +17,7 @@
     policies: count.default(limits.policies),
     drains: count.default(limits.drains),
     quarantines: count.default(limits.quarantines),
+    workspaces: count.default(limits.workspaces),
     operators: count.default(limits.operators),
     answers: count.default(limits.answers),
     history: count.default(limits.history),
