Nodes move to a home of their own failure domain once they learn of it

Cause: settings that name homes without failure domains rank them by chance and before all learned ones, and a nearer home was looked for every 15 to 45 s only. Change: a learned failure domain counts for configured homes too, homes known to be elsewhere come last, and a nearer home that was just learned is tried after 0.5 to 1.5 s. Tests: a node moves once and stays; unknown failure domains keep the order as before.

--- a/src/distribution/home-connection.test.ts
+++ b/src/distribution/home-connection.test.ts
@@ -189,6 +189,31 @@
   t.deepEqual(node.versions, [1, 2]);
 });
 
+// Guards against nodes that receive all changes from another failure domain,
+// because the settings name their homes without failure domains.
+test('a node moves to a home of its failure domain soon after it learned of it', async t => {
+  const cluster = createTestCluster();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  let homes: readonly HomeAddress[] = [];
+  const listHomes = () => homes;
+  const far = await cluster.control('control-1', operator, {}, 0, listHomes);
+  const near = await cluster.control('control-2', operator, {}, 0, listHomes);
+  homes = [
+    {address: far.address, failureDomain: 'b'},
+    {address: near.address, failureDomain: 'a'},
+  ];
+  const node = cluster.node('node-1', [far.address]);
+  let links = 0;
+  node.home.onChannels(() => links++);
+  await cluster.timers.advanceAsync(5_000);
+  t.is(node.home.address(), near.address);
+  await cluster.timers.advanceAsync(120_000);
+  t.is(node.home.address(), near.address);
+  t.is(links, 2);
+  t.deepEqual(node.versions, [1]);
+});
+
 // Guards against a node that requests its whole state from one home after the
 // other, again and again, because it cannot read the pushes, as after an
 // upgrade that reached control first. Every home is fresh and none is better
--- /dev/null
+++ b/src/distribution/known-homes.test.ts
@@ -0,0 +1,27 @@
+import test from 'ava';
+import {createKnownHomes} from './known-homes.js';
+
+const self = {name: 'node-1', failureDomain: 'a', region: 'r'};
+const addressesOf = (homes: ReadonlyArray<{readonly address: string}>) =>
+  homes.map(({address}) => address);
+
+// Guards against nodes that stay at homes in other failure domains because
+// their settings name homes without failure domains.
+test('a learned failure domain puts the near homes first, also unconfigured ones', t => {
+  const homes = createKnownHomes(self, [{address: 'x:1'}, {address: 'y:1'}]);
+  homes.learn([
+    {address: 'x:1', failureDomain: 'b'},
+    {address: 'y:1', failureDomain: 'c'},
+    {address: 'z:1', failureDomain: 'a'},
+  ]);
+  t.is(addressesOf(homes.list())[0], 'z:1');
+  t.is(homes.list().length, 3);
+  homes.learn([{address: 'y:1', failureDomain: 'a'}]);
+  t.deepEqual(addressesOf(homes.list()), ['y:1', 'x:1']);
+});
+
+test('a configured home of an unknown failure domain stays before learned ones', t => {
+  const homes = createKnownHomes(self, [{address: 'x:1'}]);
+  homes.learn([{address: 'z:1', failureDomain: 'a'}]);
+  t.deepEqual(addressesOf(homes.list()), ['x:1', 'z:1']);
+});
--- a/src/distribution/limits.ts
+++ b/src/distribution/limits.ts
@@ -52,6 +52,12 @@
   maxSuspicionDoublings: 5,
   /** Period, with jitter, after which a process searches for a nearer home. */
   nearerSearchPeriod: 30_000,
+  /**
+   * Delay, with jitter, until a process searches for a nearer home that it has
+   * just learned of. The jitter keeps the nodes of a failure domain from moving
+   * at the same time.
+   */
+  learnedHomeDelay: 1000,
   /** Delay before a reconnect after a lost link. */
   reconnectDelay: {first: 200, most: 5000},
   /** How long a nonce may remain unanswered. */
