Workspaces in the operators' language; one holder per key

Cause: workspaces existed as types only, and nothing kept two workspaces from holding one key. Change: put, remove and show workspaces and keyed routes in the language, with digests in place of keys from the parser on; syntax errors mask what may be a key. Changed tests: the list of expected words after put ends in workspace.

--- a/src/configuration/fakes/sample.ts
+++ b/src/configuration/fakes/sample.ts
@@ -1,5 +1,7 @@
 import {defaults} from '../../settings/defaults.js';
+import {digestOfKey} from '../../workspaces/key-digest.js';
 import type {ConfigurationMachine} from '../create-configuration-machine.js';
+import type {Quota} from '../configuration.js';
 import {createConfigurationMachine} from '../create-configuration-machine.js';
 import type {MachineSafeguards} from '../create-configuration-machine.js';
 import type {Limits} from '../limits.js';
@@ -43,6 +45,17 @@
   return {action: 'put', item: {kind: 'drain', value: {name, service}}};
 }
 
+/** The keys are stored as their digests. */
+export function putWorkspace(
+  name: string,
+  keys: readonly string[],
+  quota?: Quota,
+): Edit {
+  const digests = keys.map(digestOfKey).sort();
+  const value = {name, keys: digests, ...(quota !== undefined && {quota})};
+  return {action: 'put', item: {kind: 'workspace', value}};
+}
+
 /** Creates a machine with the default limits, overridden by `limits`. */
 export function createSampleMachine(
   limits: Partial<Limits> = {},
--- a/src/configuration/limits.ts
+++ b/src/configuration/limits.ts
@@ -21,6 +21,8 @@
   readonly quarantines: number;
   /** Maximum number of workspaces. */
   readonly workspaces: number;
+  /** Maximum number of keys of all workspaces together. */
+  readonly keys: number;
   /** Number of operators, most recently active, whose answers are stored. */
   readonly operators: number;
   /** Number of answers, those of the highest sequences, stored per operator. */
@@ -60,6 +62,7 @@
     drains: limits.drains,
     quarantines: limits.quarantines,
     workspaces: limits.workspaces,
+    keys: limits.keys,
     operators: limits.operators,
     answers: limits.answers,
     history: limits.history,
--- a/src/language/edit-parser.ts
+++ b/src/language/edit-parser.ts
@@ -1,8 +1,14 @@
 import {EmbeddedActionsParser} from 'chevrotain';
 import type {IToken} from 'chevrotain';
-import type {Kind, Policy, Route} from '../configuration/configuration.js';
+import type {
+  Kind,
+  Policy,
+  Priority,
+  Route,
+  Workspace,
+} from '../configuration/configuration.js';
 import type {Edit} from '../configuration/messages.js';
-import {keyword, Separator, vocabulary, Word} from './tokens.js';
+import {keyword, Separator, Text, vocabulary, Word} from './tokens.js';
 import type {Keyword} from './tokens.js';
 import * as values from './values.js';
 import {reject} from './values.js';
@@ -20,6 +26,17 @@
 
 type Fields<T> = {-readonly [K in keyof T]?: T[K]};
 
+/** A route whose access is stated; `public` is the default. */
+interface RouteFields extends Omit<Route, 'access'> {
+  readonly access: 'keyed' | 'public';
+}
+
+/** The fields of a workspace as a command gives them. */
+interface WorkspaceFields extends Pick<Workspace, 'keys' | 'priority'> {
+  readonly rate: number;
+  readonly burst: number;
+}
+
 /**
  * The grammar of edits. Each rule reads its words and returns a typed edit.
  * Values are validated inside `ACTION`, which chevrotain skips while it
@@ -65,6 +82,7 @@
       {ALT: () => this.SUBRULE(this.service)},
       {ALT: () => this.SUBRULE(this.policy)},
       {ALT: () => this.SUBRULE(this.route)},
+      {ALT: () => this.SUBRULE(this.workspace)},
     ]);
   });
 
@@ -152,7 +170,7 @@
   private readonly route = this.RULE('route', (): Edit => {
     this.key('route');
     const name = this.CONSUME(Word);
-    const fields: Fields<Route> = {};
+    const fields: Fields<RouteFields> = {};
     this.MANY(() => this.SUBRULE(this.routeField, {ARGS: [fields]}));
     return this.ACTION(() => ({
       action: 'put',
@@ -162,7 +180,7 @@
 
   private readonly routeField = this.RULE(
     'routeField',
-    (fields: Fields<Route>) => {
+    (fields: Fields<RouteFields>) => {
       this.OR([
         {
           ALT: () =>
@@ -186,16 +204,73 @@
               values.toName(word),
             ),
         },
+        {ALT: () => this.access(fields, 'keyed')},
+        {ALT: () => this.access(fields, 'public')},
       ]);
     },
   );
 
+  private readonly workspace = this.RULE('workspace', (): Edit => {
+    this.key('workspace');
+    const name = this.CONSUME(Word);
+    const fields: Fields<WorkspaceFields> = {};
+    this.MANY(() => this.SUBRULE(this.workspaceField, {ARGS: [fields]}));
+    return this.ACTION(() => ({
+      action: 'put',
+      item: {kind: 'workspace', value: toWorkspace(name, fields)},
+    }));
+  });
+
+  private readonly workspaceField = this.RULE(
+    'workspaceField',
+    (fields: Fields<WorkspaceFields>) => {
+      this.OR([
+        {ALT: () => this.SUBRULE(this.keys, {ARGS: [fields]})},
+        {
+          ALT: () =>
+            this.field(1, fields, 'priority', 'priority', word =>
+              values.toChoice<Priority>(word, [
+                'critical',
+                'normal',
+                'background',
+              ]),
+            ),
+        },
+        {
+          ALT: () =>
+            this.field(2, fields, 'rate', 'rate', word => values.toRate(word)),
+        },
+        {
+          ALT: () =>
+            this.field(3, fields, 'burst', 'burst', word =>
+              values.toBurst(word),
+            ),
+        },
+      ]);
+    },
+  );
+
+  private readonly keys = this.RULE(
+    'keys',
+    (fields: Fields<WorkspaceFields>) => {
+      const key = this.key('keys');
+      const list = this.OR([
+        {ALT: () => this.CONSUME(Text)},
+        {ALT: () => this.CONSUME(Word)},
+      ]);
+      this.ACTION(() =>
+        setOnce(fields, 'keys', key, values.toKeyDigests(list)),
+      );
+    },
+  );
+
   private readonly remove = this.RULE('remove', (): Edit => {
     this.key('remove');
     const kind = this.OR<Kind>([
       {ALT: () => this.kind('service', 'service')},
       {ALT: () => this.kind('route', 'route')},
       {ALT: () => this.kind('policy', 'policy')},
+      {ALT: () => this.kind('workspace', 'workspace')},
     ]);
     const name = this.CONSUME(Word);
     return this.ACTION(() => ({
@@ -276,6 +351,19 @@
     return kind;
   }
 
+  private access(
+    fields: Fields<RouteFields>,
+    access: RouteFields['access'],
+  ): void {
+    const key = this.key(access);
+    this.ACTION(() => {
+      if (fields.access !== undefined && fields.access !== access) {
+        reject(key, 'either keyed or public, not both');
+      }
+      setOnce(fields, 'access', key, access);
+    });
+  }
+
   /**
    * Reads a keyword and the word after it. `index` is the chevrotain index of
    * the `CONSUME` call, which must be unique within a rule.
@@ -319,7 +407,7 @@
   };
 }
 
-function toRoute(name: IToken, fields: Fields<Route>): Route {
+function toRoute(name: IToken, fields: Fields<RouteFields>): Route {
   const {prefix, service, policy} = fields;
   if (prefix === undefined || service === undefined || policy === undefined) {
     return reject(
@@ -333,5 +421,22 @@
     methods: fields.methods ?? [],
     service,
     policy,
+    ...(fields.access === 'keyed' && {access: 'keyed'}),
+  };
+}
+
+/** Without `burst`, a quota allows the requests of one second at once. */
+function toWorkspace(
+  name: IToken,
+  {keys, priority, rate, burst}: Fields<WorkspaceFields>,
+): Workspace {
+  if (rate === undefined && burst !== undefined) {
+    return reject(name, '"rate NUMBER" for a workspace with a burst');
+  }
+  return {
+    name: values.toName(name),
+    keys: keys ?? [],
+    ...(priority !== undefined && {priority}),
+    ...(rate !== undefined && {quota: {rate, burst: burst ?? rate}}),
   };
 }
--- a/src/language/parse.test.ts
+++ b/src/language/parse.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {isIncompleteBlock, parseCommand, parseEdits} from './parse.js';
 import {renderProblem} from './problem.js';
+import {digestOfKey} from '../workspaces/key-digest.js';
 
 function parse(text: string): unknown {
   const parsed = parseCommand(text);
@@ -140,7 +141,7 @@
     'put rotue stock',
     `
 put rotue stock
-    ^^^^^ expected service, policy or route`,
+    ^^^^^ expected service, policy, route or workspace`,
   ],
   [
     'put service a slowstart 5s',
@@ -188,7 +189,7 @@
     'begin\n  put service a\n  put srevice b\nend',
     `
   put srevice b
-      ^^^^^^^ line 3: expected service, policy or route`,
+      ^^^^^^^ line 3: expected service, policy, route or workspace`,
   ],
   [
     'remove route',
@@ -270,3 +271,109 @@
     /a duration above zero/,
   );
 });
+
+test('a workspace is put with the digests of its keys, its quota and its priority', t => {
+  const keys = ['k-1', 'k-2'].map(digestOfKey).sort();
+  const value = {
+    name: 'millers',
+    keys,
+    priority: 'critical',
+    quota: {rate: 50, burst: 100.5},
+  };
+  const edits = [{action: 'put', item: {kind: 'workspace', value}}];
+  for (const list of ['"k-1,k-2"', 'k-2,k-1']) {
+    const text = `put workspace millers keys ${list} rate 50 burst 100.5 priority critical`;
+    t.deepEqual(parse(text), {kind: 'change', edits});
+  }
+  t.deepEqual(parse('put workspace millers'), {
+    kind: 'change',
+    edits: [
+      {
+        action: 'put',
+        item: {kind: 'workspace', value: {name: 'millers', keys: []}},
+      },
+    ],
+  });
+  t.like(parse('put workspace millers rate 50'), {
+    edits: [{item: {value: {quota: {rate: 50, burst: 50}}}}],
+  });
+  t.deepEqual(parse('remove workspace millers'), {
+    kind: 'change',
+    edits: [{action: 'remove', kind: 'workspace', name: 'millers'}],
+  });
+  t.deepEqual(parse('show workspaces millers'), {
+    kind: 'show',
+    items: 'workspace',
+    name: 'millers',
+  });
+});
+
+test('a route is keyed or public', t => {
+  const route = 'put route r prefix /r to a under p';
+  const {edits} = parse(`${route} keyed`) as {edits: unknown[]};
+  t.like(edits[0], {item: {value: {access: 'keyed'}}});
+  t.deepEqual(parse(`${route} public`), parse(route));
+  t.regex(String(parse(`${route} keyed public`)), /either keyed or public/);
+  t.regex(String(parse(`${route} public keyed`)), /either keyed or public/);
+  t.regex(String(parse(`${route} keyed keyed`)), /keyed only once/);
+});
+
+test('each invalid field of a workspace is reported at its word', t => {
+  const cases: ReadonlyArray<readonly [string, string, RegExp]> = [
+    ['Millers', 'Millers', /a name of 1 to 63/],
+    ['m keys ""', '""', /keys of 1 to 256/],
+    ['m keys "a,,b"', '"a,,b"', /key 2 of 3 differs/],
+    ['m keys "a b"', '"a b"', /key 1 of 1 differs/],
+    ['m keys é', 'é', /key 1 of 1 differs/],
+    [`m keys ${'k'.repeat(257)}`, 'k'.repeat(257), /key 1 of 1 differs/],
+    ['m keys a,b,a', 'a,b,a', /each key only once/],
+    ['m keys a keys b', 'keys b', /keys only once/],
+    ['m rate 5 rate 5', 'rate 5', /rate only once/],
+    ['m rate 5 burst 1 burst 1', 'burst 1', /burst only once/],
+    ['m rate 0', '0', /above 0/],
+    ['m rate -1', '-1', /above 0/],
+    ['m rate NaN', 'NaN', /above 0/],
+    ['m rate Infinity', 'Infinity', /above 0/],
+    ['m rate 1e3', '1e3', /above 0/],
+    ['m rate 5 burst -1', '-1', /of at least 0/],
+    ['m burst 5', 'm', /"rate NUMBER"/],
+    ['m priority high', 'high', /critical, normal or background/],
+    ['m weight 5', 'weight', /expected keys, priority, rate, burst, ";"/],
+  ];
+  for (const [rest, word, message] of cases) {
+    const text = `put workspace ${rest}`;
+    const parsed = parseCommand(text);
+    if (parsed.ok) return t.fail(text);
+    t.regex(parsed.problem.message, message, text);
+    t.is(parsed.problem.offset, text.lastIndexOf(word), text);
+  }
+});
+
+// Guards against keys in the terminals and logs of operators' scripts.
+test('no problem shows a key', t => {
+  const secret = 's3cret';
+  for (const text of [
+    `put workspace m keys "${secret} x"`,
+    `put workspace m keys "${secret}`,
+    `put workspace m keys ${secret}, ${secret}`,
+    `put workspace m keys ${secret} "${secret}"`,
+    `put workspace m key ${secret}`,
+    `put workspace m key "${secret}"`,
+    `put workspce m keys ${secret} rate 5`,
+    `put workspce m keys ${secret}, ${secret}`,
+    `put workspace m ${secret}`,
+    `put workspace m keys ${secret} keys ${secret}`,
+    `put workspace m keys ${secret},${secret}`,
+    `begin\n  put workspace m keys ${secret},,${secret}\nend`,
+    `begin\n  put workspace m\n  keys "${secret}"\nend`,
+    `put service a; put workspace m keys "${secret}" rat 5`,
+  ]) {
+    const shown = String(parse(text));
+    t.regex(shown, /\^ (line \d+: )?expected /, text);
+    t.notRegex(shown, new RegExp(secret), text);
+  }
+  t.regex(
+    String(parse('put workspace m rate 5x')),
+    /^put workspace m rate 5x\n/,
+  );
+});
--- a/src/language/parse.ts
+++ b/src/language/parse.ts
@@ -33,6 +33,9 @@
   prefix: 'a path that starts with /',
   methods: 'methods such as GET,POST',
   at: 'an IP number and port',
+  keys: 'keys such as "KEY,KEY"',
+  rate: 'a number of requests per second',
+  burst: 'a number of requests',
 };
 
 type RuleName = 'command' | 'content';
--- a/src/language/parser.ts
+++ b/src/language/parser.ts
@@ -128,6 +128,7 @@
       {ALT: () => this.kind('services', 'service')},
       {ALT: () => this.kind('routes', 'route')},
       {ALT: () => this.kind('policies', 'policy')},
+      {ALT: () => this.kind('workspaces', 'workspace')},
       {ALT: () => this.kind('drains', 'drain')},
       {ALT: () => this.kind('quarantines', 'quarantine')},
       {ALT: () => this.kind('rollouts', 'rollout')},
--- a/src/language/problem.ts
+++ b/src/language/problem.ts
@@ -1,3 +1,5 @@
+import {maskKeys} from './masked-line.js';
+
 /** A syntax error and its position. */
 export interface Problem {
   /** What was expected at this position. */
@@ -15,7 +17,9 @@
   }
 }
 
-/** Renders the line, carets under the word, and the message. */
+/**
+ * Renders the line without keys, carets under the word, and the message.
+ */
 export function renderProblem(text: string, problem: Problem): string {
   const start = text.lastIndexOf('\n', problem.offset - 1) + 1;
   const end = text.indexOf('\n', problem.offset);
@@ -27,5 +31,5 @@
   const caret = `${indent}${pad}${'^'.repeat(width)}`;
   const number = text.slice(0, start).split('\n').length;
   const position = text.trimEnd().includes('\n') ? `line ${number}: ` : '';
-  return `${line}\n${caret} ${position}${problem.message}`;
+  return `${maskKeys(line)}\n${caret} ${position}${problem.message}`;
 }
--- a/src/language/tokens.ts
+++ b/src/language/tokens.ts
@@ -12,7 +12,7 @@
   pattern: /[^\s;"#]+/,
 });
 
-/** Quoted text, used for file names. */
+/** Quoted text, used for file names and keys of workspaces. */
 export const Text = createToken({
   name: 'Text',
   label: 'quoted text',
@@ -64,9 +64,11 @@
   'service',
   'route',
   'policy',
+  'workspace',
   'services',
   'routes',
   'policies',
+  'workspaces',
   'drains',
   'quarantines',
   'rollouts',
@@ -85,6 +87,11 @@
   'body',
   'objective',
   'within',
+  'keyed',
+  'public',
+  'keys',
+  'rate',
+  'burst',
   'of',
   'with',
   'at',
--- a/src/language/values.ts
+++ b/src/language/values.ts
@@ -1,5 +1,7 @@
 import type {IToken} from 'chevrotain';
 import {isAddress} from '../link/address.js';
+import {digestOfKey} from '../workspaces/key-digest.js';
+import {isKey} from '../workspaces/key-form.js';
 import {ProblemError} from './problem.js';
 import type {CommandId} from './statement.js';
 
@@ -89,6 +91,39 @@
   return reject(token, 'methods in capitals, such as GET,POST');
 }
 
+/** Reads a quota's rate in requests per second. */
+export function toRate(token: IToken): number {
+  const rate = toDecimal(token);
+  if (rate !== undefined && rate > 0) return rate;
+  return reject(token, 'a number of requests per second above 0, such as 50');
+}
+
+/** Reads a quota's burst in requests. */
+export function toBurst(token: IToken): number {
+  const burst = toDecimal(token);
+  return burst ?? reject(token, 'a number of requests of at least 0');
+}
+
+/**
+ * Reads keys separated by commas and returns their digests. Problems point at
+ * the whole list and do not show it; see `masked-line.ts`.
+ */
+export function toKeyDigests(token: IToken): string[] {
+  const {image} = token;
+  const isQuoted = image.startsWith('"');
+  const keys = (isQuoted ? image.slice(1, -1) : image).split(',');
+  for (const [index, key] of keys.entries()) {
+    if (isKey(key)) continue;
+    return reject(
+      token,
+      'keys of 1 to 256 visible ASCII characters without spaces, ' +
+        `separated by commas; key ${index + 1} of ${keys.length} differs`,
+    );
+  }
+  if (new Set(keys).size < keys.length) reject(token, 'each key only once');
+  return keys.map(digestOfKey).sort();
+}
+
 /** Reads one of `choices`. */
 export function toChoice<T extends string>(
   token: IToken,
@@ -120,6 +155,12 @@
   return `${choices.slice(0, -1).join(', ')} or ${choices.at(-1)}`;
 }
 
+/** Undefined unless the word is a number without sign and exponent. */
+function toDecimal(token: IToken): number | undefined {
+  const isDecimal = /^\d{1,12}(\.\d{1,6})?$/.test(token.image);
+  return isDecimal ? Number(token.image) : undefined;
+}
+
 function scale(
   image: string,
   units: Readonly<Record<string, number>>,
--- a/src/operator/help.ts
+++ b/src/operator/help.ts
@@ -5,7 +5,10 @@
       [attempts N] [repeat once|idempotent] [body SIZE]
       [objective PERCENT within DURATION]
   put route NAME prefix PATH [methods GET,POST] to SERVICE under POLICY
-  remove service|policy|route NAME
+      [keyed|public]
+  put workspace NAME [keys "KEY,KEY"] [rate NUMBER [burst NUMBER]]
+      [priority critical|normal|background]
+  remove service|policy|route|workspace NAME
   drain INSTANCE of SERVICE
   undrain INSTANCE
   release QUARANTINE           end a request's quarantine
@@ -16,7 +19,7 @@
   as OPERATOR/SEQUENCE         the command's id; a resend gets the first answer
   expect VERSION               refuse unless this version is in force
 Queries:
-  show services|policies|routes|drains|quarantines|rollouts [NAME]
+  show services|policies|routes|workspaces|drains|quarantines|rollouts [NAME]
   show in force                versions in force, and the nodes that are behind
   show control                 state of the control group
   history [N]                  the last changes
--- a/src/operator/options.ts
+++ b/src/operator/options.ts
@@ -38,10 +38,17 @@
   try {
     return success(readOptions(args, environment));
   } catch (error) {
-    return failure(commonCodes.usage, (error as Error).message);
+    return failure(commonCodes.usage, describeMisuse(args, error as Error));
   }
 }
 
+/** The usual message names the option, which may be a key of a workspace. */
+function describeMisuse(args: readonly string[], error: Error): string {
+  const isFromParser = 'code' in error;
+  if (!isFromParser || !args.includes('keys')) return error.message;
+  return 'an option is unknown or has no value; put -- before the command if a key starts with -';
+}
+
 function readOptions(
   args: readonly string[],
   environment: Environment,
--- a/src/operator/render.ts
+++ b/src/operator/render.ts
@@ -8,6 +8,7 @@
   Service,
   Workspace,
 } from '../configuration/configuration.js';
+import {shortDigest} from '../configuration/short-digest.js';
 import type {Member} from '../consensus/consensus.js';
 import type {FleetSummary} from '../fleet/summary.js';
 import type {
@@ -59,14 +60,17 @@
 }
 
 function renderRoutes(routes: readonly Route[]): string {
+  const isAnyKeyed = routes.some(({access}) => access === 'keyed');
+  const header = ['route', 'prefix', 'methods', 'to', 'under'];
   return renderTable(
-    ['route', 'prefix', 'methods', 'to', 'under'],
+    isAnyKeyed ? [...header, 'access'] : header,
     routes.map(route => [
       route.name,
       route.prefix,
       route.methods.join(',') || 'all',
       route.service,
       route.policy,
+      ...(isAnyKeyed ? [route.access ?? 'public'] : []),
     ]),
   );
 }
@@ -100,7 +104,7 @@
     ['workspace', 'keys', 'priority', 'rate', 'burst'],
     workspaces.map(({name, keys, priority, quota}) => [
       name,
-      `${keys.length}`,
+      formatKeys(keys),
       priority ?? '-',
       quota === undefined ? '-' : `${quota.rate}/s`,
       quota === undefined ? '-' : `${quota.burst}`,
@@ -108,6 +112,17 @@
   );
 }
 
+/** Maximum number of keys that are listed for a workspace. */
+const maxListedKeys = 3;
+
+/** Log lines of refused keys show the same start of a key's digest. */
+function formatKeys(keys: readonly string[]): string {
+  if (keys.length === 0) return '-';
+  const listed = keys.slice(0, maxListedKeys).map(shortDigest).join(' ');
+  const more = keys.length - maxListedKeys;
+  return more > 0 ? `${listed} and ${more} more` : listed;
+}
+
 function renderRollouts(rollouts: readonly Rollout[]): string {
   return renderTable(
     ['service', 'stable', 'target', 'phase', 'share', 'elapsed', 'reason'],
--- a/src/operator/run-operator-command.test.ts
+++ b/src/operator/run-operator-command.test.ts
@@ -5,6 +5,7 @@
 import test from 'ava';
 import {deploy} from './fakes/deployment.js';
 import type {Deployment} from './fakes/deployment.js';
+import {digestOfKey} from '../workspaces/key-digest.js';
 import {createShortTimeoutClient} from './fakes/short-timeout-client.js';
 import {runOperatorCommand} from './run-operator-command.js';
 
@@ -195,7 +196,7 @@
   const input = 'begin\n put srevice a\n put service b\nend\nshow services\n';
   const {code, out, error} = await run(deployment, 'shell', {input});
   t.is(code, 2);
-  t.regex(error, /\^+ line 2: expected service, policy or route/);
+  t.regex(error, /\^+ line 2: expected service, policy, route or workspace/);
   t.is(out, 'none\nversion 0\n');
   t.is(deployment.group.entries().length, 0);
 });
@@ -237,3 +238,75 @@
   t.regex(await misuse([...control, '--token-file', '/gone']), /be read/);
   t.regex(await misuse(control), /a command is missing/);
 });
+
+// Guards against keys in the log of the group, in the history and in the output
+// of commands.
+test('workspaces are put, shown and removed, and no output shows a key', async t => {
+  const deployment = await deploy(t);
+  const put =
+    'put workspace millers keys s3cret-1,s3cret-2 rate 50 priority critical; ' +
+    'put workspace bakers keys s3cret-3,s3cret-4,s3cret-5,s3cret-6';
+  const accepted = await run(deployment, put);
+  t.is(accepted.code, 0, accepted.error);
+  const shown = await run(deployment, 'show workspaces');
+  t.regex(
+    shown.out,
+    /^workspace +keys +priority +rate +burst\nbakers +(?:[0-9a-f]{8} ){3}and 1 more +- +- +-\nmillers +[0-9a-f]{8} [0-9a-f]{8} +critical +50\/s +50\nversion 1\n$/,
+  );
+  const json = await run(deployment, 'show workspaces millers', {
+    args: ['--json'],
+  });
+  t.deepEqual(JSON.parse(json.out).result.items, [
+    {
+      kind: 'workspace',
+      value: {
+        name: 'millers',
+        keys: ['s3cret-1', 's3cret-2'].map(digestOfKey).sort(),
+        priority: 'critical',
+        quota: {rate: 50, burst: 50},
+      },
+    },
+  ]);
+  const shared = await run(deployment, 'put workspace x keys s3cret-3');
+  t.is(shared.code, 3);
+  t.regex(shared.error, /refused, 2025: workspaces bakers and x hold the same/);
+  const invalid = await run(deployment, 'put workspace x keys "s3cret-3,"');
+  t.is(invalid.code, 2);
+  const history = await run(deployment, 'history');
+  t.regex(history.out, /put workspace millers; put workspace bakers/);
+  const removed = await run(deployment, 'remove workspace bakers');
+  t.is(removed.code, 0);
+  const runs = [accepted, shown, json, shared, invalid, history, removed];
+  t.notRegex(JSON.stringify(runs), /s3cret/);
+  for (const entry of deployment.group.entries()) {
+    t.false(Buffer.from(entry).includes('s3cret'));
+  }
+});
+
+test('a keyed route is shown as such', async t => {
+  const deployment = await deploy(t);
+  const open = 'put route open prefix /o to crewbook under lookups';
+  for (const put of [`${setup} keyed`, open]) {
+    const {code, error} = await run(deployment, put);
+    t.is(code, 0, error);
+  }
+  const shown = await run(deployment, 'show routes');
+  t.is(
+    shown.out,
+    'route    prefix    methods  to        under    access\n' +
+      'open     /o        all      crewbook  lookups  public\n' +
+      'records  /records  all      crewbook  lookups  keyed\n' +
+      'version 2\n',
+  );
+});
+
+// Guards against the error of an unknown option showing a key.
+test('a key that looks like an option is not shown', async t => {
+  const deployment = await deploy(t);
+  const refused = await run(deployment, 'put workspace m keys --s3cret,b');
+  t.is(refused.code, 2);
+  t.regex(refused.error, /put -- before the command/);
+  t.notRegex(refused.error, /s3cret/);
+  const put = await run(deployment, '-- put workspace m keys --s3cret,b');
+  t.is(put.code, 0, put.error);
+});
--- a/src/settings/limits.ts
+++ b/src/settings/limits.ts
@@ -18,6 +18,7 @@
     drains: count.default(limits.drains),
     quarantines: count.default(limits.quarantines),
     workspaces: count.default(limits.workspaces),
+    keys: count.default(limits.keys),
     operators: count.default(limits.operators),
     answers: count.default(limits.answers),
     history: count.default(limits.history),
