--- a/src/distribution/section.ts
+++ b/src/distribution/section.ts
@@ -58,24 +58,25 @@
       });
     }
   }
-  addWorkspaces(sections, [...configuration.workspaces.values()]);
+  addWorkspaces(sections, configuration.workspaces);
   return sections;
 }
 
+/** One object, so that unchanged sections are found by identity. */
+const workspacesService: Service = {name: workspacesSection, slowStart: 0};
+
 /**
  * Adds the sections of workspaces. They have the form of a service's sections,
  * so that processes of an earlier release pass them on.
  */
 function addWorkspaces(
   sections: Map<string, Section>,
-  workspaces: readonly Workspace[],
+  workspaces: ReadonlyMap<string, Workspace>,
 ): void {
-  if (workspaces.length === 0) return;
-  const sorted = [...workspaces].sort(byName);
-  const parts = divide(sorted, workspacesPerSection);
-  for (const [part, members] of parts.entries()) {
+  if (workspaces.size === 0) return;
+  for (const [part, members] of divideWorkspaces(workspaces).entries()) {
     sections.set(sectionName(workspacesSection, part), {
-      service: {name: workspacesSection, slowStart: 0},
+      service: workspacesService,
       routes: [],
       policies: [],
       drains: [],
@@ -84,6 +85,23 @@
   }
 }
 
+/** The parts of each map, which are the same until a workspace changes. */
+const dividedWorkspaces = new WeakMap<
+  ReadonlyMap<string, Workspace>,
+  ReadonlyArray<readonly Workspace[]>
+>();
+
+function divideWorkspaces(
+  workspaces: ReadonlyMap<string, Workspace>,
+): ReadonlyArray<readonly Workspace[]> {
+  const known = dividedWorkspaces.get(workspaces);
+  if (known !== undefined) return known;
+  const parts = divide([...workspaces.values()], workspacesPerSection);
+  for (const part of parts) part.sort(byName);
+  dividedWorkspaces.set(workspaces, parts);
+  return parts;
+}
+
 /**
  * Divides items into parts. The part of an item is determined by its name and by
  * the number of parts, a power of two, so that adding, changing or removing an
