Workspaces reach every node, one section for a change of one

Cause: a node that subscribes to some services received no sections of workspaces. Change: each subscription includes them, so homes need no change and those of earlier releases answer as before. A node keeps its map of workspaces while their sections are unchanged.

--- a/src/distribution/fakes/test-cluster.ts
+++ b/src/distribution/fakes/test-cluster.ts
@@ -3,6 +3,7 @@
   Policy,
   Route,
   Service,
+  Workspace,
 } from '../../configuration/configuration.js';
 import {emptyConfiguration} from '../../configuration/configuration.js';
 import {createFleet} from '../../fleet/fleet.js';
@@ -45,6 +46,8 @@
   /** Services to put, each with one route `/NAME` and the policy `usual`. */
   readonly put?: readonly string[];
   readonly remove?: readonly string[];
+  readonly putWorkspaces?: readonly Workspace[];
+  readonly removeWorkspaces?: readonly string[];
   /** Deadline of the policy `usual`; changing it changes every section. */
   readonly deadline?: number;
 }
@@ -130,7 +133,20 @@
     });
   }
   const version = before.version + 1;
-  return {...before, version, services, routes, policies};
+  const workspaces = changeWorkspaces(before, change);
+  return {...before, version, services, routes, policies, workspaces};
+}
+
+/** As in an `ItemStore`, the map is the same until a workspace changes. */
+function changeWorkspaces(
+  {workspaces}: Configuration,
+  {putWorkspaces = [], removeWorkspaces = []}: Change,
+): ReadonlyMap<string, Workspace> {
+  if (putWorkspaces.length + removeWorkspaces.length === 0) return workspaces;
+  const changed = new Map(workspaces);
+  for (const name of removeWorkspaces) changed.delete(name);
+  for (const workspace of putWorkspaces) changed.set(workspace.name, workspace);
+  return changed;
 }
 
 function makePolicy(deadline: number): Policy {
--- a/src/distribution/section-name.ts
+++ b/src/distribution/section-name.ts
@@ -4,6 +4,8 @@
  * the first appends its number to the name.
  */
 
+import type {Interest} from './messages.js';
+
 /** Does not occur in names of services. */
 const separator = '/';
 
@@ -13,6 +15,15 @@
  */
 export const workspacesSection = '~workspaces';
 
+/**
+ * Adds the sections of workspaces to an interest: each node decides on the keys
+ * of its callers, whatever services they call.
+ */
+export function withWorkspaces(services: Interest): Interest {
+  if (services === 'all') return services;
+  return [...new Set([...services, workspacesSection])];
+}
+
 /** Returns the name of one part of a service. */
 export function sectionName(service: string, part: number): string {
   return part === 0 ? service : `${service}${separator}${part}`;
--- a/src/distribution/section.ts
+++ b/src/distribution/section.ts
@@ -143,11 +143,13 @@
 
 /**
  * Joins sections into a configuration; fails if a reference has no target.
+ * `knownWorkspaces` are those of the sections, if they were joined before;
  * `isChecked` is false in tests only.
  */
 export function joinSections(
   version: number,
   sections: Iterable<Section>,
+  knownWorkspaces?: ReadonlyMap<string, Workspace>,
   isChecked = true,
 ): Result<Configuration> {
   const services = new Map<string, Service>();
@@ -162,9 +164,12 @@
     if (problem !== undefined && isChecked) {
       return failure(distributionCodes.badReference, problem);
     }
-    for (const workspace of section.workspaces ?? [])
-      workspaces.set(workspace.name, workspace);
-    if (section.service.name === workspacesSection) continue;
+    if (section.service.name === workspacesSection) {
+      if (knownWorkspaces !== undefined) continue;
+      for (const workspace of section.workspaces ?? [])
+        workspaces.set(workspace.name, workspace);
+      continue;
+    }
     services.set(section.service.name, section.service);
     for (const route of section.routes) routes.set(route.name, route);
     for (const policy of section.policies) policies.set(policy.name, policy);
@@ -179,7 +184,7 @@
     services,
     routes,
     policies,
-    workspaces,
+    workspaces: knownWorkspaces ?? workspaces,
     drains,
     quarantines,
     rollouts,
--- a/src/distribution/subscriber.ts
+++ b/src/distribution/subscriber.ts
@@ -26,12 +26,16 @@
   Response,
 } from './messages.js';
 import {createProofRequests, makeNonce} from './proof-requests.js';
+import {withWorkspaces} from './section-name.js';
 import type {SectionSource} from './section-source.js';
 
 /** Options of createSubscriber. */
 export interface SubscriberOptions {
   readonly home: HomeConnection;
-  /** The services whose sections are received; default all. */
+  /**
+   * The services whose sections are received, in addition to those of
+   * workspaces; default all.
+   */
   readonly services?: Interest;
   readonly timers: Timers;
   readonly random: Random;
@@ -117,7 +121,7 @@
   const observers: Array<(configuration: Configuration) => void> = [];
   const sourceObservers: Array<() => void> = [];
   const count = {switches: 0, refusals: 0, ignored: 0};
-  let services: Interest = options.services ?? 'all';
+  let services = withWorkspaces(options.services ?? 'all');
   let subscription = 1;
   let channels: Channels | undefined;
   let held: HeldState | undefined;
@@ -322,7 +326,7 @@
     },
     onSwitch: observe => void observers.push(observe),
     subscribe(next) {
-      services = next;
+      services = withWorkspaces(next);
       subscription++;
       if (channels !== undefined) requestState();
     },
