--- a/src/request/decisions/keyed-run.ts
+++ b/src/request/decisions/keyed-run.ts
@@ -60,7 +60,7 @@
       options.track(cancel);
       const request = {
         service: call.service,
-        key: call.key!,
+        key: claimKeyOf(call),
         fingerprint: fingerprintOf(call),
         deadline: call.deadline,
       };
@@ -74,6 +74,15 @@
   };
 }
 
+/**
+ * The key that is claimed. Callers of different workspaces may use the same
+ * key, and must not get each other's answers. A header's value has no line
+ * break, so no caller can name the key of a workspace.
+ */
+function claimKeyOf({workspace, key}: Call): string {
+  return workspace === undefined ? key! : `${workspace}\n${key!}`;
+}
+
 function replay(stored: StoredAnswer, answer: Answer): void {
   const headers = stored.headers.flatMap(({name, value}) => [name, value]);
   answer.start({status: stored.status, reason: '', headers});
--- a/src/request/transport/framed-call.ts
+++ b/src/request/transport/framed-call.ts
@@ -105,6 +105,7 @@
       key: call.key,
       instance,
       service,
+      ...(call.workspace !== undefined && {workspace: call.workspace}),
       ...(reported !== undefined && {reported}),
       ...timeLeft(call, timers),
     };
--- a/src/request/transport/framed-gate.ts
+++ b/src/request/transport/framed-gate.ts
@@ -241,6 +241,7 @@
     id: frame.request,
     service: frame.service,
     policy: frame.policy,
+    workspace: frame.workspace,
     caller: frame.caller,
     method: frame.method,
     path: frame.path,
--- a/src/request/transport/frames.ts
+++ b/src/request/transport/frames.ts
@@ -30,6 +30,8 @@
   readonly service: string;
   readonly policy: string | undefined;
   readonly caller: string | undefined;
+  /** The workspace whose key the caller sent; absent if none. */
+  readonly workspace?: string;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly string[];
--- a/src/request/transport/http-call.ts
+++ b/src/request/transport/http-call.ts
@@ -133,6 +133,9 @@
     ...[headerNames.instance, instance],
     ...[headerNames.service, service],
     ...(call.caller === undefined ? [] : [headerNames.caller, call.caller]),
+    ...(call.workspace === undefined
+      ? []
+      : [headerNames.workspace, call.workspace]),
     ...(call.policy === undefined ? [] : [headerNames.policy, call.policy]),
     ...(reported === undefined
       ? []
--- a/src/request/transport/refusal-answer.ts
+++ b/src/request/transport/refusal-answer.ts
@@ -26,6 +26,17 @@
   return {code: number, name, effect, message};
 }
 
+const unauthorized = 401;
+
+/**
+ * The header that a refusal for a missing or unknown key must have (RFC 9110,
+ * 11.6.1), as name and value; none for other refusals.
+ */
+export function challengeFor({code}: Refusal, scheme: string): string[] {
+  if (code.status !== unauthorized) return [];
+  return ['www-authenticate', `${scheme} realm="foxbarrow"`];
+}
+
 /** Formats a refusal in foxbarrow's own format. */
 export function formatRefusal(refusal: Refusal): RefusalAnswer {
   return {
