Keys expire where no quorum confirms them

Cause: a node that is cut off would accept a removed key for ever, and the monotonic clock alone does not count the time for which a VM was suspended.

--- a/scenarios/control-vm.ts
+++ b/scenarios/control-vm.ts
@@ -101,6 +101,7 @@
       safeguards: safeguards.consensus,
     });
     const barrier = () => consensus.readBarrier();
+    const freshness = createFreshnessTracker(barrier, processClock);
     const host = {
       ...shared,
       self: {
@@ -113,7 +114,8 @@
       peers: () => members.map(each => distributionAddress(each.name)),
       source: createSectionSource(machine),
       barrier,
-      asOf: createFreshnessTracker(barrier, processClock).asOf,
+      asOf: freshness.asOf,
+      confirmedAt: freshness.confirmedAt,
       batchWindow: 50,
       lease: 10_000,
       safeguards: {proof: safeguards.proof},
--- a/src/distribution/batcher.ts
+++ b/src/distribution/batcher.ts
@@ -1,3 +1,5 @@
+import {currentMoment} from '../time/moment.js';
+import type {Moment} from '../time/moment.js';
 import type {Subscription, Timers} from '../time/timers.js';
 
 /** Combines changes into one push. */
@@ -9,6 +11,8 @@
    * none.
    */
   waitingSince(): number | undefined;
+  /** The same by both clocks. */
+  oldestChange(): Moment | undefined;
   stop(): void;
 }
 
@@ -24,7 +28,7 @@
   push: () => void,
 ): Batcher {
   let lastPush = Number.NEGATIVE_INFINITY;
-  let since: number | undefined;
+  let since: Moment | undefined;
   let timer: Subscription | undefined;
 
   function flush(): void {
@@ -42,10 +46,11 @@
         flush();
         return;
       }
-      since = timers.now();
+      since = currentMoment(timers);
       timer = timers.after(remaining, flush);
     },
-    waitingSince: () => since,
+    waitingSince: () => since?.steady,
+    oldestChange: () => since,
     stop: () => timer?.cancel(),
   };
 }
--- a/src/distribution/distributor.ts
+++ b/src/distribution/distributor.ts
@@ -14,6 +14,8 @@
 import type {Session} from './session.js';
 import {createStateView} from './state-view.js';
 import {interestKey, selectCoveredNames, makePush} from './sync-plan.js';
+import {earlier} from '../time/moment.js';
+import type {Moment} from '../time/moment.js';
 import {createSyncer} from './syncer.js';
 import type {SyncCounts} from './syncer.js';
 
@@ -31,6 +33,8 @@
    * Local time at which a quorum last confirmed the source; undefined if never.
    */
   readonly asOf: () => number | undefined;
+  /** The same by both clocks; undefined if it is not known. */
+  readonly confirmedAt?: () => Moment | undefined;
   readonly timers: Timers;
   readonly random: Random;
   readonly log: Log;
@@ -265,6 +269,7 @@
       return {
         version: publishedVersion,
         asOf: isChangeWaiting ? Math.min(asOf, oldestWaiting) : asOf,
+        confirmedAt: earlier(options.confirmedAt?.(), batcher.oldestChange()),
       };
     },
     counts: () => ({
--- a/src/distribution/freshness-mark.ts
+++ b/src/distribution/freshness-mark.ts
@@ -1,4 +1,6 @@
 import type {Pong} from '../fleet/messages.js';
+import {before} from '../time/moment.js';
+import type {Moment} from '../time/moment.js';
 
 /** Freshness of the state of a home, as its answer to a ping reports it. */
 export interface FreshnessMark {
@@ -7,6 +9,11 @@
    * undefined if never.
    */
   readonly asOf: number | undefined;
+  /**
+   * The same by both clocks, with the time for which VMs were suspended;
+   * undefined if never.
+   */
+  readonly confirmedAt?: Moment | undefined;
   /** The version that the home last pushed to all subscribers. */
   readonly version: number | undefined;
   /** Local time at which the answered ping was sent. */
@@ -18,9 +25,11 @@
  * so that a delayed answer does not look fresher than it is.
  */
 export function freshnessMarkOf(
-  {age, version}: Pong,
-  sentAt: number,
+  {age, fullAge = 0, version}: Pong,
+  sentAt: Moment,
 ): FreshnessMark {
-  const asOf = age === undefined ? undefined : sentAt - age;
-  return {asOf, version, askedAt: sentAt};
+  const askedAt = sentAt.steady;
+  if (age === undefined) return {asOf: undefined, version, askedAt};
+  const confirmedAt = before(sentAt, Math.max(age, fullAge));
+  return {asOf: askedAt - age, confirmedAt, version, askedAt};
 }
--- a/src/distribution/freshness-marks.ts
+++ b/src/distribution/freshness-marks.ts
@@ -1,5 +1,7 @@
 import type {Ping, Pong} from '../fleet/messages.js';
 import type {Clock} from '../time/clock.js';
+import {currentMoment, elapsedSince} from '../time/moment.js';
+import type {Moment} from '../time/moment.js';
 import {freshnessMarkOf} from './freshness-mark.js';
 import type {FreshnessMark} from './freshness-mark.js';
 
@@ -33,6 +35,12 @@
    * Local time at which the local state was last confirmed; undefined before.
    */
   localAsOf(): number | undefined;
+  /**
+   * The last moment of which it is known that the local state contained every
+   * accepted change; undefined before. Unlike `localAsOf` it does not go back
+   * when another home knows less.
+   */
+  confirmedAt(): Moment | undefined;
   /**
    * Whether the state of a home had been confirmed recently when its ping was
    * sent. The age that the home reports counts, since on a slow link every
@@ -77,10 +85,11 @@
 ): FreshnessMarks {
   const {clock, heartbeat, overdueAge} = options;
   /** Send time of each unanswered ping, by its number. */
-  const pings = new Map<number, number>();
+  const pings = new Map<number, Moment>();
   let pingNumber = 0;
   let last: FreshnessMark | undefined;
   let localAsOf: number | undefined;
+  let confirmedAt: Moment | undefined;
   let version: number | undefined;
   let attachedAt = clock.now();
   /** Since when the home has had a version that has not arrived here. */
@@ -91,7 +100,8 @@
   function isUnresponsive(other: FreshnessMark): boolean {
     const [unanswered] = pings.values();
     return (
-      unanswered !== undefined && unanswered + heartbeat / 2 < other.askedAt
+      unanswered !== undefined &&
+      unanswered.steady + heartbeat / 2 < other.askedAt
     );
   }
 
@@ -103,6 +113,13 @@
     return behindSince !== undefined && clock.now() - behindSince > overdueAge;
   }
 
+  function confirmMoment(moment: Moment): void {
+    const isNewer =
+      confirmedAt === undefined ||
+      elapsedSince(moment, clock) < elapsedSince(confirmedAt, clock);
+    if (isNewer) confirmedAt = moment;
+  }
+
   return {
     begin(first) {
       attachedAt = clock.now();
@@ -111,7 +128,7 @@
       pings.clear();
     },
     ping() {
-      pings.set(++pingNumber, clock.now());
+      pings.set(++pingNumber, currentMoment(clock));
       return {
         kind: 'ping',
         number: pingNumber,
@@ -130,7 +147,10 @@
     confirm(mark) {
       const isSynchronized =
         version !== undefined && version >= (mark.version ?? 0);
-      if (isSynchronized) localAsOf = mark.asOf ?? localAsOf;
+      if (isSynchronized) {
+        localAsOf = mark.asOf ?? localAsOf;
+        if (mark.confirmedAt !== undefined) confirmMoment(mark.confirmedAt);
+      }
       const isHomeAhead = version !== undefined && !isSynchronized;
       behindSince = isHomeAhead ? (behindSince ?? clock.now()) : undefined;
     },
@@ -139,6 +159,7 @@
     },
     last: () => last,
     localAsOf: () => localAsOf,
+    confirmedAt: () => confirmedAt,
     isFresh,
     isConfirmed: () => localAsOf !== undefined && isRecent(localAsOf),
     isBehind,
--- a/src/distribution/freshness-tracker.ts
+++ b/src/distribution/freshness-tracker.ts
@@ -1,3 +1,5 @@
+import {currentMoment} from '../time/moment.js';
+import type {Moment} from '../time/moment.js';
 import type {Timers} from '../time/timers.js';
 import {distributionLimits} from './limits.js';
 import {boundBarrier} from './prover.js';
@@ -7,6 +9,8 @@
 export interface FreshnessTracker {
   /** Local time of the last confirmation; undefined before the first. */
   asOf(): number | undefined;
+  /** The same by both clocks. */
+  confirmedAt(): Moment | undefined;
   stop(): void;
 }
 
@@ -24,19 +28,23 @@
     timers,
     distributionLimits.proofTimeout,
   );
-  let asOf: number | undefined;
+  let confirmedAt: Moment | undefined;
   let isRunning = false;
 
   async function round(): Promise<void> {
     if (isRunning) return;
     isRunning = true;
-    const startedAt = timers.now();
+    const startedAt = currentMoment(timers);
     const result = await confirm();
     isRunning = false;
-    if (result.ok) asOf = startedAt;
+    if (result.ok) confirmedAt = startedAt;
   }
 
   const timer = timers.every(period, () => void round());
   void round();
-  return {asOf: () => asOf, stop: () => timer.cancel()};
+  return {
+    asOf: () => confirmedAt?.steady,
+    confirmedAt: () => confirmedAt,
+    stop: () => timer.cancel(),
+  };
 }
--- a/src/distribution/home-probe.ts
+++ b/src/distribution/home-probe.ts
@@ -5,6 +5,7 @@
 import {createChannels} from '../link/channel.js';
 import type {Channels} from '../link/channel.js';
 import type {Link, Network} from '../link/link.js';
+import {currentMoment} from '../time/moment.js';
 import type {Subscription, Timers} from '../time/timers.js';
 import {freshnessMarkOf} from './freshness-mark.js';
 import type {FreshnessMark} from './freshness-mark.js';
@@ -63,7 +64,7 @@
     link = openedLink;
     const channels = createChannels(openedLink);
     const fleetChannel = channels.on('fleet');
-    const sentAt = timers.now();
+    const sentAt = currentMoment(timers);
     timeoutTimer = timers.after(timeout, () => fail('no answer in time'));
     channels.onClose(() => fail('the link was closed'));
     fleetChannel.onMessage(body => {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -2,6 +2,7 @@
 import type {Log} from '../log/log.js';
 import {createSilenceWatch} from '../time/silence-watch.js';
 import type {SilenceWatch} from '../time/silence-watch.js';
+import {elapsedSince} from '../time/moment.js';
 import type {Subscription, Timers} from '../time/timers.js';
 import {receiveHello} from './hello.js';
 import {fleetLimits} from './limits.js';
@@ -195,7 +196,9 @@
     ping: Ping,
     otherHomes: readonly HomeAddress[],
   ): void {
-    const {version, asOf} = position();
+    const {version, asOf, confirmedAt} = position();
+    const age = asOf === undefined ? undefined : timers.now() - asOf;
+    const fullAge = confirmedAt && elapsedSince(confirmedAt, timers);
     const previous = sentHomes.get(channel);
     channel.send({
       kind: 'pong',
@@ -203,7 +206,8 @@
       ...(previous === undefined && {home: self.name}),
       ...(previous !== otherHomes &&
         otherHomes.length > 0 && {homes: otherHomes}),
-      ...(asOf !== undefined && {age: Math.ceil(timers.now() - asOf)}),
+      ...(age !== undefined && {age: Math.ceil(age)}),
+      ...(hasPause(fullAge, age) && {fullAge: Math.ceil(fullAge)}),
       ...(version !== undefined && {version}),
     });
     sentHomes.set(channel, otherHomes);
@@ -287,3 +291,12 @@
     stop: () => timer.cancel(),
   };
 }
+
+/** Whether the full age shows that a VM was suspended. */
+function hasPause(
+  fullAge: number | undefined,
+  age: number | undefined,
+): fullAge is number {
+  if (fullAge === undefined || age === undefined) return false;
+  return fullAge > age + fleetLimits.clockDrift;
+}
--- a/src/fleet/limits.ts
+++ b/src/fleet/limits.ts
@@ -8,6 +8,11 @@
   minReportInterval: 200,
   /** Maximum time between two reports. */
   maxReportInterval: 1000,
+  /**
+   * Difference between the clocks of a VM, over the age of a confirmation, that
+   * is not reported; a clock that is being corrected drifts by less.
+   */
+  clockDrift: 20,
   /** Age above which the summary of a home no longer shows what is in force. */
   maxSummaryAge: 5000,
   /**
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -4,6 +4,7 @@
  */
 
 import type {Address} from '../link/link.js';
+import type {Moment} from '../time/moment.js';
 
 /** The role of a process. */
 export type ProcessKind = 'node' | 'relay' | 'control';
@@ -32,6 +33,8 @@
    * never.
    */
   readonly asOf: number | undefined;
+  /** The same by both clocks. */
+  readonly confirmedAt?: Moment | undefined;
 }
 
 /** Requests the freshness mark of the home and serves as a heartbeat. */
@@ -65,6 +68,11 @@
    * never.
    */
   readonly age?: number;
+  /**
+   * The same with the time for which VMs were suspended meanwhile; absent if
+   * they were not.
+   */
+  readonly fullAge?: number;
   /** The version that the home last pushed to all of its subscribers. */
   readonly version?: number;
 }
--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -15,7 +15,10 @@
 import type {GateServer} from '../request/transport/gate-server.js';
 import {defaults} from '../settings/defaults.js';
 import type {NodeSettings} from '../settings/schema.js';
+import {elapsedSince} from '../time/moment.js';
 import type {Timers} from '../time/timers.js';
+import type {KeyState} from '../workspaces/authenticator.js';
+import {areKeysExpired} from '../workspaces/revocation.js';
 import type {LinkShare} from './link-share.js';
 import type {NodeParts} from './parts.js';
 
@@ -73,6 +76,7 @@
     address: settings.callerAddress,
     configuration,
     isConfirmed: () => isConfirmed(home, timers, settings.homeFreshness),
+    keyState: () => keyState(home, timers, settings),
     endpoints: table,
     gate,
     headerLimit: settings.headerLimit,
@@ -93,6 +97,7 @@
     },
     outcomes: options.outcomes,
     onCleared: options.onCleared,
+    onKeyRefused: reason => metrics.keyRefused(reason),
     onOutcome: outcome => reportOutcome(metrics, configuration(), outcome),
   });
   await gateServer.listen();
@@ -100,9 +105,22 @@
   return {entry, gateServer};
 }
 
+/** How far the keys in force are known to be the newest. */
+export function keyState(
+  home: Pick<HomeConnection, 'asOf' | 'confirmedAt'>,
+  timers: Timers,
+  settings: Pick<NodeSettings, 'keys' | 'homeFreshness'>,
+): KeyState {
+  const confirmedAt = home.confirmedAt();
+  const age = confirmedAt && elapsedSince(confirmedAt, timers);
+  if (areKeysExpired(age, settings.keys.revocation)) return 'expired';
+  const isRecent = isConfirmed(home, timers, settings.homeFreshness);
+  return isRecent ? 'confirmed' : 'unconfirmed';
+}
+
 /** Whether a quorum confirmed within `freshness` milliseconds that no newer version exists. */
 export function isConfirmed(
-  home: HomeConnection,
+  home: Pick<HomeConnection, 'asOf'>,
   timers: Timers,
   freshness: number,
 ): boolean {
--- a/src/relay/distribution-host.ts
+++ b/src/relay/distribution-host.ts
@@ -21,6 +21,7 @@
 import {createRolloutExchange} from '../rollouts/exchange.js';
 import type {RolloutExchange} from '../rollouts/exchange.js';
 import type {Random} from '../random/random.js';
+import type {Moment} from '../time/moment.js';
 import type {Timers} from '../time/timers.js';
 
 /** Options of `createDistributionHost`; times in milliseconds. */
@@ -36,6 +37,8 @@
   readonly barrier: DistributorOptions['barrier'];
   /** Local time as of which a quorum last confirmed the state of the source. */
   readonly asOf: () => number | undefined;
+  /** The same by both clocks. */
+  readonly confirmedAt: () => Moment | undefined;
   readonly batchWindow: number;
   readonly lease: number;
   readonly network: Network;
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -42,6 +42,7 @@
     source: subscriber.sections,
     barrier: subscriber.barrier,
     asOf: home.asOf,
+    confirmedAt: home.confirmedAt,
     batchWindow: settings.batchWindow,
     lease: settings.lease,
     network,
--- a/src/request/key-check.ts
+++ b/src/request/key-check.ts
@@ -3,15 +3,12 @@
 import type {Workspace} from '../configuration/configuration.js';
 import {createLineBudget} from '../log/line-budget.js';
 import type {Log} from '../log/log.js';
+import type {KeyRefusalReason} from '../metrics/metrics.js';
 import type {Random} from '../random/random.js';
 import type {Code} from '../result/code.js';
 import type {Timers} from '../time/timers.js';
 import {createAuthenticator} from '../workspaces/authenticator.js';
-import type {
-  Authentication,
-  KeyRefusal,
-  KeyState,
-} from '../workspaces/authenticator.js';
+import type {Authentication, KeyState} from '../workspaces/authenticator.js';
 import {shortDigest} from '../workspaces/key-digest.js';
 import type {Refusal} from './messages/call.js';
 import {requestCodes} from './messages/codes.js';
@@ -27,7 +24,7 @@
   readonly timers: Timers;
   readonly random: Random;
   readonly log: Log;
-  readonly onRefused: (reason: KeyRefusal) => void;
+  readonly onRefused: (reason: KeyRefusalReason) => void;
 }
 
 /** Whose request it is, or why it is refused. */
@@ -46,7 +43,7 @@
   found: FoundRoute,
 ) => KeyCheckResult;
 
-const codes: Readonly<Record<KeyRefusal, Code>> = {
+const codes: Readonly<Record<KeyRefusalReason, Code>> = {
   'key-required': requestCodes.keyRequired,
   'key-unknown': requestCodes.keyUnknown,
   'keys-unsure': requestCodes.keysUnsure,
--- a/src/time/clock.ts
+++ b/src/time/clock.ts
@@ -7,6 +7,9 @@
   /** Milliseconds since an arbitrary start; monotonic. */
   abstract now(): number;
 
-  /** Milliseconds since the Unix epoch; only for display and logs. */
+  /**
+   * Milliseconds since the Unix epoch; for display and logs, and to notice that
+   * the VM was suspended (see `moment.ts`).
+   */
   abstract wall(): number;
 }
--- a/src/time/fakes/fake-timers.ts
+++ b/src/time/fakes/fake-timers.ts
@@ -13,6 +13,12 @@
   /** Advances time by `duration` milliseconds and runs the tasks that are due in order. */
   abstract advance(duration: number): void;
 
+  /** Lets the time of day pass, but not the timers, as in a suspended VM. */
+  abstract suspend(duration: number): void;
+
+  /** Sets the time of day forward, or back if `duration` is negative. */
+  abstract setWall(duration: number): void;
+
   /** Like `advance`, but lets promises settle after each task. */
   abstract advanceAsync(duration: number): Promise<void>;
 }
@@ -29,6 +35,7 @@
   const entries = new Set<ScheduledTask>();
   let now = start;
   let order = 0;
+  let wallAhead = 0;
 
   function add(delay: number, period: number | undefined, task: () => void) {
     const entry = {due: now + delay, order: order++, period, task};
@@ -58,7 +65,15 @@
     }
 
     wall(): number {
-      return now;
+      return now + wallAhead;
+    }
+
+    suspend(duration: number): void {
+      wallAhead += duration;
+    }
+
+    setWall(duration: number): void {
+      wallAhead += duration;
     }
 
     after(delay: number, task: () => void): Subscription {
--- a/src/workspaces/authenticator.ts
+++ b/src/workspaces/authenticator.ts
@@ -7,6 +7,7 @@
   Route,
   Workspace,
 } from '../configuration/configuration.js';
+import type {KeyRefusalReason} from '../metrics/metrics.js';
 import {createKeyIndex} from './key-index.js';
 import {digestOfKey} from './key-digest.js';
 import {readKey} from './key-header.js';
@@ -19,14 +20,6 @@
   readonly authorization: readonly string[];
 }
 
-/**
- * Why a request is refused.
- * - `key-required`: it has no key, or none that can be read.
- * - `key-unknown`: no workspace has its key.
- * - `keys-unsure`: the keys held here may be outdated.
- */
-export type KeyRefusal = 'key-required' | 'key-unknown' | 'keys-unsure';
-
 /** The result of an authentication. */
 export type Authentication =
   | {
@@ -36,7 +29,7 @@
     }
   | {
       readonly kind: 'refused';
-      readonly reason: KeyRefusal;
+      readonly reason: KeyRefusalReason;
       /** The digest of the key; undefined if none could be read. */
       readonly digest?: string;
     };
