--- a/src/distribution/fakes/test-cluster.ts
+++ b/src/distribution/fakes/test-cluster.ts
@@ -164,7 +164,7 @@
     self: Hello,
     source: SectionSource,
     barrier: DistributorOptions['barrier'],
-    asOf: () => number | undefined,
+    confirmation: Pick<HomeConnection, 'asOf' | 'confirmedAt'>,
     options: Partial<DistributorOptions>,
     peerCount = 0,
     homes: () => readonly HomeAddress[] = () => [],
@@ -176,7 +176,8 @@
       const distributor = createDistributor({
         source,
         barrier,
-        asOf,
+        asOf: confirmation.asOf,
+        confirmedAt: confirmation.confirmedAt,
         batchWindow: 0,
         ...shared(),
         ...options,
@@ -237,7 +238,7 @@
         self,
         source,
         barrier,
-        freshness.asOf,
+        freshness,
         options,
         peerCount,
         homes,
@@ -252,7 +253,7 @@
         self,
         subscriber.sections,
         subscriber.barrier,
-        home.asOf,
+        home,
         options,
       );
       home.onChannels(served.fleet.report);
--- a/src/fleet/fleet.test.ts
+++ b/src/fleet/fleet.test.ts
@@ -8,7 +8,7 @@
 } from '../distribution/fakes/test-cluster.js';
 import {createNodeTable} from './node-table.js';
 import {joinSummaries} from './summary.js';
-import type {HomeSummary} from './messages.js';
+import type {HomeSummary, Pong} from './messages.js';
 import {createFakeTimers} from '../time/fakes/fake-timers.js';
 import {createChannels} from '../link/channel.js';
 import type {Channels} from '../link/channel.js';
@@ -331,3 +331,24 @@
   await cluster.timers.advanceAsync(6000);
   t.true(isClosed);
 });
+
+// Guards against a home that looks fresh after its VM was suspended, and against
+// bytes of an age that says nothing new.
+test('a home reports the time of a suspension until it is confirmed again', async t => {
+  const {cluster, control, channels, answers} = await openLink();
+  const ask = async (number: number) => {
+    channels.on('fleet').send({kind: 'ping', number});
+    await cluster.timers.advanceAsync(10);
+    return answers.at(-1) as Pong;
+  };
+  await cluster.timers.advanceAsync(1000);
+  t.is((await ask(1)).fullAge, undefined);
+  control.quorum = false;
+  cluster.timers.suspend(10_000);
+  const {age, fullAge} = await ask(2);
+  t.true(age! < 1000);
+  t.is(fullAge, age! + 10_000);
+  control.quorum = true;
+  await cluster.timers.advanceAsync(500);
+  t.is((await ask(3)).fullAge, undefined);
+});
