--- a/src/admin/metrics.test.ts
+++ b/src/admin/metrics.test.ts
@@ -98,6 +98,8 @@
   });
   metrics.fleet(12);
   metrics.unconfirmed(1400);
+  metrics.keyRefused('key-unknown');
+  metrics.keyRefused('key-unknown');
   const text = await registry.metrics();
   for (const line of [
     'foxbarrow_gate_requests{kind="queued"} 2',
@@ -112,6 +114,7 @@
     'foxbarrow_control_group{kind="leader"} 1',
     'foxbarrow_nodes{kind="known"} 12',
     'foxbarrow_unconfirmed_seconds_sum 1.4',
+    'foxbarrow_keys_refused_total{reason="key-unknown"} 2',
   ]) {
     t.true(text.includes(line), line);
   }
--- a/src/settings/resolve.test.ts
+++ b/src/settings/resolve.test.ts
@@ -164,3 +164,17 @@
   t.regex(problem({...control, heartbeat: 0}), /^a\.json: heartbeat: /);
   t.regex(problem({...node, renewal: 0}), /^a\.json: renewal: /);
 });
+
+test('a time of revocation shorter than five heartbeats of the home is refused', t => {
+  // Otherwise a healthy node would refuse keyed requests between two
+  // confirmations.
+  const keys = (revocation: number) => ({...node, keys: {revocation}});
+  t.regex(
+    problem(keys(4_999)),
+    /^a\.json: keys\.revocation: 4999 .* at least 5000/,
+  );
+  t.is(problem(keys(5_000)), 'good');
+  t.is(problem({...keys(2_000), homeHeartbeat: 400}), 'good');
+  t.regex(problem(keys(0)), /^a\.json: keys\.revocation: /);
+  t.is(problem({...node, keys: {}}), 'good');
+});
