--- a/src/distribution/fakes/test-cluster.ts
+++ b/src/distribution/fakes/test-cluster.ts
@@ -180,7 +180,7 @@
     self: Hello,
     source: SectionSource,
     barrier: DistributorOptions['barrier'],
-    asOf: () => number | undefined,
+    confirmation: Pick<HomeConnection, 'asOf' | 'confirmedAt'>,
     options: Partial<DistributorOptions>,
     peerCount = 0,
     homes: () => readonly HomeAddress[] = () => [],
@@ -192,7 +192,8 @@
       const distributor = createDistributor({
         source,
         barrier,
-        asOf,
+        asOf: confirmation.asOf,
+        confirmedAt: confirmation.confirmedAt,
         batchWindow: 0,
         ...shared(),
         ...options,
@@ -253,7 +254,7 @@
         self,
         source,
         barrier,
-        freshness.asOf,
+        freshness,
         options,
         peerCount,
         homes,
@@ -268,7 +269,7 @@
         self,
         subscriber.sections,
         subscriber.barrier,
-        home.asOf,
+        home,
         options,
       );
       home.onChannels(served.fleet.report);
