Quotas of workspaces: shares of homes, credits of nodes

A quota had no implementation behind its interface. The leader of the control group now divides each quota among homes, and homes issue credits to nodes, on demand and ahead of demand; a home without credits borrows from others. A node and its homes exchange nothing while no quota is configured.

--- a/scenarios/control-vm.ts
+++ b/scenarios/control-vm.ts
@@ -116,6 +116,7 @@
       asOf: createFreshnessTracker(barrier, processClock).asOf,
       batchWindow: 50,
       lease: 10_000,
+      quotas: {window: 5_000, overage: 0, slack: 0},
       safeguards: {proof: safeguards.proof},
     } as const;
     await createDistributionHost(host);
--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -10,6 +10,7 @@
 import {createEntry} from '../request/entry.js';
 import type {Entry} from '../request/entry.js';
 import type {Gate} from '../request/gate.js';
+import type {Quotas} from '../quotas/quotas.js';
 import type {OutcomeRecorder} from '../rollouts/recorder.js';
 import {createGateServer} from '../request/transport/gate-server.js';
 import type {GateServer} from '../request/transport/gate-server.js';
@@ -34,6 +35,7 @@
   readonly gate: Gate;
   readonly linkShare: LinkShare | undefined;
   readonly outcomes: OutcomeRecorder;
+  readonly quotas: Quotas;
   /** Called with each request that was answered after an earlier attempt lost its upstream. */
   readonly onCleared: (request: string) => void;
 }
@@ -92,6 +94,7 @@
         membership.reportUnreachable(instance, incarnation),
     },
     outcomes: options.outcomes,
+    quotas: options.quotas,
     onCleared: options.onCleared,
     onOutcome: outcome => reportOutcome(metrics, configuration(), outcome),
   });
--- a/src/relay/distribution-host.ts
+++ b/src/relay/distribution-host.ts
@@ -20,6 +20,9 @@
 import type {EvidenceExchange} from '../quarantine/evidence-exchange.js';
 import {createRolloutExchange} from '../rollouts/exchange.js';
 import type {RolloutExchange} from '../rollouts/exchange.js';
+import type {QuotaBounds} from '../quotas/budget.js';
+import {createQuotaExchange} from '../quotas/exchange.js';
+import type {QuotaExchange} from '../quotas/exchange.js';
 import type {Random} from '../random/random.js';
 import type {Timers} from '../time/timers.js';
 
@@ -38,6 +41,7 @@
   readonly asOf: () => number | undefined;
   readonly batchWindow: number;
   readonly lease: number;
+  readonly quotas: QuotaBounds;
   readonly network: Network;
   readonly timers: Timers;
   readonly random: Random;
@@ -51,6 +55,7 @@
   readonly registry: Registry;
   readonly evidence: EvidenceExchange;
   readonly rollouts: RolloutExchange;
+  readonly quotas: QuotaExchange;
   /** Exchanges endpoints and reports over a link that this process opened. */
   attach(channels: Channels): void;
   /** Updates the links to the other homes after `peers` has changed. */
@@ -82,6 +87,13 @@
 
   const evidence = createEvidenceExchange({timers, log});
   const rollouts = createRolloutExchange({timers, log});
+  const quotas = createQuotaExchange({
+    name: self.name,
+    isRelay: self.kind === 'relay',
+    timers,
+    log,
+    bounds: options.quotas,
+  });
 
   fleet.onHello((hello, channels) => {
     distributor.accept(channels);
@@ -89,9 +101,11 @@
       registry.accept(channels);
       evidence.accept(channels);
       rollouts.accept(channels);
+      quotas.accept(channels);
     } else {
       registry.peer(channels);
       evidence.peer(channels);
+      quotas.peer(channels);
       if (hello.kind === 'relay') rollouts.acceptRelay(channels);
       else rollouts.peer(channels);
     }
@@ -102,6 +116,7 @@
     registry.peer(channels);
     evidence.peer(channels);
     rollouts.peer(channels);
+    quotas.peer(channels);
   }
 
   const links = new Set<Channels>();
@@ -129,6 +144,7 @@
     registry,
     evidence,
     rollouts,
+    quotas,
     attach,
     updatePeers: () => mesh.setPeers(options.peers()),
     async stop() {
@@ -137,6 +153,7 @@
       fleet.stop();
       registry.close();
       rollouts.stop();
+      quotas.stop();
       for (const channels of links) channels.link.close();
       await listener.close();
     },
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -44,6 +44,7 @@
     asOf: home.asOf,
     batchWindow: settings.batchWindow,
     lease: settings.lease,
+    quotas: settings.quotas,
     network,
     timers,
     random,
@@ -51,6 +52,7 @@
   });
   home.onChannels(host.attach);
   home.onReport(host.fleet.receiveReport);
+  subscriber.onSwitch(host.quotas.update);
   subscriber.onSwitch(({version}) => admin.metrics.inForce(version));
   const adminServer = await admin.listen({
     notReady: () =>
