--- a/scenarios/control-vm.ts
+++ b/scenarios/control-vm.ts
@@ -118,6 +118,7 @@
       confirmedAt: freshness.confirmedAt,
       batchWindow: 50,
       lease: 10_000,
+      quotas: {window: 5_000, overage: 0, slack: 0},
       safeguards: {proof: safeguards.proof},
     } as const;
     await createDistributionHost(host);
--- a/src/relay/distribution-host.ts
+++ b/src/relay/distribution-host.ts
@@ -20,6 +20,9 @@
 import type {EvidenceExchange} from '../quarantine/evidence-exchange.js';
 import {createRolloutExchange} from '../rollouts/exchange.js';
 import type {RolloutExchange} from '../rollouts/exchange.js';
+import type {QuotaBounds} from '../quotas/budget.js';
+import {createQuotaExchange} from '../quotas/exchange.js';
+import type {QuotaExchange} from '../quotas/exchange.js';
 import type {Random} from '../random/random.js';
 import type {Moment} from '../time/moment.js';
 import type {Timers} from '../time/timers.js';
@@ -41,6 +44,7 @@
   readonly confirmedAt: () => Moment | undefined;
   readonly batchWindow: number;
   readonly lease: number;
+  readonly quotas: QuotaBounds;
   readonly network: Network;
   readonly timers: Timers;
   readonly random: Random;
@@ -54,6 +58,7 @@
   readonly registry: Registry;
   readonly evidence: EvidenceExchange;
   readonly rollouts: RolloutExchange;
+  readonly quotas: QuotaExchange;
   /** Exchanges endpoints and reports over a link that this process opened. */
   attach(channels: Channels): void;
   /** Updates the links to the other homes after `peers` has changed. */
@@ -85,6 +90,13 @@
 
   const evidence = createEvidenceExchange({timers, log});
   const rollouts = createRolloutExchange({timers, log});
+  const quotas = createQuotaExchange({
+    name: self.name,
+    isRelay: self.kind === 'relay',
+    timers,
+    log,
+    bounds: options.quotas,
+  });
 
   fleet.onHello((hello, channels) => {
     distributor.accept(channels);
@@ -92,9 +104,11 @@
       registry.accept(channels);
       evidence.accept(channels);
       rollouts.accept(channels);
+      quotas.accept(channels);
     } else {
       registry.peer(channels);
       evidence.peer(channels);
+      quotas.peer(channels);
       if (hello.kind === 'relay') rollouts.acceptRelay(channels);
       else rollouts.peer(channels);
     }
@@ -105,6 +119,7 @@
     registry.peer(channels);
     evidence.peer(channels);
     rollouts.peer(channels);
+    quotas.peer(channels);
   }
 
   const links = new Set<Channels>();
@@ -132,6 +147,7 @@
     registry,
     evidence,
     rollouts,
+    quotas,
     attach,
     updatePeers: () => mesh.setPeers(options.peers()),
     async stop() {
@@ -140,6 +156,7 @@
       fleet.stop();
       registry.close();
       rollouts.stop();
+      quotas.stop();
       for (const channels of links) channels.link.close();
       await listener.close();
     },
