Setting crossings: calls leave the own failure domain only for an answer in time

Cause: local instances were preferred up to a utilization of 0.7, so that requests crossed although a local instance would have answered in time.

Change: with crossings 'dear' an entry expects when each instance answers, from the load its gate told, its own outstanding calls and the durations it learned. Local instances that are expected to be in time come first, then remote ones. If there are none, the call stays, and a move after a refusal for lack of capacity ends. An instance of unknown speed counts as half as fast as usual once calls wait there. 'free' is the default and decides as before.

--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -86,6 +86,7 @@
     random,
     log,
     instancePool: {
+      crossings: settings.crossings,
       retryBudget: settings.retryBudget,
       onAttempt: attempt => reportAttempt(metrics, attempt),
       onUnreachable: ({instance, incarnation}) =>
--- a/src/request/decisions/instance-pool.test.ts
+++ b/src/request/decisions/instance-pool.test.ts
@@ -8,6 +8,7 @@
 import {announcementOf, createFakeEndpoints} from '../fakes/fake-endpoints.js';
 import {createInstancePool} from './instance-pool.js';
 import type {
+  CallNeeds,
   CallSize,
   PooledInstance,
   InstancePoolOptions,
@@ -33,7 +34,21 @@
     tried: string[] = [],
     size: CallSize = 'small',
   ) {
-    return pool.choose('stock-desk', configuration, new Set(tried), size);
+    return pool.choose('stock-desk', configuration, new Set(tried), {size});
+  }
+  /** The failure domains of 100 choices under the needs of a call. */
+  function domainsFor(needs: CallNeeds): string[] {
+    const domains = new Set<string>();
+    for (let call = 0; call < 100; call++) {
+      const chosen = pool.choose(
+        'stock-desk',
+        stockConfiguration,
+        new Set(),
+        needs,
+      )!;
+      domains.add(chosen.announcement.failureDomain);
+    }
+    return [...domains].sort();
   }
   /** Counts the choices of each instance in 100 consecutive calls. */
   function shares(
@@ -49,7 +64,7 @@
     }
     return counts;
   }
-  return {timers, endpoints, choose, shares};
+  return {timers, endpoints, pool, choose, domainsFor, shares};
 }
 
 test('an instance that drains, is drained or is gone gets no calls', t => {
@@ -138,3 +153,35 @@
   endpoints.put(announcementOf({instance: 'a', incarnation: 2}));
   t.deepEqual(choose()!.reported(), {...state, life: 'a/1'});
 });
+
+for (const crossings of ['free', 'dear'] as const) {
+  test(`a busy failure domain whose wait fits the objective, crossings ${crossings}`, t => {
+    const {pool, endpoints, choose, domainsFor} = setUp(['a'], {crossings});
+    endpoints.put(announcementOf({instance: 'b', failureDomain: 'rusayl-b'}));
+    pool.recordDuration('stock-desk', 'lookups', 100, 0);
+    // 40 calls at 20 slots: the next one starts in about 100 ms.
+    choose(stockConfiguration, ['b'])!.updateLoad(2);
+    const near = domainsFor({kind: 'lookups', goodFor: 500});
+    t.deepEqual(near, crossings === 'dear' ? ['rusayl-a'] : ['rusayl-b']);
+    t.deepEqual(domainsFor({kind: 'lookups', goodFor: 300}), ['rusayl-b']);
+  });
+}
+
+test('the duration of a call that waited counts without its wait', t => {
+  const {pool, endpoints, domainsFor} = setUp(['a'], {crossings: 'dear'});
+  endpoints.put(announcementOf({instance: 'b', failureDomain: 'rusayl-b'}));
+  pool.recordDuration('stock-desk', 'lookups', 300, 3);
+  t.deepEqual(domainsFor({kind: 'lookups', goodFor: 250}), ['rusayl-a']);
+});
+
+// If no answer is ever in time, no crossing would be worth it, and calls would
+// be refused in a full failure domain while another one is idle.
+test('an objective shorter than the work keeps no call in a busy failure domain', t => {
+  const {pool, endpoints, choose, domainsFor} = setUp(['a'], {
+    crossings: 'dear',
+  });
+  endpoints.put(announcementOf({instance: 'b', failureDomain: 'rusayl-b'}));
+  pool.recordDuration('stock-desk', 'lookups', 100, 0);
+  choose(stockConfiguration, ['b'])!.updateLoad(2);
+  t.deepEqual(domainsFor({kind: 'lookups', goodFor: 80}), ['rusayl-b']);
+});
