--- a/src/distribution/candidate-state.ts
+++ b/src/distribution/candidate-state.ts
@@ -1,13 +1,14 @@
-import type {Configuration, Workspace} from '../configuration/configuration.js';
+import type {Configuration} from '../configuration/configuration.js';
 import {failure, success} from '../result/failure.js';
 import type {Result} from '../result/failure.js';
 import {distributionCodes} from './codes.js';
 import {digestState} from './digest.js';
 import type {Interest, Push, Section} from './messages.js';
 import {joinSections, unpackSection} from './section.js';
-import {sectionsOfService, workspacesSection} from './section-name.js';
+import {sectionsOfService} from './section-name.js';
 import {storeSection} from './section-source.js';
 import type {StoredSection} from './section-source.js';
+import {joinWorkspaces} from './workspace-join.js';
 
 /** A section that a subscriber holds, packed and unpacked. */
 export interface HeldSection extends StoredSection {
@@ -64,7 +65,7 @@
   const joined = joinSections(
     version,
     sectionsOf(sections),
-    unchangedWorkspaces(held, sections),
+    joinWorkspaces(held, sections),
     safeguards.references,
   );
   if (!joined.ok) return joined;
@@ -76,24 +77,6 @@
   });
 }
 
-/**
- * The workspaces that are held, if a state has the same ones; undefined if not.
- * With 10,000 workspaces, joining them for each change of a route would cost a
- * node more than the rest of the change.
- */
-function unchangedWorkspaces(
-  held: HeldState | undefined,
-  sections: ReadonlyMap<string, HeldSection>,
-): ReadonlyMap<string, Workspace> | undefined {
-  if (held === undefined) return undefined;
-  const before = [...sectionsOfService(held.sections, workspacesSection)];
-  const after = [...sectionsOfService(sections, workspacesSection)];
-  const isUnchanged =
-    before.length === after.length &&
-    after.every(([, section], part) => section === before[part]![1]);
-  return isUnchanged ? held.configuration.workspaces : undefined;
-}
-
 /** Returns the digest of a set of held sections. */
 export function digestHeld(sections: ReadonlyMap<string, HeldSection>): string {
   const digests: Array<[string, string]> = [];
--- a/src/distribution/section.ts
+++ b/src/distribution/section.ts
@@ -115,10 +115,21 @@
   while (count * partSize < items.length) count *= 2;
   if (count === 1) return [[...items]];
   const parts = Array.from({length: count}, (): T[] => []);
-  for (const item of items) parts[murmurhash.v3(item.name) % count]!.push(item);
+  for (const item of items) parts[hashOf(item) % count]!.push(item);
   return parts;
 }
 
+/** Items are never changed in place, so the hash of a name is computed once. */
+const hashes = new WeakMap<{readonly name: string}, number>();
+
+function hashOf(item: {readonly name: string}): number {
+  const known = hashes.get(item);
+  if (known !== undefined) return known;
+  const hash = murmurhash.v3(item.name);
+  hashes.set(item, hash);
+  return hash;
+}
+
 /** Packs a section; equal sections have equal bytes in every process. */
 export function packSection(name: string, section: Section): PackedSection {
   return {name, bytes: compress(packr.pack(sortKeys(section)))};
@@ -142,20 +153,18 @@
 }
 
 /**
- * Joins sections into a configuration; fails if a reference has no target.
- * `knownWorkspaces` are those of the sections, if they were joined before;
- * `isChecked` is false in tests only.
+ * Joins sections into a configuration; fails if a reference has no target. The
+ * workspaces are joined by the caller. `isChecked` is false in tests only.
  */
 export function joinSections(
   version: number,
   sections: Iterable<Section>,
-  knownWorkspaces?: ReadonlyMap<string, Workspace>,
+  workspaces: ReadonlyMap<string, Workspace>,
   isChecked = true,
 ): Result<Configuration> {
   const services = new Map<string, Service>();
   const routes = new Map<string, Route>();
   const policies = new Map<string, Policy>();
-  const workspaces = new Map<string, Workspace>();
   const drains = new Map<string, Drain>();
   const quarantines = new Map<string, Quarantine>();
   const rollouts = new Map<string, Rollout>();
@@ -164,12 +173,7 @@
     if (problem !== undefined && isChecked) {
       return failure(distributionCodes.badReference, problem);
     }
-    if (section.service.name === workspacesSection) {
-      if (knownWorkspaces !== undefined) continue;
-      for (const workspace of section.workspaces ?? [])
-        workspaces.set(workspace.name, workspace);
-      continue;
-    }
+    if (section.service.name === workspacesSection) continue;
     services.set(section.service.name, section.service);
     for (const route of section.routes) routes.set(route.name, route);
     for (const policy of section.policies) policies.set(policy.name, policy);
@@ -184,7 +188,7 @@
     services,
     routes,
     policies,
-    workspaces: knownWorkspaces ?? workspaces,
+    workspaces,
     drains,
     quarantines,
     rollouts,
