A home confirms no state that it has not published

Cause: a home that catches up could report the confirmation of a removal of a key with the version before, for the batch window and one turn of the loop; a node that was cut off just then would have used the key for four fifths of the time of revocation. Change: until a waiting change is published, the confirmation is that of the state before.

--- a/src/distribution/batcher.ts
+++ b/src/distribution/batcher.ts
@@ -1,5 +1,3 @@
-import {currentMoment} from '../time/moment.js';
-import type {Moment} from '../time/moment.js';
 import type {Subscription, Timers} from '../time/timers.js';
 
 /** Combines changes into one push. */
@@ -11,8 +9,6 @@
    * none.
    */
   waitingSince(): number | undefined;
-  /** The same by both clocks. */
-  oldestChange(): Moment | undefined;
   stop(): void;
 }
 
@@ -28,7 +24,7 @@
   push: () => void,
 ): Batcher {
   let lastPush = Number.NEGATIVE_INFINITY;
-  let since: Moment | undefined;
+  let since: number | undefined;
   let timer: Subscription | undefined;
 
   function flush(): void {
@@ -46,11 +42,10 @@
         flush();
         return;
       }
-      since = currentMoment(timers);
+      since = timers.now();
       timer = timers.after(remaining, flush);
     },
-    waitingSince: () => since?.steady,
-    oldestChange: () => since,
+    waitingSince: () => since,
     stop: () => timer?.cancel(),
   };
 }
--- a/src/distribution/confirmed-moment.test.ts
+++ b/src/distribution/confirmed-moment.test.ts
@@ -3,11 +3,19 @@
  * workspaces may still be used.
  */
 import test from 'ava';
-import {createFakeTimers} from '../time/fakes/fake-timers.js';
-import {elapsedSince} from '../time/moment.js';
+import {createSilentLog} from '../log/log.js';
+import {createRandom} from '../random/random.js';
+import {success} from '../result/failure.js';
+import {createFakeTimers, settle} from '../time/fakes/fake-timers.js';
+import {currentMoment, elapsedSince} from '../time/moment.js';
+import type {Moment} from '../time/moment.js';
+import {nextTurn} from '../time/turn.js';
+import {createDistributor} from './distributor.js';
 import {createFreshnessMarks} from './freshness-marks.js';
+import {createFreshnessTracker} from './freshness-tracker.js';
 import {createOperator, createTestCluster} from './fakes/test-cluster.js';
 import type {HomeConnection} from './home-connection.js';
+import {createSectionSource} from './section-source.js';
 
 /** Marks of a node whose home confirms version 1. */
 function createMarks() {
@@ -107,6 +115,58 @@
   t.is(age(), 0);
 });
 
+test('a home that has published nothing confirms nothing', t => {
+  const {clock, marks, age, answer} = createMarks();
+  answer(marks.ping().number);
+  clock.advance(400);
+  answer(marks.ping().number, {age: 0, version: undefined});
+  t.is(age(), 400);
+});
+
+test('a home that catches up confirms nothing newer until it has published', t => {
+  // It was cut off while a key was removed. Now a quorum confirms it, but the
+  // removal waits to be sent with other changes.
+  const timers = createFakeTimers(10_000);
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  let confirmedAt = currentMoment(timers);
+  const distributor = createDistributor({
+    source: createSectionSource(operator),
+    barrier: async () => success(operator.current().version),
+    asOf: () => confirmedAt.steady,
+    confirmedAt: () => confirmedAt,
+    batchWindow: 50,
+    timers,
+    random: createRandom(1),
+    log: createSilentLog(),
+  });
+  const cutAt = confirmedAt;
+  timers.advance(100_000);
+  operator.accept({put: ['crewbook']});
+  operator.accept({put: ['crewbook']});
+  confirmedAt = currentMoment(timers);
+  timers.advance(20);
+  t.is(distributor.position().version, 2);
+  t.deepEqual(distributor.position().confirmedAt, cutAt);
+  timers.advance(30);
+  t.is(distributor.position().version, 3);
+  t.deepEqual(distributor.position().confirmedAt, confirmedAt);
+});
+
+test('a round confirms after the changes that it brought were announced', async t => {
+  const timers = createFakeTimers(10_000);
+  const seen: Array<Moment | undefined> = [];
+  const tracker = createFreshnessTracker(async () => {
+    // As `deferNotifications` announces a change that is applied now.
+    void nextTurn().then(() => seen.push(tracker.confirmedAt()));
+    return success(1);
+  }, timers);
+  await settle();
+  t.deepEqual(seen, [undefined]);
+  t.deepEqual(tracker.confirmedAt(), {steady: 10_000, wall: 10_000});
+  tracker.stop();
+});
+
 const platformPeriods = {
   heartbeat: 400,
   freshness: 1200,
--- a/src/distribution/distributor.ts
+++ b/src/distribution/distributor.ts
@@ -14,7 +14,6 @@
 import type {Session} from './session.js';
 import {createStateView} from './state-view.js';
 import {interestKey, selectCoveredNames, makePush} from './sync-plan.js';
-import {earlier} from '../time/moment.js';
 import type {Moment} from '../time/moment.js';
 import {createSyncer} from './syncer.js';
 import type {SyncCounts} from './syncer.js';
@@ -33,7 +32,10 @@
    * Local time at which a quorum last confirmed the source; undefined if never.
    */
   readonly asOf: () => number | undefined;
-  /** The same by both clocks; undefined if it is not known. */
+  /**
+   * The same by both clocks; undefined if it is not known. While a change is
+   * announced to `source`, it is still that of the state before.
+   */
   readonly confirmedAt?: () => Moment | undefined;
   readonly timers: Timers;
   readonly random: Random;
@@ -99,6 +101,8 @@
   });
   const retryTimer = timers.every(limits.heldPushPeriod, retryHeldLinks);
   let publishedVersion = view.newest()?.version;
+  /** The confirmation of the published state while a change waits. */
+  let publishedConfirmedAt: Moment | undefined;
 
   /**
    * Pushes the newest state to all synchronized subscribers; those that wait
@@ -250,7 +254,11 @@
     }
   }
 
-  source.onChange(() => batcher.notify());
+  source.onChange(() => {
+    const isFirstWaiting = batcher.waitingSince() === undefined;
+    if (isFirstWaiting) publishedConfirmedAt = options.confirmedAt?.();
+    batcher.notify();
+  });
 
   return {
     accept(channels) {
@@ -269,7 +277,12 @@
       return {
         version: publishedVersion,
         asOf: isChangeWaiting ? Math.min(asOf, oldestWaiting) : asOf,
-        confirmedAt: earlier(options.confirmedAt?.(), batcher.oldestChange()),
+        // A process that catches up may have received the change long after its
+        // acceptance, so its arrival here says nothing about the state before.
+        confirmedAt:
+          oldestWaiting === undefined
+            ? options.confirmedAt?.()
+            : publishedConfirmedAt,
       };
     },
     counts: () => ({
--- a/src/distribution/freshness-marks.ts
+++ b/src/distribution/freshness-marks.ts
@@ -149,7 +149,10 @@
         version !== undefined && version >= (mark.version ?? 0);
       if (isSynchronized) {
         localAsOf = mark.asOf ?? localAsOf;
-        if (mark.confirmedAt !== undefined) confirmMoment(mark.confirmedAt);
+        // A home that has published nothing yet says nothing about this state.
+        if (mark.confirmedAt !== undefined && mark.version !== undefined) {
+          confirmMoment(mark.confirmedAt);
+        }
       }
       const isHomeAhead = version !== undefined && !isSynchronized;
       behindSince = isHomeAhead ? (behindSince ?? clock.now()) : undefined;
--- a/src/distribution/freshness-tracker.ts
+++ b/src/distribution/freshness-tracker.ts
@@ -1,6 +1,7 @@
 import {currentMoment} from '../time/moment.js';
 import type {Moment} from '../time/moment.js';
 import type {Timers} from '../time/timers.js';
+import {nextTurn} from '../time/turn.js';
 import {distributionLimits} from './limits.js';
 import {boundBarrier} from './prover.js';
 import type {Barrier} from './prover.js';
@@ -37,7 +38,11 @@
     const startedAt = currentMoment(timers);
     const result = await confirm();
     isRunning = false;
-    if (result.ok) confirmedAt = startedAt;
+    if (!result.ok) return;
+    // The changes that the round has brought are announced in the next turn. The
+    // state that was published before must not count as confirmed by it.
+    await nextTurn();
+    confirmedAt = startedAt;
   }
 
   const timer = timers.every(period, () => void round());
--- a/src/time/moment.ts
+++ b/src/time/moment.ts
@@ -18,18 +18,6 @@
   return {steady: steady - duration, wall: wall - duration};
 }
 
-/** By each clock the earlier of two; the first if there is no second one. */
-export function earlier(
-  first: Moment | undefined,
-  second: Moment | undefined,
-): Moment | undefined {
-  if (first === undefined || second === undefined) return first;
-  return {
-    steady: Math.min(first.steady, second.steady),
-    wall: Math.min(first.wall, second.wall),
-  };
-}
-
 /**
  * Milliseconds since a moment, by the clock that counts more of them. It never
  * reports less than the steady clock, however the time of day is set.
