--- a/src/quotas/fakes/quota-group.ts
+++ b/src/quotas/fakes/quota-group.ts
@@ -69,6 +69,7 @@
   /** Puts quotas into force at all processes that are reached in time. */
   configure(quotas: Readonly<Record<string, Quota>>, spread?: number): void;
   take(node: string, workspace: string, wait?: number): Taken;
+  /** Begins the next term, unless no quorum can elect this home. */
   elect(home: string): void;
   leader(): string;
   /** Separates processes from all others. */
@@ -324,6 +325,7 @@
     },
     take,
     elect(home) {
+      if (!isAlive(home) || !hasQuorum(home)) return;
       leader = home;
       term++;
       for (const name of homes.keys()) {
