--- a/src/quotas/bucket.ts
+++ b/src/quotas/bucket.ts
@@ -21,6 +21,9 @@
   putBack(count: number): void;
 }
 
+/** Sums of many small fractions may fall just short of a whole credit. */
+const roundingError = 1e-6;
+
 /** Creates an empty bucket without rate and capacity. */
 export function createBucket(clock: Clock): Bucket {
   let rate = 0;
@@ -40,8 +43,7 @@
   return {
     available() {
       accrue();
-      // Sums of many small fractions may fall just short of a whole credit.
-      return Math.floor(level + 1e-9);
+      return Math.floor(level + roundingError);
     },
     held: () => held,
     nextIn() {
--- a/src/quotas/divider.ts
+++ b/src/quotas/divider.ts
@@ -64,8 +64,11 @@
   readonly isNew: boolean;
 }
 
-/** Relative difference from the target that is not worth a message. */
-const tolerance = 0.1;
+/**
+ * Relative differences from the target that are not worth a message. A home
+ * whose capacity is a little below one credit can't issue any.
+ */
+const tolerance = {above: 0.1, below: 0.02};
 
 /** Guards against sums above one by rounding. */
 const roundingError = 1e-9;
@@ -278,7 +281,12 @@
 
 function isNear(present: Fractions, wanted: Fractions): boolean {
   return (
-    Math.abs(present.rate - wanted.rate) <= tolerance * wanted.rate &&
-    Math.abs(present.capacity - wanted.capacity) <= tolerance * wanted.capacity
+    isFractionNear(present.rate, wanted.rate) &&
+    isFractionNear(present.capacity, wanted.capacity)
   );
 }
+
+function isFractionNear(present: number, wanted: number): boolean {
+  const {above, below} = tolerance;
+  return present >= wanted * (1 - below) && present <= wanted * (1 + above);
+}
--- a/src/quotas/node-quotas.ts
+++ b/src/quotas/node-quotas.ts
@@ -118,6 +118,7 @@
   let leftAt = -Infinity;
   let askTimer: Subscription | undefined;
   let reportTimer: Subscription | undefined;
+  let reportAt = 0;
   let silenceTimer: Subscription | undefined;
 
   function createAccount(name: string, quota: Quota): Account {
@@ -250,7 +251,11 @@
 
   function scheduleReport(delay: number): void {
     if (!isReady) return;
-    reportTimer ??= timers.after(delay, () => {
+    const at = timers.now() + delay;
+    if (reportTimer !== undefined && reportAt <= at) return;
+    reportTimer?.cancel();
+    reportAt = at;
+    reportTimer = timers.after(delay, () => {
       reportTimer = undefined;
       sendAsk();
     });
@@ -337,9 +342,13 @@
     const account = accounts.get(entry.workspace);
     if (account === undefined) return;
     if (entry.ahead > 0) hold(account, entry.ahead, validUntil);
+    if (!isLate) settleGranted(account, entry.granted);
     if (entry.refused > 0) refuseAll(account, entry);
-    if (isLate) return;
-    const rest = settle(account, entry.granted, () => grant(account));
+  }
+
+  /** Credits of requests that do not wait any more are returned. */
+  function settleGranted(account: Account, granted: number): void {
+    const rest = settle(account, granted, () => grant(account));
     if (rest === 0) return;
     account.returned += rest;
     scheduleReport(quotaPeriods.nodeReport);
