Gates tell when a call would finish, and entries choose by it

Cause: the load says nothing of an instance's speed, and the speeds of a service differ by a factor of three.

Change: with each answer and refusal a gate tells, for the kind and priority of the call, the wait, the duration and the delay by each earlier call, if its node has crossings 'dear'. Instances that are expected to answer within 0.65 of the objective are preferred, local ones first; only a move crosses to one that is expected just in time. Without an estimate the load decides as before. The own gate is asked directly.

--- a/bench/experiments/request-placing.ts
+++ b/bench/experiments/request-placing.ts
@@ -23,6 +23,7 @@
   {name: 'free', pool: {}},
   {name: 'local up to a load of 3', pool: {localLimit: 3}},
   {name: 'dear by load', pool: {crossings: 'dear'}},
+  {name: 'dear by finish', estimates: true, pool: {crossings: 'dear'}},
 ];
 
 async function run({seed, seconds}: RunOptions): Promise<Outcome> {
--- a/bench/limits/simulation.ts
+++ b/bench/limits/simulation.ts
@@ -260,6 +260,7 @@
       return admission.load;
     },
     loadFor: () => admission.load,
+    estimateFor: admission.estimate,
     get reported() {
       const limit = limiter.rate;
       return limit === undefined
--- a/bench/placing/simulation.ts
+++ b/bench/placing/simulation.ts
@@ -52,6 +52,8 @@
 /** A way of placing calls. */
 export interface PlacementRule {
   readonly name: string;
+  /** Whether gates tell when calls are expected to finish; not by default. */
+  readonly estimates?: boolean;
   readonly pool: Partial<Pick<InstancePoolOptions, 'crossings' | 'localLimit'>>;
 }
 
@@ -245,8 +247,13 @@
           timers.after(oneWay, () =>
             runCall(instance, call, parameters, timers, random, end => {
               const {load} = instance.admission;
+              const estimate =
+                parameters.rule.estimates === true
+                  ? instance.admission.estimate(call.policy, call.priority)
+                  : undefined;
               timers.after(oneWay, () => {
                 target.updateLoad(load);
+                target.updateEstimate(call, estimate);
                 end(answer);
               });
             }),
@@ -305,6 +312,10 @@
       return admission.load;
     },
     loadFor: () => admission.load,
+    estimateFor: (kind, priority) =>
+      parameters.rule.estimates === true
+        ? admission.estimate(kind, priority)
+        : undefined,
     reported: undefined,
     handle: (call, answer) => {
       runCall(instance, call, parameters, timers, random, end => end(answer));
--- a/bench/rollouts/simulation.ts
+++ b/bench/rollouts/simulation.ts
@@ -543,6 +543,7 @@
       throw new Error('not used');
     },
     updateLoad: () => {},
+    updateEstimate: () => {},
     reported: () => undefined,
     updateReported: () => {},
     began: () => {},
--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -57,6 +57,7 @@
     egressQueue,
     address: settings.gateAddress,
     gate,
+    tellsEstimates: settings.crossings === 'dear',
     headerLimit: settings.headerLimit,
     bodyLimit: settings.bodyLimit,
     bodyIdle: defaults.bodyIdle,
--- a/src/request/decisions/attempt-answer.test.ts
+++ b/src/request/decisions/attempt-answer.test.ts
@@ -19,6 +19,7 @@
     }),
     began: () => {},
     updateLoad: () => {},
+    updateEstimate: () => {},
     reported: () => undefined,
     updateReported: () => {},
     ended: (code: {name: string} | undefined, status: number) =>
--- a/src/request/decisions/placement.ts
+++ b/src/request/decisions/placement.ts
@@ -52,35 +52,52 @@
   return (excess * all.mean() + work) * slownessAllowance;
 }
 
-/** Whether a call is expected to finish at an instance within its objective. */
-export function isInTime(
+/** Whether a call is expected to finish at an instance within `time`. */
+function isWithin(
   candidate: Candidate,
-  {goodFor, limit}: PlacementDemand,
+  time: number,
+  {limit}: PlacementDemand,
 ): boolean {
   const {finish} = candidate;
   if (finish === undefined) return utilization(candidate) < limit;
-  return finish <= goodFor;
+  return finish <= time;
 }
 
+/**
+ * Share of the time until the objective within which an instance must be
+ * expected to answer so that it is preferred. The rest is for calls of other
+ * entries that an estimate does not include yet, and for a second attempt.
+ */
+const safeShare = 0.65;
+
 /**
  * The instances among which the balancer chooses. These are the local instances
- * that are expected to finish in time, or else the remote ones, which are worth
- * a crossing. If there are none, a crossing buys nothing and the call stays
- * local; a call that was refused for lack of capacity is not sent again, and
- * the result is empty unless a local instance is untried.
+ * that are expected to answer well within the objective, or else such remote
+ * ones, which are worth a crossing. After that come instances that are expected
+ * to answer just in time, to which only a move crosses. If there are none, a
+ * crossing buys nothing and the call stays local; a call that was refused for
+ * lack of capacity is not sent again, and the result is empty unless a local
+ * instance is untried.
  */
 export function placeNear<T extends Candidate>(
   candidates: readonly T[],
   demand: PlacementDemand,
 ): readonly T[] {
-  const {tried, isMove} = demand;
-  const inTime = candidates.filter(candidate => isInTime(candidate, demand));
-  const near = inTime.filter(({local}) => local);
-  if (near.length > 0) return near;
-  if (inTime.length > 0) return inTime;
-  const local = candidates.filter(
-    candidate => candidate.local && !(isMove && tried.has(candidate.instance)),
-  );
-  if (local.length > 0 || isMove) return local;
-  return candidates;
+  const {tried, isMove, goodFor} = demand;
+  const local = candidates.filter(candidate => candidate.local);
+  const remote = candidates.filter(candidate => !candidate.local);
+  const within = (group: readonly T[], time: number) =>
+    group.filter(candidate => isWithin(candidate, time, demand));
+  for (const group of [local, remote]) {
+    const safe = within(group, goodFor * safeShare);
+    if (safe.length > 0) return safe;
+  }
+  for (const group of isMove ? [local, remote] : [local]) {
+    const inTime = within(group, goodFor);
+    if (inTime.length > 0) return inTime;
+  }
+  const left = isMove
+    ? local.filter(({instance}) => !tried.has(instance))
+    : local;
+  return left.length > 0 || isMove ? left : candidates;
 }
--- a/src/request/decisions/upload-slots.ts
+++ b/src/request/decisions/upload-slots.ts
@@ -96,6 +96,7 @@
       return uploads.withdraw(uploadTicket);
     },
     done: admission.done,
+    estimate: admission.estimate,
     refuseWaiting(reason) {
       uploads.refuseWaiting(reason);
       admission.refuseWaiting(reason);
--- a/src/request/decisions/version-choice.test.ts
+++ b/src/request/decisions/version-choice.test.ts
@@ -255,6 +255,7 @@
       throw new Error('not used');
     },
     updateLoad: () => {},
+    updateEstimate: () => {},
     reported: () => undefined,
     updateReported: () => {},
     began: () => {},
--- a/src/request/decisions/version-choice.ts
+++ b/src/request/decisions/version-choice.ts
@@ -208,6 +208,8 @@
         announcement,
         logFields: () => target.logFields(),
         updateLoad: load => target.updateLoad(load),
+        updateEstimate: (call, estimate) =>
+          target.updateEstimate(call, estimate),
         reported: () => target.reported(),
         updateReported: state => target.updateReported(state),
         began() {
--- a/src/request/messages/hops.ts
+++ b/src/request/messages/hops.ts
@@ -4,9 +4,11 @@
  * or `UpstreamReceiver`; transport passes incoming calls to a `CallHandler`.
  * Neither folder imports the other, so decisions are tested without sockets.
  */
+import type {Priority} from '../../configuration/configuration.js';
 import type {Announcement} from '../../endpoints/messages.js';
 import type {Answer} from './answer.js';
 import type {AnswerHead, Call, Cancel, Refusal} from './call.js';
+import type {FinishEstimate} from './finish-estimate.js';
 import type {ReportedState} from './reported-state.js';
 import type {UpstreamSignals} from './upstream-signals.js';
 
@@ -21,6 +23,14 @@
   readonly load: number;
   /** Load for calls under a policy: that of the scarcest resource they need. */
   loadFor(policy: string | undefined): number;
+  /**
+   * When a call under a policy that arrives now is expected to finish;
+   * undefined before the first duration is known.
+   */
+  estimateFor(
+    policy: string | undefined,
+    priority: Priority,
+  ): FinishEstimate | undefined;
   /** What the upstream has reported; undefined if nothing. */
   readonly reported: ReportedState | undefined;
   /** Handles one call; `answer` receives its answer or a refusal. */
@@ -32,6 +42,11 @@
   readonly announcement: Announcement;
   /** Stores the load that the gate reported: calls divided by slots. */
   updateLoad(load: number): void;
+  /** Stores the gate's estimate for calls like `call`, if it told one. */
+  updateEstimate(
+    call: Pick<Call, 'policy' | 'priority'>,
+    estimate: FinishEstimate | undefined,
+  ): void;
   /** What the upstream has reported, as far as this entry has heard. */
   reported(): ReportedState | undefined;
   /** Stores what the gate told of the upstream's reports. */
--- a/src/request/outgoing-link.test.ts
+++ b/src/request/outgoing-link.test.ts
@@ -142,6 +142,7 @@
       return admission.load;
     },
     reported: undefined,
+    estimateFor: admission.estimate,
     loadFor: policy =>
       reservations.isLarge(policy)
         ? Math.max(admission.load, reservations.load)
--- a/src/request/transport/framed-call.ts
+++ b/src/request/transport/framed-call.ts
@@ -39,8 +39,9 @@
   let isBegun = false;
 
   const receiver: FrameReceiver = {
-    head: ({status, reason, headers, load, reported}) => {
+    head: ({status, reason, headers, load, estimate, reported}) => {
       peer.updateLoad(load);
+      peer.updateEstimate(call, estimate);
       peer.updateReported(reported);
       isStarted = true;
       answer.start({
@@ -62,11 +63,14 @@
       timeoutTimer.cancel();
       answer.cut();
     },
-    refused: ({code, retryAfter, load, reported}) => {
+    refused: ({code, retryAfter, load, estimate, reported}) => {
       timeoutTimer.cancel();
       peer.updateLoad(load);
       const refusal = createRefusal(codeOf(code), undefined, retryAfter);
-      if (isOwnReport(refusal)) peer.updateReported(reported);
+      if (isOwnReport(refusal)) {
+        peer.updateReported(reported);
+        peer.updateEstimate(call, estimate);
+      }
       answer.refuse(refusal);
     },
     lost: fail,
--- a/src/request/transport/framed-gate.ts
+++ b/src/request/transport/framed-gate.ts
@@ -11,6 +11,7 @@
 import type {CallFrame, EntryFrame, GateFrame} from './frames.js';
 import type {CallHandler} from '../messages/hops.js';
 import type {Call, Cancel} from '../messages/call.js';
+import type {FinishEstimate} from '../messages/finish-estimate.js';
 import type {ReportedState} from '../messages/reported-state.js';
 import {createRefusal, toRefusal} from '../messages/refusal.js';
 import type {Safeguards} from '../messages/safeguards.js';
@@ -19,6 +20,8 @@
 /** Options of `createFramedGate`; times in milliseconds. */
 export interface FramedGateOptions {
   readonly gate: CallHandler;
+  /** Whether entries are told when calls finish; not by default. */
+  readonly tellsEstimates?: boolean;
   /** Queue that answers are sent through; sent directly by default. */
   readonly egressQueue?: EgressQueue | undefined;
   readonly timers: Timers;
@@ -142,7 +145,15 @@
       state: () => {
         const load = gate.loadFor(frame.policy);
         const {reported} = gate;
-        return reported === undefined ? {load} : {load, reported};
+        const estimate =
+          options.tellsEstimates === true
+            ? gate.estimateFor(frame.policy, frame.priority)
+            : undefined;
+        return {
+          load,
+          ...(estimate !== undefined && {estimate}),
+          ...(reported !== undefined && {reported}),
+        };
       },
       ended: () => callEnded(entryLink, frame.call),
     });
@@ -258,7 +269,11 @@
 /** Options of `createFramedAnswer`. */
 interface FramedAnswerOptions {
   readonly send: (frame: GateFrame) => void;
-  readonly state: () => {load: number; reported?: ReportedState};
+  readonly state: () => {
+    load: number;
+    estimate?: FinishEstimate;
+    reported?: ReportedState;
+  };
   /** Called once after the last frame was sent. */
   readonly ended: () => void;
 }
--- a/src/request/transport/frames.ts
+++ b/src/request/transport/frames.ts
@@ -8,6 +8,7 @@
   Priority,
   Repeatability,
 } from '../../configuration/configuration.js';
+import type {FinishEstimate} from '../messages/finish-estimate.js';
 import type {ReportedState} from '../messages/reported-state.js';
 
 /** Name and version of the protocol in the HTTP upgrade that opens a link. */
@@ -64,6 +65,8 @@
       readonly headers: string[];
       /** Number of running and waiting requests, divided by the slots. */
       readonly load: number;
+      /** For calls of the same kind and priority; absent in older versions. */
+      readonly estimate?: FinishEstimate;
       /** What the upstream has reported; absent if nothing. */
       readonly reported?: ReportedState;
     }
@@ -77,6 +80,7 @@
       /** Seconds after which the caller should retry. */
       readonly retryAfter: number;
       readonly load: number;
+      readonly estimate?: FinishEstimate;
       readonly reported?: ReportedState;
     }
   | {readonly type: 'pong'}
--- a/src/request/transport/http-call.ts
+++ b/src/request/transport/http-call.ts
@@ -19,6 +19,7 @@
 import {endToEndHeaders, findHeader, headerNames} from './headers.js';
 import type {Call, Cancel, Refusal} from '../messages/call.js';
 import type {GateTarget, PendingRequest} from '../messages/hops.js';
+import {parseEstimate} from '../messages/finish-estimate.js';
 import {
   formatReportedState,
   parseReportedState,
@@ -60,15 +61,20 @@
       const reported = parseReportedState(
         findHeader(raw, headerNames.reported),
       );
+      const estimate = parseEstimate(findHeader(raw, headerNames.estimate));
       const code = findHeader(raw, headerNames.code);
       if (code !== undefined) {
         isRefused = true;
         const refusal = readRefusal(Number(code), raw);
-        if (isOwnReport(refusal)) peer.updateReported(reported);
+        if (isOwnReport(refusal)) {
+          peer.updateReported(reported);
+          peer.updateEstimate(call, estimate);
+        }
         answer.refuse(refusal);
         return;
       }
       peer.updateReported(reported);
+      peer.updateEstimate(call, estimate);
       isStarted = true;
       answer.start({status, reason, headers: endToEndHeaders(raw, {foreign})});
     },
