--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -61,6 +61,11 @@
    * Returns the next upstream's address; default: some ports above its node's.
    */
   readonly upstreamAddress?: () => string;
+  /**
+   * Called with the standard output of a control process, relay or node, which
+   * is discarded by default.
+   */
+  readonly onOutput?: ((program: string, text: string) => void) | undefined;
 }
 
 /** Distance from the port for a node's callers to its upstream's port. */
@@ -90,12 +95,16 @@
   function start(processSettings: Settings): Program {
     const file = resolve(options.folder, `${processSettings.name}.json`);
     const command = [...foxbarrowCommand(), processSettings.role, file];
+    const {name} = processSettings;
     const program = startProgram({
-      name: processSettings.name,
+      name,
       command,
       folder: data,
+      ...(options.onOutput !== undefined && {
+        onOutput: text => options.onOutput!(name, text),
+      }),
     });
-    started.set(processSettings.name, program);
+    started.set(name, program);
     return program;
   }
 
--- a/bench/deployment/program.ts
+++ b/bench/deployment/program.ts
@@ -11,6 +11,11 @@
   readonly command: readonly string[];
   /** The working directory. */
   readonly folder: string;
+  /**
+   * Called with the program's standard output, which is discarded by default;
+   * not used by runProgram.
+   */
+  readonly onOutput?: ((text: string) => void) | undefined;
 }
 
 /** A program that was started. */
@@ -35,15 +40,17 @@
 /** Starts a program. */
 export function startProgram(options: ProgramOptions): Program {
   const [path, ...parameters] = options.command;
+  const {onOutput} = options;
   const child = spawn(path!, parameters, {
     cwd: options.folder,
-    stdio: ['ignore', 'ignore', 'pipe'],
+    stdio: ['ignore', onOutput === undefined ? 'ignore' : 'pipe', 'pipe'],
   });
+  child.stdout?.on('data', (chunk: Buffer) => onOutput!(chunk.toString()));
   runningChildren.add(child);
   child.once('exit', () => runningChildren.delete(child));
   let log = '';
   let killed = false;
-  child.stderr.on('data', (chunk: Buffer) => {
+  child.stderr!.on('data', (chunk: Buffer) => {
     log = (log + chunk.toString()).slice(-maxLogLength);
   });
   return {
--- a/bench/deployment/small-deployment.ts
+++ b/bench/deployment/small-deployment.ts
@@ -34,6 +34,8 @@
   readonly crash?: string;
   /** Further options of the upstream beside a node, by the node's name. */
   readonly upstreamOptions?: (node: string) => readonly string[];
+  /** Called with the standard output of control processes, relays and nodes. */
+  readonly onOutput?: (program: string, text: string) => void;
 }
 
 const defaultWork = 5;
@@ -62,6 +64,7 @@
     work: options.work ?? defaultWork,
     crash: options.crash,
     upstreamOptions: options.upstreamOptions,
+    onOutput: options.onOutput,
     upstreamAddress: ports.nextAddress,
   });
 
