Unused parts of libraries are left out of the bundle

prom-client's push gateway and undici's HTTP/2 client required https, TLS and HTTP/2 of Node.js at each start, consola its terminal reporters.

--- a/scripts/code-caches.mjs
+++ b/scripts/code-caches.mjs
@@ -140,10 +140,13 @@
   for (let number = 0; number < callerRequests; number++) {
     const body = number % 2 === 0 ? undefined : 'sample';
     const method = body === undefined ? 'GET' : 'POST';
-    const response = await fetch(`http://${address}/sample/${number}`, {
-      method,
-      body,
-    });
+    const response = await globalThis.fetch(
+      `http://${address}/sample/${number}`,
+      {
+        method,
+        body,
+      },
+    );
     const text = await response.text();
     if (response.status !== 200) {
       throw new Error(`request ${number}: ${response.status} ${text}`);
--- a/src/log/log.ts
+++ b/src/log/log.ts
@@ -1,5 +1,5 @@
-import {createConsola} from 'consola';
-import type {ConsolaInstance, LogObject} from 'consola';
+import {createConsola} from 'consola/core';
+import type {ConsolaInstance, LogObject} from 'consola/core';
 import type {LineSink} from './line-sink.js';
 import {standardOutput} from './standard-output.js';
 
