--- a/src/admin/convergence.ts
+++ b/src/admin/convergence.ts
@@ -1,4 +1,4 @@
-import type {Timers} from '../time/timers.js';
+import type {Subscription, Timers} from '../time/timers.js';
 import type {Metrics} from '../metrics/metrics.js';
 
 /** Number of nodes, and how many have a version. */
@@ -41,7 +41,7 @@
 ): ConvergenceTracker {
   const {timers, metrics, fleet} = options;
   const pending = new Map<number, number>();
-  const timer = timers.every(checkInterval, check);
+  let timer: Subscription | undefined;
 
   function check(): void {
     for (const [version, since] of pending) {
@@ -52,10 +52,19 @@
       metrics.converged(age);
       pending.delete(version);
     }
+    if (pending.size === 0) stop();
+  }
+
+  function stop(): void {
+    timer?.cancel();
+    timer = undefined;
   }
 
   return {
-    accepted: version => void pending.set(version, timers.now()),
-    stop: () => timer.cancel(),
+    accepted(version) {
+      pending.set(version, timers.now());
+      timer ??= timers.every(checkInterval, check);
+    },
+    stop,
   };
 }
--- a/src/time/loop-delay.test.ts
+++ b/src/time/loop-delay.test.ts
@@ -50,3 +50,32 @@
   fake.advance(1000);
   t.deepEqual(samples, []);
 });
+
+// Guards against fifty wake-ups a second of a node that nobody calls.
+test('while nothing reads the delay, samples are less frequent', t => {
+  const {fake, delay, samples} = setUp();
+  fake.advance(6000);
+  const before = samples.length;
+  fake.advance(10_000);
+  t.is(samples.length - before, 100);
+  delay.current();
+  fake.advance(1000);
+  t.is(samples.length - before, 150);
+});
+
+test('a delay is visible at once to a node that was idle', t => {
+  const {fake, delay, block} = setUp();
+  fake.advance(10_000);
+  block(300);
+  t.true(delay.current() >= 200);
+  fake.advance(20);
+  block(120);
+  t.true(delay.current() >= 100);
+});
+
+test('the first read of an idle node reports no delay', t => {
+  const {fake, delay} = setUp();
+  fake.advance(10_090);
+  t.is(delay.current(), 0);
+  t.is(delay.mean(), 0);
+});
