--- a/src/request/transport/workspace-hops.test.ts
+++ b/src/request/transport/workspace-hops.test.ts
@@ -33,6 +33,7 @@
     peer: {
       announcement: announcementOf(),
       updateLoad: () => {},
+      updateEstimate: () => {},
       reported: () => undefined,
       updateReported: () => {},
     },
@@ -60,6 +61,7 @@
       service: frame.service,
       load: 0,
       loadFor: () => 0,
+      estimateFor: () => undefined,
       reported: undefined,
       handle: call => {
         resolve(call);
