Gates read the load that their instance reports

Cause: an instance that loses slots was sent as many calls as it announced, and one that is slow for a while was expected to be as fast as usual.

Change: answers and health answers may contain foxbarrow-instance-load with running,waiting,slots and the present duration in percent. The slots replace the announced ones in both directions, up to the announced connections; durations are learned at the usual pace and scaled by the reported one. Malformed values are counted and ignored.

Nothing changes for upstreams that report no load.

--- a/src/node/upstream-gate.test.ts
+++ b/src/node/upstream-gate.test.ts
@@ -67,6 +67,19 @@
   t.is(gate.reported, undefined);
 });
 
+test('reported slots and durations end with the process that reported them', t => {
+  // The next process may have fewer slots, and would be given too many calls.
+  const {announcer, reports} = startNode();
+  const load = {running: 0, waiting: 0, slots: 16, pace: 0.5};
+  announcer.announce(upstream({started: 1}));
+  reports[0]!.apply({limit: 'none', leaving: 'no', load});
+  t.is(reports[0]!.capacity.slots, 16);
+  announcer.announce(upstream({started: 2}));
+  reports[0]!.apply({limit: 'none', leaving: 'no', load});
+  t.is(reports[1]!.capacity.slots, undefined);
+  t.is(reports[1]!.capacity.pace, 1);
+});
+
 test('an upstream that does not name its process is another one after it was gone', t => {
   const {announcer, gate, reports} = startNode();
   announcer.announce(upstream());
--- a/src/request/decisions/upstream-report.ts
+++ b/src/request/decisions/upstream-report.ts
@@ -6,6 +6,8 @@
 import type {Timers} from '../../time/timers.js';
 import type {ReportedState} from '../messages/reported-state.js';
 import type {UpstreamSignals} from '../messages/upstream-signals.js';
+import {createCapacityReport} from './capacity-report.js';
+import type {ReportedCapacity} from './capacity-report.js';
 import {createRateLimiter} from './rate-limiter.js';
 import type {RateLimiter} from './rate-limiter.js';
 
@@ -13,6 +15,8 @@
 export interface UpstreamReport {
   /** Holds the limit that the upstream names. */
   readonly limiter: RateLimiter;
+  /** The capacity that the upstream reports. */
+  readonly capacity: ReportedCapacity;
   /** The state for entries; undefined if nothing is reported. */
   readonly state: ReportedState | undefined;
   /** Whether the upstream is shutting down; never taken back. */
@@ -57,6 +61,7 @@
 ): UpstreamReport {
   const {instance, process, timers, log} = options;
   const limiter = createRateLimiter(timers);
+  const capacity = createCapacityReport(timers, log, instance);
   const leavingObservers: Array<() => void> = [];
   let isLeaving = false;
   let malformed = 0;
@@ -101,15 +106,18 @@
     // Each answer may repeat it; the metric counts them.
     if (malformed > 1) return;
     const {limit, leaving} = signals;
+    const load = signals.load === 'malformed' ? 'malformed' : undefined;
     log.warn('malformed header of the upstream ignored', {
       instance,
       limit,
       leaving,
+      load,
     });
   }
 
   return {
     limiter,
+    capacity,
     get state() {
       const limit = limiter.rate;
       if (limit === undefined && !isLeaving) return undefined;
@@ -123,11 +131,12 @@
       return malformed;
     },
     apply(signals) {
-      const {limit, leaving} = signals;
-      if (limit === 'malformed' || leaving === 'malformed') {
+      const {limit, leaving, load} = signals;
+      if ([limit, leaving, load].includes('malformed')) {
         recordMalformed(signals);
       }
       hasAnswered = true;
+      capacity.apply(load);
       applyLimit(limit);
       if (leaving === 'yes') applyLeaving();
     },
--- a/src/request/messages/upstream-signals.test.ts
+++ b/src/request/messages/upstream-signals.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {parseLeaving, parseLimit} from './upstream-signals.js';
+import {parseLeaving, parseLimit, parseLoad} from './upstream-signals.js';
 
 test('a limit is a decimal number of requests per second', t => {
   t.is(parseLimit([]), 'none');
@@ -28,3 +28,21 @@
     t.is(parseLeaving([value]), 'malformed', value);
   }
 });
+
+test('a load has three counts and optionally a duration in percent', t => {
+  const load = {running: 3, waiting: 0, slots: 6};
+  t.is(parseLoad([]), undefined);
+  t.deepEqual(parseLoad(['3,0,6']), load);
+  t.deepEqual(parseLoad([' 3, 0, 6 ', '3, 0, 6']), load);
+  t.deepEqual(parseLoad(['3,0,6,150']), {...load, pace: 1.5});
+  t.deepEqual(parseLoad(['3,0,6,87.5']), {...load, pace: 0.875});
+});
+
+// No slots would close the gate for good, since only an answer reports others.
+test('a load with missing, negative or unusable values is ignored', t => {
+  const values = ['', '3', '3,0', '3,0,', '-1,0,6', '3,0,0', '3,0,6,0'];
+  for (const value of [...values, '3,0,6,x', '3,0,6,1e3', '3,0,6,1,1', 'NaN']) {
+    t.is(parseLoad([value]), 'malformed', value);
+  }
+  t.is(parseLoad(['3,0,6', '3,0,7']), 'malformed');
+});
--- a/src/request/messages/upstream-signals.ts
+++ b/src/request/messages/upstream-signals.ts
@@ -4,6 +4,18 @@
   readonly limit: number | 'none' | 'malformed';
   /** Whether it is shutting down. */
   readonly leaving: 'yes' | 'no' | 'malformed';
+  /** Its load; absent if it reports none. */
+  readonly load?: InstanceLoad | 'malformed';
+}
+
+/** The load of an upstream by its own count. */
+export interface InstanceLoad {
+  readonly running: number;
+  readonly waiting: number;
+  /** Calls that it runs concurrently. */
+  readonly slots: number;
+  /** How long work takes now, divided by its usual duration. */
+  readonly pace?: number;
 }
 
 /** A decimal number without sign and exponent. */
@@ -29,3 +41,28 @@
   texts.delete('0');
   return texts.size === 0 ? 'no' : 'malformed';
 }
+
+/** Running, waiting, slots and optionally the duration in percent. */
+const loadForm =
+  /^(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})(?:\s*,\s*(\d{1,5}(?:\.\d{1,6})?))?$/;
+
+/**
+ * Parses the header that reports a load; several values must be equal. An
+ * upstream without slots, or whose work takes no time, reports nothing usable.
+ */
+export function parseLoad(values: readonly string[]): UpstreamSignals['load'] {
+  const texts = new Set(values.map(value => value.trim()));
+  if (texts.size === 0) return undefined;
+  const [text] = texts;
+  const match = texts.size === 1 ? loadForm.exec(text!) : null;
+  if (match === null) return 'malformed';
+  const [, running, waiting, slots, percent] = match;
+  const pace = percent === undefined ? undefined : Number(percent) / 100;
+  if (Number(slots) === 0 || pace === 0) return 'malformed';
+  return {
+    running: Number(running),
+    waiting: Number(waiting),
+    slots: Number(slots),
+    ...(pace !== undefined && {pace}),
+  };
+}
