Entries refuse calls at once while all instances are known to be late

Cause: under overload a call that every gate refuses costs a hop for each attempt, and its caller learns late when to come back.

Change: with crossings 'dear' the first attempt is refused (5006, not run) if every usable instance told an estimate within 5 s, calls wait at each of them, and none is expected to answer within the objective. The waits told are those of the call's priority, and higher priorities are refused only if the earliest answer is 1.05 and 1.2 times too late. One such call in ten is sent all the same. Retry-After is the time until an instance is expected to be in time, spread over the same time or the objective. The chosen line has the expected finish.

--- a/bench/experiments/request-balance.ts
+++ b/bench/experiments/request-balance.ts
@@ -252,6 +252,7 @@
     failureDomain,
     endpoints: {instances: () => announcements, onChange: () => {}},
     balancer: rule.create(random),
+    random,
     timers,
     log: createSilentLog(),
     localLimit: rule.localLimit,
--- a/bench/limits/simulation.ts
+++ b/bench/limits/simulation.ts
@@ -212,6 +212,7 @@
     failureDomain: domains[index % domains.length]!,
     endpoints: {instances: () => announcements, onChange: () => {}},
     balancer: createPowerOfTwoBalancer(random),
+    random,
     gate,
     timers,
     log: createSilentLog(),
--- a/bench/placing/simulation.ts
+++ b/bench/placing/simulation.ts
@@ -44,6 +44,8 @@
   readonly load: number;
   /** By how much the demand of each failure domain varies around its mean. */
   readonly swing: number;
+  /** Share of the calls with the lowest priority; 0 by default. */
+  readonly background?: number;
   /** How entries place calls. */
   readonly rule: PlacementRule;
   readonly duration: number;
@@ -54,7 +56,9 @@
   readonly name: string;
   /** Whether gates tell when calls are expected to finish; not by default. */
   readonly estimates?: boolean;
-  readonly pool: Partial<Pick<InstancePoolOptions, 'crossings' | 'localLimit'>>;
+  readonly pool: Partial<
+    Pick<InstancePoolOptions, 'crossings' | 'localLimit' | 'probeShare'>
+  >;
 }
 
 /** What callers got, as shares of the requests, and what it cost. */
@@ -64,9 +68,13 @@
   /** Answered at all. */
   readonly served: number;
   readonly refused: number;
+  /** Refused without an attempt; a part of `refused`. */
+  readonly refusedAtEntry: number;
   /** Calls between failure domains for each request. */
   readonly crossings: number;
   readonly attemptsPerRequest: number;
+  /** In time by priority, as shares of the requests of the priority. */
+  readonly inTimeOf: Readonly<Record<'normal' | 'background', number>>;
 }
 
 const service = 'stock-desk';
@@ -106,7 +114,17 @@
   const timers = createFakeTimers(1);
   const random = createRandom(seed);
   const {domains, objective, deadline} = parameters;
-  const counts = {offered: 0, served: 0, inTime: 0, refused: 0};
+  const counts = {
+    offered: 0,
+    served: 0,
+    inTime: 0,
+    refused: 0,
+    refusedAtEntry: 0,
+  };
+  const byPriority = {
+    normal: {offered: 0, inTime: 0},
+    background: {offered: 0, inTime: 0},
+  };
   const cost = {crossings: 0, attempts: 0};
   const instances = createInstances(parameters, timers);
   const entries = createEntries(parameters, instances, timers, random, () => {
@@ -130,16 +148,23 @@
 
   function sendRequest({pool, gate, links}: SimulatedEntry): void {
     const now = timers.now();
+    const {background = 0} = parameters;
+    const isBackground = background > 0 && random.fraction() < background;
+    const priority = isBackground ? 'background' : 'normal';
+    byPriority[priority].offered++;
     const call = callOf({
       id: `call-${counts.offered++}`,
       policy: policy.name,
+      priority,
       deadline: now + deadline,
       goodUntil: now + objective,
     });
     const answer = createCountingAnswer(
       () => {
         counts.served++;
-        if (timers.now() <= call.goodUntil!) counts.inTime++;
+        if (timers.now() > call.goodUntil!) return;
+        counts.inTime++;
+        byPriority[priority].inTime++;
       },
       () => counts.refused++,
     );
@@ -147,7 +172,10 @@
       call,
       match: {route, policy, service},
       configuration,
-      answer: answer(() => (cost.attempts += made.count())),
+      answer: answer(() => {
+        cost.attempts += made.count();
+        if (made.count() === 0) counts.refusedAtEntry++;
+      }),
       pool,
       sizes,
       links,
@@ -182,8 +210,13 @@
     inTime: counts.inTime / offered,
     served: counts.served / offered,
     refused: counts.refused / offered,
+    refusedAtEntry: counts.refusedAtEntry / offered,
     crossings: cost.crossings / offered,
     attemptsPerRequest: cost.attempts / offered,
+    inTimeOf: {
+      normal: byPriority.normal.inTime / byPriority.normal.offered,
+      background: byPriority.background.inTime / byPriority.background.offered,
+    },
   };
 }
 
@@ -234,6 +267,7 @@
         failureDomain,
         endpoints: {instances: () => announcements, onChange: () => {}},
         balancer: createPowerOfTwoBalancer(random),
+        random,
         gate,
         timers,
         log: createSilentLog(),
--- a/src/request/decisions/attempt-answer.test.ts
+++ b/src/request/decisions/attempt-answer.test.ts
@@ -13,6 +13,7 @@
       outstanding: 0,
       load: 0,
       loadAge: undefined,
+      finish: undefined,
       blame: 0,
       state: 'serving',
       stateAge: 0,
--- a/src/request/decisions/estimate-memory.ts
+++ b/src/request/decisions/estimate-memory.ts
@@ -20,13 +20,19 @@
     kind: string | undefined,
     priority: Priority,
     outstanding: number,
-  ): FinishEstimate | undefined;
+  ): AgedEstimate | undefined;
   /** Records a call of this entry, which no estimate includes yet. */
   began(): void;
   /** Removes all estimates, which were those of another process. */
   clear(): void;
 }
 
+/** An estimate as of now; times in milliseconds. */
+export interface AgedEstimate extends FinishEstimate {
+  /** Since it was heard. */
+  readonly age: number;
+}
+
 /** Options of `createEstimateMemory`; times in milliseconds. */
 export interface EstimateMemoryOptions {
   /**
@@ -76,7 +82,7 @@
       const later = Math.min(outstanding, begun - found.begun);
       const behind = Math.max(0, later - found.free);
       const aged = wait * Math.exp(-age / waitAge);
-      return {wait: aged + behind * step, work, step};
+      return {wait: aged + behind * step, work, step, age};
     },
     began: () => void begun++,
     clear: () => heard.clear(),
--- a/src/request/decisions/instance-pool.test.ts
+++ b/src/request/decisions/instance-pool.test.ts
@@ -25,6 +25,7 @@
     failureDomain: 'rusayl-a',
     endpoints,
     balancer: createPowerOfTwoBalancer(createRandom(3)),
+    random: createRandom(4),
     timers,
     log: createSilentLog(),
     ...changes,
@@ -231,3 +232,31 @@
   near.updateEstimate(lookup, undefined);
   t.deepEqual(domainsFor({kind: 'lookups', goodFor: 500}), ['rusayl-b']);
 });
+
+// A view that is stale must not keep callers away for longer than its age.
+test('calls are refused while all instances tell long waits, and sent once that is old', t => {
+  const {pool, timers, choose} = setUp(['a', 'b'], {
+    crossings: 'dear',
+    probeShare: 0,
+  });
+  const delays: number[] = [];
+  const needs: CallNeeds = {
+    kind: 'lookups',
+    goodFor: 500,
+    onLate: retryAfter => void delays.push(retryAfter),
+  };
+  const chooseInTime = (tried: string[] = []) =>
+    pool.choose('stock-desk', stockConfiguration, new Set(tried), needs);
+  const long = {...estimate, wait: 1_000};
+  choose(stockConfiguration, ['b'])!.updateEstimate(lookup, long);
+  t.truthy(chooseInTime());
+  choose(stockConfiguration, ['a'])!.updateEstimate(lookup, long);
+  t.is(chooseInTime(), undefined);
+  t.is(delays.length, 1);
+  t.true(delays[0]! >= 0.6);
+  // A call that was sent is tried elsewhere by the rules of retries.
+  t.truthy(chooseInTime(['a']));
+  timers.advance(5_001);
+  t.truthy(chooseInTime());
+  t.is(delays.length, 1);
+});
