A model of quotas' shares, and three faults that it showed

A leader that had been deposed without its knowledge could reassign the share of a home that the next leader had renewed; a report that arrived after its home had been given up could keep a share that was reassigned; a reply to a report of before the end of a lease counted after it.

--- a/model/checks.ts
+++ b/model/checks.ts
@@ -12,7 +12,7 @@
   /** Unique name; that of a mutant says which safeguard is removed. */
   readonly name: string;
   readonly specification:
-    'consensus' | 'claims' | 'meeting' | 'trials' | 'rollouts';
+    'consensus' | 'claims' | 'meeting' | 'trials' | 'rollouts' | 'quotas';
   readonly bounds: Bounds;
   /**
    * - `holds`: no reachable state violates an invariant; the search covers all
@@ -49,6 +49,8 @@
 const rolloutWork = {ORDERS: 1, FAULTS: 0, CUTS: 1};
 const rolloutFaults = {ORDERS: 1, FAULTS: 1, CUTS: 0, WORK: 0};
 const rolloutLease = {ORDERS: 1, FAULTS: 1, CUTS: 1, WORK: 0};
+const quotaLeaders = {OFFERS: 2, ENDS: 1, REPORTS: 4};
+const quotaHomes = {OFFERS: 3, ENDS: 1, REPORTS: 5};
 const earlySets = {...threeSets, EARLY: true};
 
 /** The invariants, with bounds that a search exhausts in under a minute. */
@@ -97,6 +99,7 @@
   holdRollouts('a roll-out stops no version that has work', rolloutWork),
   holdRollouts('a roll-out counts each failure once', rolloutFaults),
   holdRollouts('a share ends with its lease', rolloutLease),
+  holdQuotas('shares of homes never exceed the quota', quotaLeaders),
 ];
 
 const mutants: readonly Check[] = [
@@ -130,6 +133,16 @@
   refuteRollouts('COMPLETES_EARLY', rolloutWork, 'running'),
   refuteRollouts('NO_STEP_CHECK', rolloutWork, 'phase<2'),
   refuteRollouts('COUNTED_TWICE', rolloutFaults, 'failed[0]+failed[1]'),
+  refuteQuotas('NO_LEASE'),
+  refuteQuotas('NO_MARGIN'),
+  refuteQuotas('NO_WAIT'),
+  refuteQuotas('OLD_LEADER_ACTS'),
+  refuteQuotas('OFFERS_UNCOUNTED'),
+  refuteQuotas('KEEPS_REPORTED'),
+  refuteQuotas('LATE_AFTER_END'),
+  refuteQuotas('ANY_BASIS'),
+  refuteQuotas('ANY_TERM'),
+  refuteQuotas('ANY_REPORT'),
 ];
 
 const witnesses: readonly Check[] = [
@@ -144,6 +157,7 @@
   {...reach('MET', {LOSSES: 0}, 'met[3]'), specification: 'meeting'},
   {...reach('TRIED', {TRIALS: 3, LIVES: 3}, 'starts'), specification: 'trials'},
   {...reach('COMPLETED', rolloutWork, 'phase'), specification: 'rollouts'},
+  {...reach('MOVED', quotaLeaders, 'share[1]'), specification: 'quotas'},
 ];
 
 /** All checks; the fast ones are last. */
@@ -173,6 +187,15 @@
   return {...hold(name, bounds), specification: 'rollouts'};
 }
 
+function holdQuotas(name: string, bounds: Bounds): Check {
+  return {...hold(name, bounds), specification: 'quotas'};
+}
+
+function refuteQuotas(mutant: string): Check {
+  const check = refute(mutant, quotaHomes, 'share[0]');
+  return {...check, specification: 'quotas'};
+}
+
 function refuteRollouts(
   mutant: string,
   bounds: Bounds,
--- a/src/quotas/divider.ts
+++ b/src/quotas/divider.ts
@@ -76,6 +76,13 @@
 /** Numbers of shares in one term; the term makes them unique. */
 const numbersPerTerm = 1_000_000_000;
 
+/**
+ * Time after a reply in which the home may use its shares. A leader that has
+ * been deposed without its knowledge may assign shares for `leadership`, and the
+ * next one may have renewed this home's lease meanwhile.
+ */
+const countedLease = quotaPeriods.lease + quotaPeriods.leadership;
+
 /** Creates the division at the begin of a term. */
 export function createDivider(options: DividerOptions): Divider {
   const {clock, bounds} = options;
@@ -165,7 +172,7 @@
     return {rate, capacity};
   }
 
-  /** Fractions that no home can have. */
+  /** Fractions that no home can have; negative if too much is counted. */
   function free(workspace: string, state: QuotaState): Fractions {
     let rate = 1;
     let capacity = 1;
@@ -220,7 +227,7 @@
       reported: {...entry, number: 0, rate: 0, capacity: 0, demand: 0},
       offers: [],
     };
-    const until = clock.now() + quotaPeriods.lease;
+    const until = clock.now() + countedLease;
     holding.offers = holding.offers.filter(each => !hasWaited(each.until));
     holding.offers.push({...entry, until});
     record.holdings.set(entry.workspace, holding);
@@ -258,7 +265,7 @@
       const record = receive(report);
       const entries = record === undefined ? [] : assign(record);
       if (record !== undefined) {
-        record.leaseEnd = clock.now() + quotaPeriods.lease;
+        record.leaseEnd = clock.now() + countedLease;
       }
       return {
         kind: 'shares',
@@ -274,9 +281,13 @@
   };
 }
 
-/** The target, raised above what is held only by what is free. */
+/**
+ * The target, raised above what is held only by what is free. That is negative
+ * if a late report arrives after the home's share has been reassigned.
+ */
 function limit(target: number, held: number, free: number): number {
-  return Math.min(target, held + Math.max(0, free - roundingError));
+  const room = Math.max(0, held + free - roundingError);
+  return Math.min(target, room);
 }
 
 function isNear(present: Fractions, wanted: Fractions): boolean {
--- a/src/quotas/home-shares.ts
+++ b/src/quotas/home-shares.ts
@@ -55,7 +55,8 @@
   let term = 0;
   /** The last report that was sent before a leader changed a share. */
   let changeSequence = 0;
-  let changeTerm = 0;
+  let changeTerm: number | undefined;
+  let isExpired = true;
 
   const isLeased = () => leaseClock.now() < leaseFrom + quotaPeriods.lease;
 
@@ -118,6 +119,7 @@
     share: current,
     isLeased,
     report() {
+      expireIfDue();
       forgetOldReports();
       const isFull = ackedTerm === undefined || ackedTerm !== term;
       const entries = options.entries(current);
@@ -127,6 +129,7 @@
       return {sequence, isFull, entries: news};
     },
     accept(reply) {
+      expireIfDue();
       const report = sent.get(reply.sequence);
       if (report === undefined || !isAcceptable(reply)) return 'ignored';
       const end = report.sentAt + quotaPeriods.lease;
@@ -136,16 +139,23 @@
         ackedTerm = undefined;
         return 'needs-all';
       }
-      if (!isLeased()) expire();
       acknowledge(reply, report);
+      isExpired = false;
       leaseFrom = Math.max(leaseFrom, report.sentAt);
       return replace(reply) ? 'changed' : 'renewed';
     },
     term: () => term,
   };
 
-  /** Makes the end of a lease permanent before a new one begins. */
-  function expire(): void {
+  /**
+   * Makes the end of a lease permanent. No reply to an earlier report counts any
+   * more, as a later report may have told another leader of the end.
+   */
+  function expireIfDue(): void {
+    if (isExpired || isLeased()) return;
+    isExpired = true;
+    changeSequence = sequence;
+    changeTerm = undefined;
     for (const [workspace, {number}] of shares) {
       shares.set(workspace, {...noShare, number});
     }
