--- a/src/quotas/node-quotas.ts
+++ b/src/quotas/node-quotas.ts
@@ -56,8 +56,8 @@
 /** Milliseconds between two homes that are left for that reason. */
 const leaveInterval = 10_000;
 
-/** Seconds after which a request is retried that the node can't decide. */
-const unknownRetry = 0.5;
+/** Bounds of the seconds after which an undecided request may be retried. */
+const unknownRetry = {least: 0.25, most: 1};
 
 const linesPerSecond = 1;
 const lineBurst = 10;
@@ -176,8 +176,11 @@
     return refuse(account, 'exceeded', Math.ceil(retryIn) / 1000);
   }
 
-  const refuseUnknown = (account: Account) =>
-    refuse(account, 'unknown', unknownRetry);
+  function refuseUnknown(account: Account): QuotaDecision {
+    const {least, most} = unknownRetry;
+    const retryAfter = least + random.fraction() * (most - least);
+    return refuse(account, 'unknown', Math.round(retryAfter * 1000) / 1000);
+  }
 
   function hasCredit(holding: Holding): boolean {
     return holding.count > 0 && leaseClock.now() < holding.validUntil;
