The full age of a home also covers a change that waits

Change: names and comments of the field; tests wait for a returned credit for a number of turns, so that a missing one fails at once, and check that the lines about keys are documented.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -207,7 +207,7 @@
       ...(previous !== otherHomes &&
         otherHomes.length > 0 && {homes: otherHomes}),
       ...(age !== undefined && {age: Math.ceil(age)}),
-      ...(hasPause(fullAge, age) && {fullAge: Math.ceil(fullAge)}),
+      ...(isLarger(fullAge, age) && {fullAge: Math.ceil(fullAge)}),
       ...(version !== undefined && {version}),
     });
     sentHomes.set(channel, otherHomes);
@@ -292,8 +292,8 @@
   };
 }
 
-/** Whether the full age shows that a VM was suspended. */
-function hasPause(
+/** Whether the full age is larger by more than the drift of clocks. */
+function isLarger(
   fullAge: number | undefined,
   age: number | undefined,
 ): fullAge is number {
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -69,8 +69,8 @@
    */
   readonly age?: number;
   /**
-   * The same with the time for which VMs were suspended meanwhile; absent if
-   * they were not.
+   * Milliseconds since a quorum confirmed the published version, with the time
+   * for which VMs were suspended meanwhile; absent if `age` is about the same.
    */
   readonly fullAge?: number;
   /** The version that the home last pushed to all of its subscribers. */
--- a/src/request/authentication.test.ts
+++ b/src/request/authentication.test.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import {readFileSync} from 'node:fs';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import test from 'ava';
@@ -393,6 +394,18 @@
   });
 }
 
+test('the lines about keys are documented in docs/LOGS.md', async t => {
+  const page = readFileSync('docs/LOGS.md', 'utf8');
+  const {log, lines} = createRecordedLog();
+  const mesh = await start(t, {entry: {log}});
+  await sendAllKinds(mesh);
+  for (const {message, fields} of lines) {
+    for (const word of [message, ...Object.keys(fields)]) {
+      t.true(page.includes(`\`${word}\``), word);
+    }
+  }
+});
+
 test('refused keys are logged by the beginning of their digest, up to a rate', async t => {
   const {log, lines} = createRecordedLog();
   const mesh = await start(t, {entry: {log}});
--- a/src/request/quota-check.test.ts
+++ b/src/request/quota-check.test.ts
@@ -24,6 +24,9 @@
   ],
 });
 
+/** Turns of the event loop for which a test waits for a credit. */
+const maxTurns = 1_000;
+
 /** Quotas that decide as the test says and count the credits. */
 function createFakeQuotas() {
   const asked: Array<{workspace: string; until: number}> = [];
@@ -41,9 +44,18 @@
       return decide();
     },
   };
+  /** Waits for a credit that is given back, up to a number of turns. */
+  async function waitForReturn(): Promise<void> {
+    for (let turn = 0; turn < maxTurns; turn++) {
+      if (counts.returned > 0) return;
+      await tick();
+    }
+  }
+
   return {
     quotas,
     asked,
+    waitForReturn,
     counts,
     grant,
     decideBy: (next: typeof decide) => (decide = next),
@@ -124,7 +136,7 @@
   const answer = await request(`${mesh.url}/stock`, {headers: limited});
   t.is(answer.headers['foxbarrow-effect'], 'not-run');
   await answer.body.dump();
-  while (fake.counts.returned === 0) await tick();
+  await fake.waitForReturn();
   t.deepEqual(fake.counts, {taken: 1, returned: 1});
 });
 
@@ -172,7 +184,7 @@
     socket.destroy();
     for (let turn = 0; turn < 50; turn++) await tick();
     if (!hasBody) decide(fake.grant());
-    while (fake.counts.returned === 0) await tick();
+    await fake.waitForReturn();
     t.deepEqual(fake.counts, {taken: 1, returned: 1});
     t.false(isReached);
   });
