--- a/src/quotas/exchange.ts
+++ b/src/quotas/exchange.ts
@@ -14,7 +14,7 @@
 import {createLeaseClock} from './lease-clock.js';
 import type {DemandReport, PeerMessage, Shares} from './messages.js';
 import {quotaPeriods} from './periods.js';
-import {parseAsk, parsePeerMessage} from './schema.js';
+import {parseAsk, parsePeerMessage, withoutZeros} from './schema.js';
 
 /** Options of `createQuotaExchange`. */
 export interface QuotaExchangeOptions {
@@ -265,7 +265,11 @@
   function accept(channels: Channels): void {
     const channel = channels.on('quotas');
     const node = credits.node((sequence, entries) =>
-      channel.send({kind: 'credits', sequence, entries}),
+      channel.send({
+        kind: 'credits',
+        sequence,
+        entries: entries.map(withoutZeros),
+      }),
     );
     const start = () => channel.send({kind: 'ready', name});
     if (isActive) start();
--- a/src/quotas/fakes/quota-group.ts
+++ b/src/quotas/fakes/quota-group.ts
@@ -1,4 +1,5 @@
 /** Control processes and nodes with quotas, on links and time of a test. */
+import {Packr} from 'msgpackr';
 import {emptyConfiguration} from '../../configuration/configuration.js';
 import type {
   Configuration,
@@ -66,6 +67,8 @@
   readonly taken: Taken[];
   /** Messages by the kind of sender and receiver: `node>home` and so on. */
   readonly messages: Map<string, number>;
+  /** Bytes of messages from and to nodes, without framing. */
+  nodeBytes(): number;
   /** Puts quotas into force at all processes that are reached in time. */
   configure(quotas: Readonly<Record<string, Quota>>, spread?: number): void;
   take(node: string, workspace: string, wait?: number): Taken;
@@ -91,6 +94,7 @@
 /** Creates homes and nodes; the first home leads. */
 export function createQuotaGroup(options: QuotaGroupOptions): QuotaGroup {
   const {bounds} = options;
+  const packr = new Packr({useRecords: false});
   const timers = createFakeTimers(1_000_000);
   const random = createRandom(options.seed ?? 1);
   const homes = new Map<string, TestHome>();
@@ -104,6 +108,7 @@
   let cutOff = new Set<string>();
   let configuration = configurationOf({}, 1);
   let term = 1;
+  let nodeBytes = 0;
   let leader = 'home-1';
 
   const isCut = (from: string, to: string) =>
@@ -113,7 +118,9 @@
     timers,
     delay: () => 0.2 + random.fraction() * 1.4,
     isCut,
-    onSend(from, to) {
+    onSend(from, to, message) {
+      const isNode = nodes.has(from) || nodes.has(to);
+      if (isNode) nodeBytes += packr.pack(message).length;
       const kind = `${kindOf(from)}>${kindOf(to)}`;
       messages.set(kind, (messages.get(kind) ?? 0) + 1);
     },
@@ -309,6 +316,7 @@
     nodes,
     taken,
     messages,
+    nodeBytes: () => nodeBytes,
     configure(quotas, spread = 50) {
       configuration = configurationOf(quotas, configuration.version + 1);
       const next = configuration;
--- a/src/quotas/node-quotas.ts
+++ b/src/quotas/node-quotas.ts
@@ -19,7 +19,7 @@
   QuotaRefusalReason,
   Quotas,
 } from './quotas.js';
-import {parseHomeMessage} from './schema.js';
+import {parseHomeMessage, withoutZeros} from './schema.js';
 
 /** Options of `createNodeQuotas`. */
 export interface NodeQuotasOptions {
@@ -315,7 +315,7 @@
     sequence++;
     asked.set(sequence, leaseClock.now());
     forgetOldAsks();
-    channel.send({kind: 'ask', sequence, entries});
+    channel.send({kind: 'ask', sequence, entries: entries.map(withoutZeros)});
   }
 
   function forgetOldAsks(): void {
--- a/src/quotas/schema.ts
+++ b/src/quotas/schema.ts
@@ -1,8 +1,16 @@
 /** Validates messages that are received from another process. */
 import {z} from 'zod';
-import type {Ask, HomeMessage, PeerMessage} from './messages.js';
+import type {
+  Ask,
+  AskEntry,
+  CreditEntry,
+  HomeMessage,
+  PeerMessage,
+} from './messages.js';
 
 const count = z.number().int().nonnegative().max(1_000_000_000);
+/** Zeros are not sent. */
+const countOrNone = count.default(0);
 const number = z.number().int().nonnegative();
 const amount = z.number().finite().nonnegative();
 const fraction = z.number().min(0).max(1);
@@ -20,12 +28,12 @@
     .array(
       z.object({
         workspace: text,
-        waiting: count,
-        spent: count,
-        unused: count,
-        returned: count,
-        missed: count,
-        wanted: count,
+        waiting: countOrNone,
+        spent: countOrNone,
+        unused: countOrNone,
+        returned: countOrNone,
+        missed: countOrNone,
+        wanted: countOrNone,
       }),
     )
     .max(maxEntries),
@@ -38,9 +46,9 @@
     .array(
       z.object({
         workspace: text,
-        granted: count,
-        ahead: count,
-        refused: count,
+        granted: countOrNone,
+        ahead: countOrNone,
+        refused: countOrNone,
         retry: amount.optional(),
         spread: amount.optional(),
         isUnknown: z.boolean().optional(),
@@ -100,6 +108,13 @@
   return ask.safeParse(body).data;
 }
 
+/** An entry of a message as it is sent. */
+export function withoutZeros(entry: AskEntry | CreditEntry): object {
+  return Object.fromEntries(
+    Object.entries(entry).filter(([, value]) => value !== 0),
+  );
+}
+
 /** Parses a message of a home to a node. */
 export function parseHomeMessage(body: unknown): HomeMessage | undefined {
   return homeMessage.safeParse(body).data as HomeMessage | undefined;
