A new leader renews only what a home reports, not what it was offered

An offer that a home gave up with the end of its lease still counted as its share at a new leader, which then renewed it beside a share of the last one. The model showed it with three offers and five reports.

--- a/model/quotas.pml
+++ b/model/quotas.pml
@@ -91,13 +91,14 @@
 #define MAY_ASSIGN(l) ((l) == 0 || hasWaited)
 #endif
 
-/* A share is raised only by what the other home can't have. */
+/* A share is raised by no more than the other home leaves, and not at all, above
+   what was reported, before a new leader has waited. */
 #ifdef MUTANT_KEEPS_REPORTED
 #define IS_ROOM(l, h, s) \
   ((s) <= HELD(2 * (l) + h) || (MAY_ASSIGN(l) && (s) + HELD(2 * (l) + 1 - h) <= QUOTA))
 #else
 #define IS_ROOM(l, h, s) \
-  ((s) + HELD(2 * (l) + 1 - h) <= QUOTA && (MAY_ASSIGN(l) || (s) <= HELD(2 * (l) + h)))
+  ((s) + HELD(2 * (l) + 1 - h) <= QUOTA && (MAY_ASSIGN(l) || (s) <= known[2 * (l) + h]))
 #endif
 
 #ifdef MUTANT_ANY_BASIS
--- a/src/quotas/divider.ts
+++ b/src/quotas/divider.ts
@@ -173,7 +173,7 @@
   }
 
   /** Fractions that no home can have; negative if too much is counted. */
-  function free(workspace: string, state: QuotaState): Fractions {
+  function free(workspace: string): Fractions {
     let rate = 1;
     let capacity = 1;
     for (const record of homes.values()) {
@@ -186,10 +186,7 @@
       if (!hasWaited(record.leaseEnd)) rate -= held.rate;
       capacity -= held.capacity;
     }
-    return {
-      rate: state.isNew || hasWaited(assignAt) ? rate : 0,
-      capacity: state.isNew || hasWaited(assignAt + creditTime) ? capacity : 0,
-    };
+    return {rate, capacity};
   }
 
   function targetOf(
@@ -212,9 +209,19 @@
     if (state === undefined) return undefined;
     const target = targetOf(record, workspace, state);
     const held = largest(record, workspace);
-    const room = free(workspace, state);
-    const rate = limit(target.rate, held.rate, room.rate);
-    const capacity = limit(target.capacity, held.capacity, room.capacity);
+    const room = free(workspace);
+    const mayRaise = (end: number) => state.isNew || hasWaited(end);
+    // What was only offered may have been given up since.
+    const most: Fractions = {
+      rate: mayRaise(assignAt) ? 1 : present.rate,
+      capacity: mayRaise(assignAt + creditTime) ? 1 : present.capacity,
+    };
+    const rate = limit(target.rate, held.rate + room.rate, most.rate);
+    const capacity = limit(
+      target.capacity,
+      held.capacity + room.capacity,
+      most.capacity,
+    );
     // An offer may be lost, so only a reported share ends the attempts.
     if (isNear(present, target)) record.unsettled.delete(workspace);
     if (isNear(present, {rate, capacity})) return undefined;
@@ -282,12 +289,11 @@
 }
 
 /**
- * The target, raised above what is held only by what is free. That is negative
+ * The target, if the other homes leave as much. They may leave less than is held
  * if a late report arrives after the home's share has been reassigned.
  */
-function limit(target: number, held: number, free: number): number {
-  const room = Math.max(0, held + free - roundingError);
-  return Math.min(target, room);
+function limit(target: number, left: number, most: number): number {
+  return Math.min(target, most, Math.max(0, left - roundingError));
 }
 
 function isNear(present: Fractions, wanted: Fractions): boolean {
