--- a/bench/experiments/request-placing.ts
+++ b/bench/experiments/request-placing.ts
@@ -1,6 +1,10 @@
 /** Placement of calls in failure domains with uneven demand and instances. */
 import {simulatePlacement} from '../placing/simulation.js';
-import type {PlacementRule, PlacedService} from '../placing/simulation.js';
+import type {
+  PlacedResult,
+  PlacedService,
+  PlacementRule,
+} from '../placing/simulation.js';
 import type {Experiment, Outcome, Row, RunOptions} from '../experiment.js';
 import {compare} from '../experiment.js';
 
@@ -37,23 +41,7 @@
     );
     const baseline = results[0]!;
     rules.forEach((rule, index) => {
-      const at = `${load}x, ${rule.name}`;
-      const {inTime, refused, crossings, attemptsPerRequest} = results[index]!;
-      rows.push(
-        compare(`in time: ${at}`, 'share', inTime, baseline.inTime),
-        {figure: `refused: ${at}`, unit: 'share', value: refused},
-        compare(
-          `crossings: ${at}`,
-          'per request',
-          crossings,
-          baseline.crossings,
-        ),
-        {
-          figure: `attempts: ${at}`,
-          unit: 'per request',
-          value: attemptsPerRequest,
-        },
-      );
+      rows.push(...rowsOf(`${load}x, ${rule.name}`, results[index]!, baseline));
     });
   }
   return {
@@ -64,6 +52,21 @@
   };
 }
 
+function rowsOf(
+  at: string,
+  result: PlacedResult,
+  baseline: PlacedResult,
+): Row[] {
+  const {inTime, served, refused, crossings, attemptsPerRequest} = result;
+  return [
+    compare(`in time: ${at}`, 'share', inTime, baseline.inTime),
+    compare(`served: ${at}`, 'share', served, baseline.served),
+    {figure: `refused: ${at}`, unit: 'share', value: refused},
+    compare(`crossings: ${at}`, 'per request', crossings, baseline.crossings),
+    {figure: `attempts: ${at}`, unit: 'per request', value: attemptsPerRequest},
+  ];
+}
+
 export const experiment: Experiment = {
   name: 'request-placing',
   about: 'placement in failure domains with uneven demand and instances',
