--- a/src/link/channel.ts
+++ b/src/link/channel.ts
@@ -2,7 +2,12 @@
 
 /** The planes, that is protocols, that share one link between a node and its home. */
 export type Plane =
-  'configuration' | 'endpoints' | 'fleet' | 'quarantine' | 'rollouts' | 'quotas';
+  | 'configuration'
+  | 'endpoints'
+  | 'fleet'
+  | 'quarantine'
+  | 'rollouts'
+  | 'quotas';
 
 interface Envelope {
   readonly plane: Plane;
