--- a/src/request/decisions/upload-slots.ts
+++ b/src/request/decisions/upload-slots.ts
@@ -85,6 +85,8 @@
     get load() {
       return Math.max(admission.load, uploads.load);
     },
+    waitingOf: workspace =>
+      admission.waitingOf(workspace) + uploads.waitingOf(workspace),
     offer(ticket) {
       if (ticket.body === undefined) admission.offer(ticket);
       else offerUpload(ticket, ticket.body);
