--- a/src/request/decisions/fair-queue.ts
+++ b/src/request/decisions/fair-queue.ts
@@ -83,9 +83,7 @@
 const minSweep = 16;
 
 /** Creates an empty queue. */
-export function createFairQueue<T>(
-  options: FairQueueOptions<T>,
-): FairQueue<T> {
+export function createFairQueue<T>(options: FairQueueOptions<T>): FairQueue<T> {
   const {cost, flowOf} = options;
   const flows = new Map<string | undefined, Flow<T>>();
   let virtualTime = 0;
--- /dev/null
+++ b/src/request/decisions/shared-admission.test.ts
@@ -0,0 +1,107 @@
+import test from 'ava';
+import type {Priority} from '../../configuration/configuration.js';
+import {recordTickets} from '../fakes/recorded-tickets.js';
+import {createFakeTimers} from '../../time/fakes/fake-timers.js';
+import {createAdmission} from './admission.js';
+
+/** An admission with one running call and durations of 100 ms. */
+function setUp(queueLength = 20) {
+  const clock = createFakeTimers();
+  const admission = createAdmission({slots: 1, queueLength, clock});
+  const {events, offer} = recordTickets(admission);
+  offer('first', {workspace: 'other'});
+  admission.done(100);
+  offer('running', {workspace: 'other'});
+  events.length = 0;
+  const offerOf = (
+    workspace: string | undefined,
+    name: string,
+    goodUntil = 1e6,
+    priority: Priority = 'normal',
+  ) => offer(name, {workspace, goodUntil, priority});
+  return {admission, events, offer: offerOf};
+}
+
+test('a call isn’t refused for the queue of another workspace', t => {
+  const {admission, events, offer} = setUp();
+  for (let count = 0; count < 8; count++) offer('flooding', `flood ${count}`);
+  offer('small', 'lookup', 350);
+  t.deepEqual(events, []);
+  admission.done(100);
+  admission.done(100);
+  t.deepEqual(events, ['flood 0 starts', 'lookup starts']);
+});
+
+test('a call beyond its workspace’s share is refused at once', t => {
+  const {events, offer} = setUp();
+  for (let count = 0; count < 4; count++) offer('flooding', `flood ${count}`);
+  offer('flooding', 'late', 350);
+  t.deepEqual(events, ['late deadline-unreachable']);
+});
+
+test('a waiting call is refused once calls of others are before it', t => {
+  const {events, offer} = setUp();
+  offer('flooding', 'flood 0');
+  offer('flooding', 'flood 1', 350);
+  t.deepEqual(events, []);
+  offer('small', 'lookup');
+  t.deepEqual(events, ['flood 1 deadline-unreachable']);
+});
+
+test('a full queue drops the last call of the most waiting work', t => {
+  const {events, offer} = setUp(4);
+  offer('small', 'small 0');
+  for (let count = 0; count < 3; count++) offer('flooding', `flood ${count}`);
+  offer('quiet', 'quiet 0');
+  t.deepEqual(events, ['flood 2 full']);
+  offer('flooding', 'flood 3');
+  t.is(events.at(-1), 'flood 3 full');
+});
+
+test('a full queue drops no call of a workspace with less waiting work', t => {
+  const {events, offer} = setUp(2);
+  offer('small', 'small 0');
+  offer('quiet', 'quiet 0');
+  offer('flooding', 'flood 0');
+  offer('quiet', 'quiet 1');
+  t.deepEqual(events, ['flood 0 full', 'quiet 1 full']);
+});
+
+test('a full queue drops calls of a lower priority first', t => {
+  const {events, offer} = setUp(3);
+  offer('flooding', 'flood 0');
+  offer('flooding', 'flood 1');
+  offer('small', 'pull', 1e6, 'background');
+  offer('quiet', 'quiet 0');
+  t.deepEqual(events, ['pull full']);
+});
+
+test('calls without a workspace count as one workspace', t => {
+  const {admission, events, offer} = setUp();
+  for (let count = 0; count < 3; count++) offer(undefined, `none ${count}`);
+  offer('small', 'small 0');
+  for (let count = 0; count < 4; count++) admission.done(100);
+  t.deepEqual(events.slice(0, 2), ['none 0 starts', 'small 0 starts']);
+});
+
+test('the number of waiting calls of a workspace is known', t => {
+  const {admission, offer} = setUp();
+  offer('flooding', 'a');
+  offer('flooding', 'b', 1e6, 'background');
+  offer('small', 'c');
+  t.is(admission.waitingOf('flooding'), 2);
+  t.is(admission.waitingOf('unknown'), 0);
+});
+
+test('an estimate doesn’t depend on the workspaces of waiting calls', t => {
+  const withWorkspaces = setUp();
+  const without = setUp();
+  for (let count = 0; count < 6; count++) {
+    withWorkspaces.offer(`workspace ${count % 2}`, 'call');
+    without.offer(undefined, 'call');
+  }
+  t.deepEqual(
+    withWorkspaces.admission.estimate(undefined, 'normal'),
+    without.admission.estimate(undefined, 'normal'),
+  );
+});
