--- a/bench/sharing/simulation.test.ts
+++ b/bench/sharing/simulation.test.ts
@@ -91,6 +91,22 @@
   );
 });
 
+test('a workspace that was idle gets no more than its share', t => {
+  // Saved-up credit would let it take all slots when it returns.
+  const returning = {from: 30_000, until: Infinity, factor: 1e3};
+  const usual = {load: 1, kind: lookups, priority: 'normal'} as const;
+  const {workspaces} = play(
+    [
+      {...usual, name: 'busy'},
+      {...usual, name: 'returning', load: 1e-3, flood: returning},
+    ],
+    {countedFrom: 30_000, countedUntil: 32_000},
+  );
+  const own = workspaces.get('returning')!.work;
+  const share = own / (own + workspaces.get('busy')!.work);
+  t.true(share < 0.55, `${share} of the work in the first two seconds`);
+});
+
 for (const fair of [true, false]) {
   test(`short and long work share by work, fair order: ${fair}`, t => {
     // By count, the workspace with long work would get four times the work.
@@ -128,3 +144,24 @@
   t.true(weighted >= 0.5, `${weighted} of all`);
   t.true(lowest(() => 1) < 0.5);
 });
+
+for (const fair of [true, false]) {
+  test(`a flood among sizes by a power law, fair order: ${fair}`, t => {
+    // Weights must not let a workspace of some size delay all others.
+    const sizes = Array.from({length: 77}, (_, rank) => (rank + 1) ** -1.2);
+    const sum = sizes.reduce((total, size) => total + size, 0);
+    const loads = (factor: number) =>
+      sizes.map((size, rank) => ({
+        name: rank === 5 ? 'flooding' : `workspace ${rank}`,
+        load: size / sum,
+        kind: lookups,
+        priority: 'normal' as const,
+        weight: ((size * sizes.length) / sum) ** weightExponent,
+        flood: rank === 5 ? {...always, factor} : undefined,
+      }));
+    const quiet = play(loads(1), {fair});
+    const flooded = play(loads(9), {fair});
+    const loss = servedShare(quiet, isOther) - servedShare(flooded, isOther);
+    t.is(loss <= tolerance, fair, `the others lost ${loss}`);
+  });
+}
--- a/src/request/decisions/shared-admission.test.ts
+++ b/src/request/decisions/shared-admission.test.ts
@@ -105,3 +105,28 @@
     without.admission.estimate(undefined, 'normal'),
   );
 });
+
+test('without known durations, workspaces take equal turns', t => {
+  // A gate that has just started knows no duration.
+  const clock = createFakeTimers();
+  const admission = createAdmission({slots: 1, queueLength: 20, clock});
+  const {events, offer} = recordTickets(admission);
+  for (const name of ['a0', 'a1', 'a2']) offer(name, {workspace: 'a'});
+  for (const name of ['b0', 'b1']) offer(name, {workspace: 'b'});
+  for (let count = 0; count < 4; count++) admission.done(undefined);
+  const order = events.map(event => event.split(' ')[0]);
+  t.deepEqual(order, ['a0', 'b0', 'a1', 'b1', 'a2']);
+});
+
+test('a workspace of twice the weight gets twice the work', t => {
+  const clock = createFakeTimers();
+  const admission = createAdmission({slots: 1, queueLength: 100, clock});
+  const {events, offer} = recordTickets(admission);
+  for (let count = 0; count < 40; count++) {
+    offer('large', {workspace: 'a', weight: 2});
+    offer('usual', {workspace: 'b'});
+  }
+  for (let count = 0; count < 29; count++) admission.done(10);
+  const large = events.filter(event => event === 'large starts').length;
+  t.true(large >= 19 && large <= 21, `${large} of 30`);
+});
