Calls without a workspace weigh as much as all workspaces

In fair order such calls were one workspace among 77. Change: they get as much of the room as all workspaces together.

--- a/src/request/decisions/workspace-weights.ts
+++ b/src/request/decisions/workspace-weights.ts
@@ -22,7 +22,11 @@
  */
 export const weightExponent = 0.7;
 
-/** The weight of a workspace; 1 without a workspace or without a quota. */
+/**
+ * The weight of a workspace; 1 without a quota. Calls without a workspace weigh
+ * as much as all workspaces: most are calls of upstreams, and the request that
+ * waits for one holds a slot at another upstream and fails with it.
+ */
 export type WorkspaceWeights = (workspace: string | undefined) => number;
 
 /** Creates the weights from the quotas of the configuration in force. */
@@ -45,7 +49,8 @@
 
   return workspace => {
     const current = configuration();
-    if (workspace === undefined || current === undefined) return 1;
+    if (current === undefined) return 1;
+    if (workspace === undefined) return Math.max(1, current.workspaces.size);
     const rate = current.workspaces.get(workspace)?.quota?.rate;
     const usual = meanRate(current);
     if (rate === undefined || rate === 0 || usual === 0) return 1;
