--- a/src/request/decisions/placement.ts
+++ b/src/request/decisions/placement.ts
@@ -37,8 +37,9 @@
 /**
  * Expected milliseconds until the answer of a call that is sent now, from the
  * utilization of the instance. Above 1, calls wait until those before them have
- * ended, and a slow instance makes them late. `kind` are the durations of calls of the same kind, `all` those of all
- * calls of the service; undefined before the first duration.
+ * ended, and a slow instance makes them late. `kind` are the durations of calls
+ * of the same kind, `all` those of all calls of the service. Undefined before
+ * the first duration.
  */
 export function finishByLoad(
   candidate: Candidate,
