One form of a key and one short digest for entry and configuration

Two parts that were built side by side each had the form of a key and the short digest. Had one of them changed, the configuration would have accepted keys that no request can be authenticated with, or log lines would have named keys otherwise than operators' commands.

--- a/src/request/key-check.ts
+++ b/src/request/key-check.ts
@@ -1,6 +1,7 @@
 /** Checks the key of a caller's request, before its body is read. */
 import type {IncomingMessage} from 'node:http';
 import type {Workspace} from '../configuration/configuration.js';
+import {shortDigest} from '../configuration/short-digest.js';
 import {createLineBudget} from '../log/line-budget.js';
 import type {Log} from '../log/log.js';
 import type {KeyRefusalReason} from '../metrics/metrics.js';
@@ -9,7 +10,6 @@
 import type {Timers} from '../time/timers.js';
 import {createAuthenticator} from '../workspaces/authenticator.js';
 import type {Authentication, KeyState} from '../workspaces/authenticator.js';
-import {shortDigest} from '../workspaces/key-digest.js';
 import type {Refusal} from './messages/call.js';
 import {requestCodes} from './messages/codes.js';
 import {createRefusal} from './messages/refusal.js';
--- a/src/workspaces/key-digest.test.ts
+++ b/src/workspaces/key-digest.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import {digestOfKey, shortDigest} from './key-digest.js';
+import {shortDigest} from '../configuration/short-digest.js';
+import {digestOfKey} from './key-digest.js';
 
 // Digests are stored in logs and snapshots, so another form would make every
 // known key unknown after an upgrade.
--- a/src/workspaces/key-digest.ts
+++ b/src/workspaces/key-digest.ts
@@ -8,11 +8,3 @@
 export function digestOfKey(key: string): string {
   return createHash('sha256').update(key).digest('base64url');
 }
-
-/** Hexadecimal digits of a digest in log lines. */
-const shortLength = 8;
-
-/** The beginning of a digest, by which log lines tell keys apart. */
-export function shortDigest(digest: string): string {
-  return Buffer.from(digest, 'base64url').toString('hex').slice(0, shortLength);
-}
--- a/src/workspaces/key-header.test.ts
+++ b/src/workspaces/key-header.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import {maxKeyLength, readKey} from './key-header.js';
+import {maxKeyLength} from './key-form.js';
+import {readKey} from './key-header.js';
 
 const read = (...values: string[]) => readKey(values, 'Token');
 
--- a/src/workspaces/key-header.ts
+++ b/src/workspaces/key-header.ts
@@ -1,11 +1,4 @@
-/** Maximum length of a key; a longer one is refused without hashing it. */
-export const maxKeyLength = 256;
-
-/**
- * Visible ASCII without a comma, which separates the values of a list. Node.js
- * decodes other bytes as Latin-1, so that one key would have two spellings.
- */
-const keyForm = /^[\x21-\x2b\x2d-\x7e]+$/;
+import {isKey} from './key-form.js';
 
 /** Whitespace around the value of a field (RFC 9110, 5.6.3). */
 const outerWhitespace = /^[ \t]+|[ \t]+$/g;
@@ -28,6 +21,5 @@
     return undefined;
   }
   const key = trimmed.slice(schemeEnd).replace(/^ +/, '');
-  if (key.length > maxKeyLength || !keyForm.test(key)) return undefined;
-  return key;
+  return isKey(key) ? key : undefined;
 }
