Review case: a late heartbeat brings back an instance that has left

The memory of ended incarnations is lost with the node's process. After a kill and restart of the node, a heartbeat that was sent before the leave and arrives late is adopted, and the instance gets bookings until it exits.

--- a/review/lib/instance.mjs
+++ b/review/lib/instance.mjs
@@ -26,6 +26,7 @@
   let sequence = 0;
   let state = 'ready';
   let isSilent = false;
+  let hasEnded = false;
   const born = Date.now();
   const [host, port] = machine.app.split(':');
 
@@ -84,6 +85,7 @@
           bytes: Buffer.concat(parts).length,
         });
         setTimeout(() => {
+          if (hasEnded) return;
           running.delete(requestId);
           log('ran', {instance: id, request: requestId});
           send(
@@ -98,6 +100,7 @@
   server.listen(Number(port), host);
 
   function call(method, body) {
+    const text = JSON.stringify(body);
     return new Promise(resolve => {
       const [controlHost, controlPort] = machine.control.split(':');
       const outgoing = httpRequest(
@@ -106,7 +109,10 @@
           port: Number(controlPort),
           method,
           path: `/v1/instances/${id}`,
-          headers: {'content-type': 'application/json'},
+          headers: {
+            'content-type': 'application/json',
+            'content-length': Buffer.byteLength(text),
+          },
           timeout: 1000,
           agent: false,
         },
@@ -117,19 +123,24 @@
       );
       outgoing.on('timeout', () => outgoing.destroy());
       outgoing.on('error', () => resolve(undefined));
-      outgoing.end(JSON.stringify(body));
+      outgoing.end(text);
     });
   }
 
-  async function beat() {
-    if (isSilent) return undefined;
+  /** The next heartbeat; it is sent when the returned function is called. */
+  function prepareHeartbeat() {
     sequence++;
-    return call('PUT', {
+    const body = {
       born,
       address: machine.app,
       info: {service, version: 'v1', zone: machine.zone, slots},
       status: {state, sequence, warmup_remaining_s: 0},
-    });
+    };
+    return () => call('PUT', body);
+  }
+
+  async function beat() {
+    return isSilent ? undefined : prepareHeartbeat()();
   }
 
   const timer = setInterval(() => void beat(), heartbeatInterval);
@@ -142,6 +153,7 @@
     running,
     server,
     beat,
+    prepareHeartbeat,
     drain: () => {
       state = 'draining';
       return beat();
@@ -154,6 +166,7 @@
       return call('DELETE', {born});
     },
     stop: () => {
+      hasEnded = true;
       clearInterval(timer);
       isSilent = true;
       server.close();
