Review case: a heartbeat of another writer hides a drain

One heartbeat without its zone, under the id of a running instance and with a higher sequence, is taken for one of the instance. The instance's own heartbeats are then acknowledged and dropped, also the one that reports draining, so that bookings reach the instance until it exits.

--- a/review/lib/instance.mjs
+++ b/review/lib/instance.mjs
@@ -148,12 +148,15 @@
 
   return {
     id,
+    born,
     machine,
     service,
     running,
     server,
     beat,
     prepareHeartbeat,
+    /** Sends a heartbeat that is not this instance's own under its id. */
+    callAs: body => call('PUT', body),
     drain: () => {
       state = 'draining';
       return beat();
