Review case: a heartbeat of another writer turns an instance to another service

One heartbeat without its zone, under the id of a running instance but with the name of another service, is taken for one of the instance. Requests for the other service are run there, and their clients get that answer as a success.

--- a/review/lib/instance.mjs
+++ b/review/lib/instance.mjs
@@ -15,6 +15,7 @@
   service,
   id = `i-${randomBytes(5).toString('hex')}`,
   slots = 8,
+  hasBorn = true,
   work = () => 30,
   log,
   decide = () => undefined,
@@ -27,7 +28,8 @@
   let state = 'ready';
   let isSilent = false;
   let hasEnded = false;
-  const born = Date.now();
+  /** Absent on deployments where no id is used again. */
+  const born = hasBorn ? Date.now() : undefined;
   const [host, port] = machine.app.split(':');
 
   const server = createServer(
