--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -21,14 +21,14 @@
 
 const hasTrouble = process.env.TROUBLE !== '0';
 /** Share of the requests that the instances reject, in both runs. */
-const rejectedShare = 0.15;
+const rejectedShare = 0.1;
 /** Number of instances, of five, that send extra answers. */
 const faultyInstances = 3;
 /** Share of their answers, of any kind, that they send a second time. */
 const extraShare = 0.03;
 const troubleSeconds = 5;
 const trafficSeconds = 9;
-const perSecond = 700;
+const perSecond = 900;
 
 const folder = mkdtempSync(join(tmpdir(), 'review-'));
 const record = createRecord(
