The answer of a running request is delivered after a late answer

Callers saw: 502 for a request that its instance ran and answered.

Cause: a late copy of an earlier answer was handed to the request that waits on the connection. It was recognized by its id, but the HTTP client had taken it for the end of the exchange, so the connection was closed while the instance still ran the request, and the answer that followed was thrown away.

Change: bytes from an instance pass a filter before the HTTP client. It reads heads until the one that bears the id of the request, removes answers with another id by their length, counts them (foxbarrow_upstream_signals, kind stray) and logs the first. Where the end of such an answer can't be told (no length, chunks, a HEAD request on the connection before), or where an answer bears no id, it passes, and the outcome is unknown as before. On an idle connection a late answer closes the connection as before; while an upload is sent it no longer ends the upload.

Without the safeguard strayAnswers the own answer is lost.

--- a/src/admin/report-load.ts
+++ b/src/admin/report-load.ts
@@ -49,5 +49,6 @@
     limit: report?.limiter.rate,
     isLeaving: report?.isLeaving ?? false,
     malformed: report?.malformed ?? 0,
+    stray: report?.stray ?? 0,
   });
 }
--- a/src/request/decisions/upstream-report.ts
+++ b/src/request/decisions/upstream-report.ts
@@ -23,6 +23,10 @@
   readonly isLeaving: boolean;
   /** Values that could not be parsed and were ignored. */
   readonly malformed: number;
+  /** Answers that were not to the request at which they arrived. */
+  readonly stray: number;
+  /** Records such an answer. */
+  recordStray(status: number): void;
   /** Applies what an answer reports. */
   apply(signals: UpstreamSignals): void;
   /**
@@ -65,6 +69,7 @@
   const leavingObservers: Array<() => void> = [];
   let isLeaving = false;
   let malformed = 0;
+  let stray = 0;
   let hasAnswered = false;
   let namedAt = -Infinity;
   let loggedAt = -Infinity;
@@ -130,6 +135,15 @@
     get malformed() {
       return malformed;
     },
+    get stray() {
+      return stray;
+    },
+    recordStray(status) {
+      stray++;
+      // The metric counts them.
+      if (stray > 1) return;
+      log.warn('answer to another request', {instance, status});
+    },
     apply(signals) {
       const {limit, leaving, load} = signals;
       if ([limit, leaving, load].includes('malformed')) {
--- a/src/request/messages/safeguards.ts
+++ b/src/request/messages/safeguards.ts
@@ -19,6 +19,8 @@
    * An answer without framing, which could be truncated unnoticed, is an error.
    */
   readonly framing: boolean;
+  /** Answers to other requests are removed if they can be recognized. */
+  readonly strayAnswers: boolean;
   /** A truncated answer resets its connection, which its receiver notices. */
   readonly visibleCuts: boolean;
   /** A gate accepts only calls that are addressed to its instance. */
@@ -53,6 +55,7 @@
   framedLinks: true,
   internalHeaders: true,
   framing: true,
+  strayAnswers: true,
   visibleCuts: true,
   instanceCheck: true,
   versionCheck: true,
--- /dev/null
+++ b/src/request/transport/stray-answers.ts
@@ -0,0 +1,157 @@
+/**
+ * Recognizes answers to other requests on an upstream's connection by the
+ * request id that upstreams repeat. An upstream may send an answer a second
+ * time, at the point where the answer to the next request is expected. The next
+ * request is already running then, and its own answer follows.
+ */
+
+/** Distinguishes the answer to one request from those to others. */
+export interface AnswerIdentity {
+  /** Lower-case name of the header that repeats the id of the request. */
+  readonly header: string;
+  readonly id: string;
+  /** Called with the status of each answer that was removed. */
+  readonly onStray: (status: number) => void;
+}
+
+/** Removes stray answers from the bytes of one connection. */
+export interface StrayAnswerFilter {
+  /**
+   * Starts to look for the answer to a request; without an identity all bytes
+   * pass.
+   */
+  expect(method: string, identity: AnswerIdentity | undefined): void;
+  /** The next bytes without stray answers; empty if all are held or removed. */
+  filter(chunk: Buffer): Buffer;
+}
+
+/** Maximum size of an answer's head in bytes; a larger one passes as it is. */
+const maxHeadSize = 16 * 1024;
+
+const headEnd = '\r\n\r\n';
+const versionPrefix = 'HTTP/1.';
+const nothing: Buffer = Buffer.alloc(0);
+const colon = ':'.charCodeAt(0);
+
+/** What follows on the connection. */
+type Position =
+  /** The start of an answer's head. */
+  | 'head'
+  /** The body of a stray answer. */
+  | 'stray-body'
+  /** The answer to the request, or bytes that can't be assigned. */
+  | 'answer';
+
+/** Creates the filter of a connection that has carried no request yet. */
+export function createStrayAnswerFilter(): StrayAnswerFilter {
+  let position: Position = 'answer';
+  let identity: AnswerIdentity | undefined;
+  let hasSentHeadRequest = false;
+  /** The beginning of an incomplete head. */
+  let held = nothing;
+  /** Bytes of a stray body that have not arrived. */
+  let strayBytes = 0;
+
+  /** Removes what has arrived of a stray body. */
+  function skipBody(bytes: Buffer): Buffer {
+    const count = Math.min(strayBytes, bytes.length);
+    strayBytes -= count;
+    if (strayBytes === 0) position = 'head';
+    return bytes.subarray(count);
+  }
+
+  /** Handles a complete head that ends at `size`; returns the rest. */
+  function handleHead(bytes: Buffer, size: number, passed: Buffer[]): Buffer {
+    const head = parseHead(bytes.toString('latin1', 0, size), identity!.header);
+    if (head !== undefined && head.status < 200) {
+      passed.push(bytes.subarray(0, size));
+      return bytes.subarray(size);
+    }
+    const isStray = head?.id !== undefined && head.id !== identity!.id;
+    if (!isStray || head.bodySize === undefined || hasSentHeadRequest) {
+      position = 'answer';
+      return bytes;
+    }
+    identity!.onStray(head.status);
+    strayBytes = head.bodySize;
+    if (strayBytes > 0) position = 'stray-body';
+    return bytes.subarray(size);
+  }
+
+  return {
+    expect: (method, expected) => {
+      // The answer to a HEAD request has a length but no body, so the end of a
+      // second copy is unknown.
+      if (method === 'HEAD') hasSentHeadRequest = true;
+      identity = expected;
+      position = expected === undefined ? 'answer' : 'head';
+    },
+    filter: chunk => {
+      if (position === 'answer') return chunk;
+      const passed: Buffer[] = [];
+      let rest = held.length === 0 ? chunk : Buffer.concat([held, chunk]);
+      held = nothing;
+      while (rest.length > 0) {
+        if (position === 'stray-body') {
+          rest = skipBody(rest);
+          continue;
+        }
+        const end = position === 'head' ? rest.indexOf(headEnd) : -1;
+        if (end < 0) break;
+        rest = handleHead(rest, end + headEnd.length, passed);
+      }
+      if (position === 'head' && isPartOfHead(rest)) held = rest;
+      else if (rest.length > 0) {
+        position = 'answer';
+        passed.push(rest);
+      }
+      return passed.length === 1 ? passed[0]! : Buffer.concat(passed);
+    },
+  };
+}
+
+/** Whether bytes may be the beginning of an answer's head. */
+function isPartOfHead(bytes: Buffer): boolean {
+  if (bytes.length > maxHeadSize) return false;
+  const start = bytes.toString('latin1', 0, versionPrefix.length);
+  return versionPrefix.startsWith(start);
+}
+
+/** The parts of an answer's head that identify and delimit it. */
+interface ParsedHead {
+  readonly status: number;
+  readonly id: string | undefined;
+  /** Undefined if it can't be told from the head alone. */
+  readonly bodySize: number | undefined;
+}
+
+const statusLine = /^HTTP\/1\.[01] (\d{3})[ \r]/;
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
+
+function parseHead(text: string, idHeader: string): ParsedHead | undefined {
+  const status = statusLine.exec(text)?.[1];
+  if (status === undefined) return undefined;
+  const number = Number(status);
+  const [id] = fieldValues(text, idHeader);
+  return {status: number, id, bodySize: bodySizeOf(number, text)};
+}
+
+function bodySizeOf(status: number, text: string): number | undefined {
+  if (statusesWithoutBody.has(status)) return 0;
+  if (fieldValues(text, 'transfer-encoding').length > 0) return undefined;
+  const lengths = fieldValues(text, 'content-length');
+  const [length] = lengths;
+  const isLength = lengths.length === 1 && /^\d{1,15}$/.test(length!);
+  return isLength ? Number(length) : undefined;
+}
+
+/** The values of the fields with a lower-case name. */
+function fieldValues(head: string, name: string): string[] {
+  const values: string[] = [];
+  for (const line of head.split('\r\n')) {
+    if (line.charCodeAt(name.length) !== colon) continue;
+    if (line.slice(0, name.length).toLowerCase() !== name) continue;
+    values.push(line.slice(name.length + 1).trim());
+  }
+  return values;
+}
--- a/src/request/transport/upstream-link.ts
+++ b/src/request/transport/upstream-link.ts
@@ -7,8 +7,9 @@
 import type {Call} from '../messages/call.js';
 import type {Safeguards} from '../messages/safeguards.js';
 import type {ConnectionPool} from './connection-pool.js';
-import {endToEndHeaders} from './headers.js';
+import {endToEndHeaders, findHeader} from './headers.js';
 import {sendRequest} from './sending.js';
+import type {AnswerIdentity} from './stray-answers.js';
 import type {ResponseReceiver} from './sending.js';
 import type {UpstreamProtocol} from './upstream-protocol.js';
 
@@ -16,12 +17,20 @@
 export interface UpstreamLinkOptions {
   readonly connections: ConnectionPool;
   readonly protocol: UpstreamProtocol;
-  readonly safeguards: Pick<Safeguards, 'framing' | 'internalHeaders'>;
+  readonly safeguards: Pick<
+    Safeguards,
+    'framing' | 'internalHeaders' | 'strayAnswers'
+  >;
+  /**
+   * Called with the status of each answer that was not to the request at which
+   * it arrived.
+   */
+  readonly onStray: (status: number) => void;
 }
 
 /** Creates the link to one upstream. */
 export function createUpstreamLink(options: UpstreamLinkOptions): UpstreamLink {
-  const {connections, protocol, safeguards} = options;
+  const {connections, protocol, safeguards, onStray} = options;
   const headerOptions = {
     dropsInternal: safeguards.internalHeaders,
     foreign: protocol.foreign,
@@ -32,6 +41,7 @@
       began: () => receiver.began(),
       interim: () => {},
       head: (status, reason, raw) => {
+        if (!isAnswerTo(call, raw)) onStray(status);
         const signals = protocol.signals(call, {status, headers: raw});
         if (signals !== undefined) receiver.signals(signals);
         const rejection = safeguards.framing
@@ -50,11 +60,24 @@
     };
   }
 
+  /** Whether an answer bears the id of the call, where answers bear one. */
+  function isAnswerTo({id}: Call, headers: readonly Buffer[]): boolean {
+    const {answerId} = protocol;
+    return answerId === undefined || findHeader(headers, answerId) === id;
+  }
+
+  function identityOf({id}: Call): AnswerIdentity | undefined {
+    const {answerId} = protocol;
+    if (answerId === undefined || !safeguards.strayAnswers) return undefined;
+    return {header: answerId, id, onStray};
+  }
+
   return {
     send: (call, timeLeft, receiver): PendingRequest | undefined => {
       const {method, path, body} = call;
       const headers = [...call.headers, ...protocol.headers(call, timeLeft)];
-      const outgoing = {method, path, headers, body};
+      const needs = {identity: identityOf(call)};
+      const outgoing = {method, path, headers, body, needs};
       return sendRequest(connections, outgoing, translate(call, receiver));
     },
   };
