A second attempt at an instance gets a connection of its own

A late copy of the first rejection then bears the id of the running attempt, and the id can't tell them apart: the request was reported as not run though it ran.

Change: a link keeps the ids of rejected calls that must not run twice, the last 4,096, and sends a further attempt on a connection that has carried no request. A copy of the rejection can only arrive on the old one, where it closes the idle connection, or is removed before the answer to the next request.

Requests that may run twice keep their connection.

--- a/src/request/messages/safeguards.ts
+++ b/src/request/messages/safeguards.ts
@@ -21,6 +21,11 @@
   readonly framing: boolean;
   /** Answers to other requests are removed if they can be recognized. */
   readonly strayAnswers: boolean;
+  /**
+   * A call that must not run twice is sent again on a connection that no answer
+   * to its last attempt can arrive on.
+   */
+  readonly separateAttempts: boolean;
   /** A truncated answer resets its connection, which its receiver notices. */
   readonly visibleCuts: boolean;
   /** A gate accepts only calls that are addressed to its instance. */
@@ -56,6 +61,7 @@
   internalHeaders: true,
   framing: true,
   strayAnswers: true,
+  separateAttempts: true,
   visibleCuts: true,
   instanceCheck: true,
   versionCheck: true,
--- a/src/request/transport/upstream-link.ts
+++ b/src/request/transport/upstream-link.ts
@@ -19,7 +19,7 @@
   readonly protocol: UpstreamProtocol;
   readonly safeguards: Pick<
     Safeguards,
-    'framing' | 'internalHeaders' | 'strayAnswers'
+    'framing' | 'internalHeaders' | 'strayAnswers' | 'separateAttempts'
   >;
   /**
    * Called with the status of each answer that was not to the request at which
@@ -28,6 +28,9 @@
   readonly onStray: (status: number) => void;
 }
 
+/** Maximum number of rejected calls whose ids are kept. */
+const maxRejectedCalls = 4096;
+
 /** Creates the link to one upstream. */
 export function createUpstreamLink(options: UpstreamLinkOptions): UpstreamLink {
   const {connections, protocol, safeguards, onStray} = options;
@@ -36,6 +39,22 @@
     foreign: protocol.foreign,
   };
 
+  /**
+   * Ids of calls that the upstream rejected and that must not run twice. The
+   * next attempt of such a call bears the same id, so a late copy of the
+   * rejection could be taken for its answer. It can only arrive on the
+   * connection of the first attempt.
+   */
+  const rejectedCalls = new Set<string>();
+
+  function recordRejection({id, repeatability}: Call): void {
+    if (repeatability === 'idempotent') return;
+    rejectedCalls.add(id);
+    if (rejectedCalls.size <= maxRejectedCalls) return;
+    const [oldest] = rejectedCalls;
+    rejectedCalls.delete(oldest!);
+  }
+
   function translate(call: Call, receiver: UpstreamReceiver): ResponseReceiver {
     return {
       began: () => receiver.began(),
@@ -47,7 +66,10 @@
         const rejection = safeguards.framing
           ? protocol.checkAnswer(call, {status, headers: raw})
           : undefined;
-        if (rejection !== undefined) return receiver.rejected(rejection);
+        if (rejection !== undefined) {
+          recordRejection(call);
+          return receiver.rejected(rejection);
+        }
         receiver.head({
           status,
           reason,
@@ -76,7 +98,8 @@
     send: (call, timeLeft, receiver): PendingRequest | undefined => {
       const {method, path, body} = call;
       const headers = [...call.headers, ...protocol.headers(call, timeLeft)];
-      const needs = {identity: identityOf(call)};
+      const isNew = safeguards.separateAttempts && rejectedCalls.has(call.id);
+      const needs = {identity: identityOf(call), isNew};
       const outgoing = {method, path, headers, body, needs};
       return sendRequest(connections, outgoing, translate(call, receiver));
     },
