A stop takes only requests that can end before it

Cause: a node that stops takes requests for 3.5 s after SIGTERM and cuts off all of them at 5.0 s, whatever their deadlines. A request with a deadline of 2 s that came after 3.0 s could run into the cut, and nothing looked at the time left: neither the entry when it took the request or tried another instance, nor the gate, at which requests of other nodes run.

Change: from the stop signal on an attempt starts only if its deadline is before the end of the stop, or if the slowest recent request of its policy, and a quarter more, ends before it. Others are refused at once as not run: by the entry to its caller, by the gate to the entry, which tries another instance.

--- a/src/node/planned-stop.test.ts
+++ b/src/node/planned-stop.test.ts
@@ -35,6 +35,7 @@
       entry: {stop: record('entry')},
       gate: {stop: record('gate')},
       gateServer: {stop: record('links')},
+      stopLimit: {begin: end => void steps.push(`limit until ${end}`)},
       handOverClaims: record('claims'),
       gracePeriod,
       timers,
@@ -50,13 +51,14 @@
   // wait or be refused although all instances are healthy.
   const {timers, steps, stopped} = setUp();
   await settle();
-  t.deepEqual(steps, ['entry at 0']);
+  t.deepEqual(steps, ['limit until 5000', 'entry at 0']);
   timers.advance(1_999);
   await settle();
-  t.is(steps.length, 1);
+  t.is(steps.length, 2);
   timers.advance(1);
   await stopped;
   t.deepEqual(steps, [
+    'limit until 5000',
     'entry at 0',
     'heartbeats at 2000',
     'draining at 2000',
--- a/src/node/planned-stop.ts
+++ b/src/node/planned-stop.ts
@@ -3,6 +3,7 @@
 import type {Announcer} from '../endpoints/announcer.js';
 import type {Entry} from '../request/entry.js';
 import type {Gate} from '../request/gate.js';
+import type {StopLimit} from '../request/decisions/stop-limit.js';
 import type {Listener} from '../request/transport/listener.js';
 import type {Timers} from '../time/timers.js';
 
@@ -13,6 +14,7 @@
   readonly entry: Pick<Entry, 'stop'>;
   readonly gate: Pick<Gate, 'stop'>;
   readonly gateServer: Pick<Listener, 'stop'>;
+  readonly stopLimit: Pick<StopLimit, 'begin'>;
   /** Hands over the node's claims to other keepers within a time limit. */
   readonly handOverClaims: (limit: number) => Promise<void>;
   /** How long the entry still serves requests on keep-alive connections. */
@@ -38,6 +40,7 @@
   const {announcer, entry, gate, timers} = options;
   const end = timers.now() + deadline;
   const remaining = () => Math.max(0, end - timers.now());
+  options.stopLimit.begin(end);
   const entryStopped = entry.stop(remaining());
   await waitWithOpenGate(options, deadline);
   await options.announceServer?.close();
--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -11,6 +11,7 @@
 import type {Entry} from '../request/entry.js';
 import type {Gate} from '../request/gate.js';
 import type {Quotas} from '../quotas/quotas.js';
+import type {StopLimit} from '../request/decisions/stop-limit.js';
 import type {OutcomeRecorder} from '../rollouts/recorder.js';
 import {createGateServer} from '../request/transport/gate-server.js';
 import type {GateServer} from '../request/transport/gate-server.js';
@@ -39,6 +40,7 @@
   readonly linkShare: LinkShare | undefined;
   readonly outcomes: OutcomeRecorder;
   readonly quotas: Quotas;
+  readonly stopLimit: StopLimit;
   /** Called with each request that was answered after an earlier attempt lost its upstream. */
   readonly onCleared: (request: string) => void;
 }
@@ -101,6 +103,7 @@
     },
     outcomes: options.outcomes,
     quotas: options.quotas,
+    stopLimit: options.stopLimit,
     onCleared: options.onCleared,
     onKeyRefused: reason => metrics.keyRefused(reason),
     onOutcome: outcome => reportOutcome(metrics, configuration(), outcome),
--- a/src/request/fakes/mesh.ts
+++ b/src/request/fakes/mesh.ts
@@ -41,6 +41,8 @@
   readonly claims?: Claims;
   readonly gate?: Partial<GateOptions>;
   readonly entry?: Partial<EntryOptions>;
+  /** Created by default. */
+  readonly timers?: FakeTimers;
   readonly gateSafeguards?: Partial<Safeguards>;
   /** Whether the entry is on the node of the first upstream. */
   readonly sameNode?: boolean;
@@ -71,7 +73,7 @@
 export async function createMesh(options: MeshOptions): Promise<Mesh> {
   const configuration = options.configuration ?? (() => stockConfiguration);
   const endpoints = createFakeEndpoints();
-  const timers = createFakeTimers();
+  const timers = options.timers ?? createFakeTimers();
   const members: Member[] = [];
   let lastIncarnation = 1;
   const upstreamAddresses: string[] = [];
--- a/src/settings/stop-deadline.ts
+++ b/src/settings/stop-deadline.ts
@@ -7,7 +7,7 @@
  * parts are closed and the last log lines are written, even if the process gets
  * only a small share of a core.
  */
-const closingTime = 1_000;
+const closingTime = 500;
 
 /**
  * Returns how many milliseconds a planned stop may take. It depends on
