A node closes its links while its entry finishes requests

Callers saw: refused connections for half a second longer than needed, each time a node was restarted.

Cause: a stop waited for the entry's last request and only then closed the gate's links, which takes 0.5 s so that calls in transit are refused as not run. The gate has been closed to new calls for seconds by then.

Change: the links are closed once the gate is idle, beside the entry's stop.

--- a/src/node/planned-stop.test.ts
+++ b/src/node/planned-stop.test.ts
@@ -4,7 +4,11 @@
 import {createFakeTimers, settle} from '../time/fakes/fake-timers.js';
 import {stopInOrder} from './planned-stop.js';
 
-function setUp({gracePeriod = 3_500, hasUpstream = true} = {}) {
+function setUp({
+  gracePeriod = 3_500,
+  hasUpstream = true,
+  entryStopped = Promise.resolve(),
+} = {}) {
   const timers = createFakeTimers();
   const steps: string[] = [];
   const record = (step: string) => async () => {
@@ -32,7 +36,12 @@
     {
       announcer,
       announceServer: {address: '127.0.0.1:3', close: record('heartbeats')},
-      entry: {stop: record('entry')},
+      entry: {
+        stop: async () => {
+          await record('entry')();
+          await entryStopped;
+        },
+      },
       gate: {stop: record('gate')},
       gateServer: {stop: record('links')},
       stopLimit: {begin: end => void steps.push(`limit until ${end}`)},
@@ -76,3 +85,19 @@
     t.true(steps.includes('gate at 0'));
   });
 }
+
+test('the links of a gate close while the entry finishes its requests', async t => {
+  // A node was away for longer, as it closed them one after the other.
+  let finishEntry = () => {};
+  const entryStopped = new Promise<void>(resolve => (finishEntry = resolve));
+  const {timers, steps, stopped} = setUp({entryStopped});
+  await settle();
+  timers.advance(2_000);
+  await settle();
+  t.true(steps.includes('links at 2000'));
+  t.false(steps.includes('gone at 2000'));
+  timers.advance(1_000);
+  finishEntry();
+  await stopped;
+  t.is(steps.at(-1), 'gone at 3000');
+});
--- a/src/node/planned-stop.ts
+++ b/src/node/planned-stop.ts
@@ -52,11 +52,16 @@
   }
   await Promise.all([
     entryStopped,
-    gate.stop(remaining()),
+    stopGate(),
     options.handOverClaims(remaining()),
   ]);
-  await options.gateServer.stop(remaining());
   announcer.withdraw();
+
+  /** Closes the links too, which takes time that need not follow the entry's. */
+  async function stopGate(): Promise<void> {
+    await gate.stop(remaining());
+    await options.gateServer.stop(remaining());
+  }
 }
 
 function waitWithOpenGate(
