A repeated SIGTERM does not abort a stop that the platform bounds

A VM that is restarted in turn and taken away at the same time gets two.

SIGINT still ends the process at once, and so does SIGTERM where nobody else bounds the stop.

--- a/src/cli/stop-signals.ts
+++ b/src/cli/stop-signals.ts
@@ -9,6 +9,8 @@
   readonly signals: EventEmitter;
   /** Starts the planned stop; resolves when all work in flight has ended. */
   readonly stop: () => Promise<void>;
+  /** Whether the platform kills the process if the stop takes too long. */
+  readonly isKilledLater: boolean;
   /** Ends the process. */
   readonly exit: (code: number) => void;
   readonly log: Log;
@@ -17,13 +19,18 @@
 /**
  * Starts a planned stop on SIGTERM or SIGINT. A second signal means that the
  * operator does not want to wait: it ends the process at once and aborts the work
- * in flight.
+ * in flight. A platform that kills the process later sends SIGTERM for each reason
+ * to stop it, so there a second one must not abort anything.
  */
 export function handleStopSignals(options: StopOptions): void {
   const {signals, stop, exit, log} = options;
   let isStopping = false;
 
   function receive(signal: StopSignal): void {
+    if (isStopping && signal === 'SIGTERM' && options.isKilledLater) {
+      log.info('stop signal repeated', {signal});
+      return;
+    }
     if (isStopping) {
       log.warn('second stop signal; exiting immediately', {signal});
       exit(signalExitCode(signal));
