--- a/src/request/transport/stray-answers.ts
+++ b/src/request/transport/stray-answers.ts
@@ -5,6 +5,8 @@
  * request is already running then, and its own answer follows.
  */
 
+import {firstFinalStatus} from '../messages/status.js';
+
 /** Distinguishes the answer to one request from those to others. */
 export interface AnswerIdentity {
   /** Lower-case name of the header that repeats the id of the request. */
@@ -62,22 +64,28 @@
 
   /** Handles a complete head that ends at `size`; returns the rest. */
   function handleHead(bytes: Buffer, size: number, passed: Buffer[]): Buffer {
-    const head = parseHead(bytes.toString('latin1', 0, size), identity!.header);
-    if (head !== undefined && head.status < 200) {
+    const head = bytes.toString('latin1', 0, size);
+    const status = statusOf(head);
+    if (status !== undefined && status < firstFinalStatus) {
       passed.push(bytes.subarray(0, size));
       return bytes.subarray(size);
     }
-    const isStray = head?.id !== undefined && head.id !== identity!.id;
-    if (!isStray || head.bodySize === undefined || hasSentHeadRequest) {
+    const bodySize = isStray(head) ? bodySizeOf(status, head) : undefined;
+    if (bodySize === undefined) {
       position = 'answer';
       return bytes;
     }
-    identity!.onStray(head.status);
-    strayBytes = head.bodySize;
+    identity!.onStray(status!);
+    strayBytes = bodySize;
     if (strayBytes > 0) position = 'stray-body';
     return bytes.subarray(size);
   }
 
+  function isStray(head: string): boolean {
+    const [id] = fieldValues(head, identity!.header);
+    return id !== undefined && id !== identity!.id && !hasSentHeadRequest;
+  }
+
   return {
     expect: (method, expected) => {
       // The answer to a HEAD request has a length but no body, so the end of a
@@ -117,29 +125,23 @@
   return versionPrefix.startsWith(start);
 }
 
-/** The parts of an answer's head that identify and delimit it. */
-interface ParsedHead {
-  readonly status: number;
-  readonly id: string | undefined;
-  /** Undefined if it can't be told from the head alone. */
-  readonly bodySize: number | undefined;
-}
-
 const statusLine = /^HTTP\/1\.[01] (\d{3})[ \r]/;
 const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
-function parseHead(text: string, idHeader: string): ParsedHead | undefined {
-  const status = statusLine.exec(text)?.[1];
-  if (status === undefined) return undefined;
-  const number = Number(status);
-  const [id] = fieldValues(text, idHeader);
-  return {status: number, id, bodySize: bodySizeOf(number, text)};
+function statusOf(head: string): number | undefined {
+  const status = statusLine.exec(head)?.[1];
+  return status === undefined ? undefined : Number(status);
 }
 
-function bodySizeOf(status: number, text: string): number | undefined {
+/** The size of an answer's body; undefined if the head alone doesn't tell. */
+function bodySizeOf(
+  status: number | undefined,
+  head: string,
+): number | undefined {
+  if (status === undefined) return undefined;
   if (statusesWithoutBody.has(status)) return 0;
-  if (fieldValues(text, 'transfer-encoding').length > 0) return undefined;
-  const lengths = fieldValues(text, 'content-length');
+  if (fieldValues(head, 'transfer-encoding').length > 0) return undefined;
+  const lengths = fieldValues(head, 'content-length');
   const [length] = lengths;
   const isLength = lengths.length === 1 && /^\d{1,15}$/.test(length!);
   return isLength ? Number(length) : undefined;
