--- a/src/node/planned-stop.ts
+++ b/src/node/planned-stop.ts
@@ -37,7 +37,7 @@
   options: PlannedStopOptions,
   deadline: number,
 ): Promise<void> {
-  const {announcer, entry, gate, timers} = options;
+  const {announcer, entry, timers} = options;
   const end = timers.now() + deadline;
   const remaining = () => Math.max(0, end - timers.now());
   options.stopLimit.begin(end);
@@ -52,16 +52,19 @@
   }
   await Promise.all([
     entryStopped,
-    stopGate(),
+    stopGate(options, remaining),
     options.handOverClaims(remaining()),
   ]);
   announcer.withdraw();
+}
 
-  /** Closes the links too, which takes time that need not follow the entry's. */
-  async function stopGate(): Promise<void> {
-    await gate.stop(remaining());
-    await options.gateServer.stop(remaining());
-  }
+/** Stops the gate, then its links, which are open while calls run. */
+async function stopGate(
+  {gate, gateServer}: PlannedStopOptions,
+  remaining: () => number,
+): Promise<void> {
+  await gate.stop(remaining());
+  await gateServer.stop(remaining());
 }
 
 function waitWithOpenGate(
