Late answers and stops: less code, checks in one place

- The platform's protocol compared the request id twice for each answer, and the link a third time.
The protocol compares it once to classify, and the link only for an answer that was refused, to count it.
With the test switch `framing` off, answers to other requests are no longer counted.
- The filter of late answers is a loop over two steps, the head and the body of a late answer; a status that is missing is handled where it is read.
- Which statuses have no body stood in the filter and in the default protocol.
- The time left in a stop comes from `delayUntil`, in the role's stop and in its twin, the node's.

--- a/src/cli/role-stop.ts
+++ b/src/cli/role-stop.ts
@@ -1,4 +1,5 @@
 import type {RunningRole} from '../process/role.js';
+import {delayUntil} from '../time/deadline.js';
 import type {Timers} from '../time/timers.js';
 
 /** Options of `createRoleStop`; times in milliseconds. */
@@ -34,6 +35,6 @@
   return async () => {
     const end = timers.now() + deadline;
     const role = await waitForStart();
-    await role?.stop(Math.max(0, end - timers.now()));
+    await role?.stop(delayUntil(end, timers.now()));
   };
 }
--- a/src/node/planned-stop.ts
+++ b/src/node/planned-stop.ts
@@ -5,6 +5,7 @@
 import type {Gate} from '../request/gate.js';
 import type {StopLimit} from '../request/decisions/stop-limit.js';
 import type {Listener} from '../request/transport/listener.js';
+import {delayUntil} from '../time/deadline.js';
 import type {Timers} from '../time/timers.js';
 
 /** Options of `stopInOrder`; times in milliseconds. */
@@ -39,7 +40,7 @@
 ): Promise<void> {
   const {announcer, entry, timers} = options;
   const end = timers.now() + deadline;
-  const remaining = () => Math.max(0, end - timers.now());
+  const remaining = () => delayUntil(end, timers.now());
   options.stopLimit.begin(end);
   const entryStopped = entry.stop(remaining());
   await waitWithOpenGate(options, deadline);
--- a/src/request/transport/stray-answers.ts
+++ b/src/request/transport/stray-answers.ts
@@ -4,8 +4,7 @@
  * time, at the point where the answer to the next request is expected. The next
  * request is already running then, and its own answer follows.
  */
-
-import {firstFinalStatus} from '../messages/status.js';
+import {firstFinalStatus, isBodyless} from '../messages/status.js';
 
 /** Distinguishes the answer to one request from those to others. */
 export interface AnswerIdentity {
@@ -54,6 +53,8 @@
   /** Bytes of a stray body that have not arrived. */
   let strayBytes = 0;
 
+  const isPassing = () => position === 'answer';
+
   /** Removes what has arrived of a stray body. */
   function skipBody(bytes: Buffer): Buffer {
     const count = Math.min(strayBytes, bytes.length);
@@ -62,28 +63,43 @@
     return bytes.subarray(count);
   }
 
-  /** Handles a complete head that ends at `size`; returns the rest. */
+  function passFromHere(bytes: Buffer): Buffer {
+    position = 'answer';
+    return bytes;
+  }
+
+  /** Reads the head at the start of `bytes`; returns what is left of them. */
+  function readHead(bytes: Buffer, passed: Buffer[]): Buffer {
+    const end = bytes.indexOf(headEnd);
+    if (end >= 0) return handleHead(bytes, end + headEnd.length, passed);
+    if (!isPartOfHead(bytes)) return passFromHere(bytes);
+    held = bytes;
+    return nothing;
+  }
+
+  /** Handles a complete head that ends at `size`. */
   function handleHead(bytes: Buffer, size: number, passed: Buffer[]): Buffer {
     const head = bytes.toString('latin1', 0, size);
     const status = statusOf(head);
-    if (status !== undefined && status < firstFinalStatus) {
+    if (status === undefined) return passFromHere(bytes);
+    if (status < firstFinalStatus) {
       passed.push(bytes.subarray(0, size));
       return bytes.subarray(size);
     }
-    const bodySize = isStray(head) ? bodySizeOf(status, head) : undefined;
-    if (bodySize === undefined) {
-      position = 'answer';
-      return bytes;
-    }
-    identity!.onStray(status!);
+    const bodySize = strayBodySize(status, head);
+    if (bodySize === undefined) return passFromHere(bytes);
+    identity!.onStray(status);
     strayBytes = bodySize;
     if (strayBytes > 0) position = 'stray-body';
     return bytes.subarray(size);
   }
 
-  function isStray(head: string): boolean {
+  /** Undefined if the answer is not stray, or if its end is unknown. */
+  function strayBodySize(status: number, head: string): number | undefined {
     const [id] = fieldValues(head, identity!.header);
-    return id !== undefined && id !== identity!.id && !hasSentHeadRequest;
+    const isStray = id !== undefined && id !== identity!.id;
+    if (!isStray || hasSentHeadRequest) return undefined;
+    return bodySizeOf(status, head);
   }
 
   return {
@@ -95,24 +111,14 @@
       position = expected === undefined ? 'answer' : 'head';
     },
     filter: chunk => {
-      if (position === 'answer') return chunk;
+      if (isPassing()) return chunk;
       const passed: Buffer[] = [];
       let rest = held.length === 0 ? chunk : Buffer.concat([held, chunk]);
       held = nothing;
-      while (rest.length > 0) {
-        if (position === 'stray-body') {
-          rest = skipBody(rest);
-          continue;
-        }
-        const end = position === 'head' ? rest.indexOf(headEnd) : -1;
-        if (end < 0) break;
-        rest = handleHead(rest, end + headEnd.length, passed);
-      }
-      if (position === 'head' && isPartOfHead(rest)) held = rest;
-      else if (rest.length > 0) {
-        position = 'answer';
-        passed.push(rest);
+      while (rest.length > 0 && !isPassing()) {
+        rest = position === 'head' ? readHead(rest, passed) : skipBody(rest);
       }
+      if (rest.length > 0) passed.push(rest);
       return passed.length === 1 ? passed[0]! : Buffer.concat(passed);
     },
   };
@@ -126,7 +132,6 @@
 }
 
 const statusLine = /^HTTP\/1\.[01] (\d{3})[ \r]/;
-const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
 function statusOf(head: string): number | undefined {
   const status = statusLine.exec(head)?.[1];
@@ -134,12 +139,8 @@
 }
 
 /** The size of an answer's body; undefined if the head alone doesn't tell. */
-function bodySizeOf(
-  status: number | undefined,
-  head: string,
-): number | undefined {
-  if (status === undefined) return undefined;
-  if (statusesWithoutBody.has(status)) return 0;
+function bodySizeOf(status: number, head: string): number | undefined {
+  if (isBodyless(status)) return 0;
   if (fieldValues(head, 'transfer-encoding').length > 0) return undefined;
   const lengths = fieldValues(head, 'content-length');
   const [length] = lengths;
--- a/src/request/transport/upstream-link.ts
+++ b/src/request/transport/upstream-link.ts
@@ -9,8 +9,8 @@
 import type {ConnectionPool} from './connection-pool.js';
 import {endToEndHeaders, findHeader} from './headers.js';
 import {sendRequest} from './sending.js';
-import type {AnswerIdentity} from './stray-answers.js';
 import type {ResponseReceiver} from './sending.js';
+import type {AnswerIdentity} from './stray-answers.js';
 import type {UpstreamProtocol} from './upstream-protocol.js';
 
 /** Options of `createUpstreamLink`. */
@@ -60,13 +60,13 @@
       began: () => receiver.began(),
       interim: () => {},
       head: (status, reason, raw) => {
-        if (!isAnswerTo(call, raw)) onStray(status);
         const signals = protocol.signals(call, {status, headers: raw});
         if (signals !== undefined) receiver.signals(signals);
         const rejection = safeguards.framing
           ? protocol.checkAnswer(call, {status, headers: raw})
           : undefined;
         if (rejection !== undefined) {
+          if (!isAnswerTo(call, raw)) onStray(status);
           recordRejection(call);
           return receiver.rejected(rejection);
         }
