--- a/src/admin/metrics.test.ts
+++ b/src/admin/metrics.test.ts
@@ -83,7 +83,12 @@
   const registry = new Registry();
   const metrics = createMetrics({registry});
   metrics.load({queued: 2, running: 10, slots: 10, unsent: 4096});
-  metrics.signals({limit: 17.3, isLeaving: true, malformed: 2, stray: 3});
+  metrics.signals({
+    limit: 17.3,
+    isLeaving: true,
+    malformed: 2,
+    observed: {rejected: 40, stray: 3, contradicted: 1, unreadable: 5},
+  });
   metrics.claims({held: 40, limit: 20_000});
   metrics.inForce(17);
   metrics.converged(120);
@@ -107,7 +112,10 @@
     'foxbarrow_upstream_limit{kind="rate"} 17.3',
     'foxbarrow_upstream_signals{kind="leaving"} 1',
     'foxbarrow_upstream_signals{kind="malformed"} 2',
+    'foxbarrow_upstream_signals{kind="rejected"} 40',
     'foxbarrow_upstream_signals{kind="stray"} 3',
+    'foxbarrow_upstream_signals{kind="contradicted"} 1',
+    'foxbarrow_upstream_signals{kind="unreadable"} 5',
     'foxbarrow_claims{kind="held"} 40',
     'foxbarrow_configuration_version{kind="in-force"} 17',
     'foxbarrow_convergence_seconds_bucket{le="0.25"} 1',
--- a/src/admin/report-load.ts
+++ b/src/admin/report-load.ts
@@ -1,4 +1,5 @@
 import type {UpstreamReport} from '../request/decisions/upstream-report.js';
+import {noObservations} from '../request/messages/answer-observation.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {Subscription, Timers} from '../time/timers.js';
 
@@ -49,6 +50,6 @@
     limit: report?.limiter.rate,
     isLeaving: report?.isLeaving ?? false,
     malformed: report?.malformed ?? 0,
-    stray: report?.stray ?? 0,
+    observed: report?.observed ?? noObservations,
   });
 }
--- a/src/request/decisions/upstream-report.ts
+++ b/src/request/decisions/upstream-report.ts
@@ -6,6 +6,12 @@
 import type {Timers} from '../../time/timers.js';
 import type {ReportedState} from '../messages/reported-state.js';
 import type {UpstreamSignals} from '../messages/upstream-signals.js';
+import {noObservations} from '../messages/answer-observation.js';
+import type {
+  AnswerObservation,
+  ObservationCounts,
+  ObservationKind,
+} from '../messages/answer-observation.js';
 import {createCapacityReport} from './capacity-report.js';
 import type {ReportedCapacity} from './capacity-report.js';
 import {createRateLimiter} from './rate-limiter.js';
@@ -23,10 +29,10 @@
   readonly isLeaving: boolean;
   /** Values that could not be parsed and were ignored. */
   readonly malformed: number;
-  /** Answers that were not to the request at which they arrived. */
-  readonly stray: number;
-  /** Records such an answer. */
-  recordStray(status: number): void;
+  /** What was observed in its answers besides the results of calls. */
+  readonly observed: ObservationCounts;
+  /** Counts an observation. */
+  observe(observation: AnswerObservation): void;
   /** Applies what an answer reports. */
   apply(signals: UpstreamSignals): void;
   /**
@@ -59,6 +65,16 @@
 /** Minimum milliseconds between two log lines about a changed limit. */
 const logPeriod = 1_000;
 
+/** What is logged at the first observation of a kind; rejections are routine. */
+const observationMessages: Readonly<
+  Record<ObservationKind, string | undefined>
+> = {
+  rejected: undefined,
+  stray: 'answer to another request',
+  contradicted: 'answer to a rejected request',
+  unreadable: 'bytes that are no expected answer',
+};
+
 /** Creates the report of an upstream that has not answered yet. */
 export function createUpstreamReport(
   options: UpstreamReportOptions,
@@ -69,7 +85,7 @@
   const leavingObservers: Array<() => void> = [];
   let isLeaving = false;
   let malformed = 0;
-  let stray = 0;
+  const observed: Record<ObservationKind, number> = {...noObservations};
   let hasAnswered = false;
   let namedAt = -Infinity;
   let loggedAt = -Infinity;
@@ -135,14 +151,13 @@
     get malformed() {
       return malformed;
     },
-    get stray() {
-      return stray;
-    },
-    recordStray(status) {
-      stray++;
+    observed,
+    observe({kind, request, status}) {
+      observed[kind]++;
+      const message = observationMessages[kind];
       // The metric counts them.
-      if (stray > 1) return;
-      log.warn('answer to another request', {instance, status});
+      if (message === undefined || observed[kind] > 1) return;
+      log.warn(message, {instance, request, status});
     },
     apply(signals) {
       const {limit, leaving, load} = signals;
--- a/src/request/transport/stray-answers.test.ts
+++ b/src/request/transport/stray-answers.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {createStrayAnswerFilter} from './stray-answers.js';
+import type {StrayAnswer} from './stray-answers.js';
 
 const header = 'foxbarrow-request-id';
 const own = 'HTTP/1.1 200 OK\r\nFoxbarrow-Request-Id: own\r\n\r\nbody';
@@ -13,7 +14,7 @@
   const identity = {
     header,
     id: 'own',
-    onStray: (status: number) => statuses.push(status),
+    onStray: ({status}: StrayAnswer) => statuses.push(status),
   };
   filter.expect(method, identity);
   const pass = (...texts: string[]) =>
--- a/src/request/transport/stray-answers.ts
+++ b/src/request/transport/stray-answers.ts
@@ -6,13 +6,20 @@
  */
 import {firstFinalStatus, isBodyless} from '../messages/status.js';
 
+/** An answer that arrived where the one to another request was expected. */
+export interface StrayAnswer {
+  readonly status: number;
+  /** Id of the request that it answers; undefined if it bears none. */
+  readonly id: string | undefined;
+}
+
 /** Distinguishes the answer to one request from those to others. */
 export interface AnswerIdentity {
   /** Lower-case name of the header that repeats the id of the request. */
   readonly header: string;
   readonly id: string;
-  /** Called with the status of each answer that was removed. */
-  readonly onStray: (status: number) => void;
+  /** Called with each answer that was removed. */
+  readonly onStray: (answer: StrayAnswer) => void;
 }
 
 /** Removes stray answers from the bytes of one connection. */
@@ -86,17 +93,21 @@
       passed.push(bytes.subarray(0, size));
       return bytes.subarray(size);
     }
-    const bodySize = strayBodySize(status, head);
+    const [id] = fieldValues(head, identity!.header);
+    const bodySize = strayBodySize(status, id, head);
     if (bodySize === undefined) return passFromHere(bytes);
-    identity!.onStray(status);
+    identity!.onStray({status, id});
     strayBytes = bodySize;
     if (strayBytes > 0) position = 'stray-body';
     return bytes.subarray(size);
   }
 
   /** Undefined if the answer is not stray, or if its end is unknown. */
-  function strayBodySize(status: number, head: string): number | undefined {
-    const [id] = fieldValues(head, identity!.header);
+  function strayBodySize(
+    status: number,
+    id: string | undefined,
+    head: string,
+  ): number | undefined {
     const isStray = id !== undefined && id !== identity!.id;
     if (!isStray || hasSentHeadRequest) return undefined;
     return bodySizeOf(status, head);
--- a/src/request/transport/upstream-link.ts
+++ b/src/request/transport/upstream-link.ts
@@ -4,13 +4,14 @@
   UpstreamLink,
   UpstreamReceiver,
 } from '../messages/hops.js';
+import type {AnswerObservation} from '../messages/answer-observation.js';
 import type {Call} from '../messages/call.js';
 import type {Safeguards} from '../messages/safeguards.js';
 import type {ConnectionPool} from './connection-pool.js';
 import {endToEndHeaders, findHeader} from './headers.js';
 import {sendRequest} from './sending.js';
 import type {ResponseReceiver} from './sending.js';
-import type {AnswerIdentity} from './stray-answers.js';
+import type {AnswerIdentity, StrayAnswer} from './stray-answers.js';
 import type {UpstreamProtocol} from './upstream-protocol.js';
 
 /** Options of `createUpstreamLink`. */
@@ -21,11 +22,8 @@
     Safeguards,
     'framing' | 'internalHeaders' | 'strayAnswers' | 'separateAttempts'
   >;
-  /**
-   * Called with the status of each answer that was not to the request at which
-   * it arrived.
-   */
-  readonly onStray: (status: number) => void;
+  /** Called with each answer that is not the result of a call. */
+  readonly onObserved: (observation: AnswerObservation) => void;
 }
 
 /** Maximum number of rejected calls whose ids are kept. */
@@ -33,28 +31,37 @@
 
 /** Creates the link to one upstream. */
 export function createUpstreamLink(options: UpstreamLinkOptions): UpstreamLink {
-  const {connections, protocol, safeguards, onStray} = options;
+  const {connections, protocol, safeguards, onObserved} = options;
   const headerOptions = {
     dropsInternal: safeguards.internalHeaders,
     foreign: protocol.foreign,
   };
 
   /**
-   * Ids of calls that the upstream rejected and that must not run twice. The
+   * Calls that the upstream rejected and that must not run twice: their ids and
+   * the status of the rejection. The
    * next attempt of such a call bears the same id, so a late copy of the
    * rejection could be taken for its answer. It can only arrive on the
    * connection of the first attempt.
    */
-  const rejectedCalls = new Set<string>();
+  const rejectedCalls = new Map<string, number>();
 
-  function recordRejection({id, repeatability}: Call): void {
+  function recordRejection({id, repeatability}: Call, status: number): void {
     if (repeatability === 'idempotent') return;
-    rejectedCalls.add(id);
+    rejectedCalls.set(id, status);
     if (rejectedCalls.size <= maxRejectedCalls) return;
-    const [oldest] = rejectedCalls;
+    const [oldest] = rejectedCalls.keys();
     rejectedCalls.delete(oldest!);
   }
 
+  function recordStray({status, id}: StrayAnswer): void {
+    onObserved({kind: 'stray', request: id, status});
+    const rejectedWith = id === undefined ? undefined : rejectedCalls.get(id);
+    // A copy of the rejection itself contradicts nothing.
+    if (rejectedWith === undefined || rejectedWith === status) return;
+    onObserved({kind: 'contradicted', request: id, status});
+  }
+
   function translate(call: Call, receiver: UpstreamReceiver): ResponseReceiver {
     return {
       began: () => receiver.began(),
@@ -66,8 +73,12 @@
           ? protocol.checkAnswer(call, {status, headers: raw})
           : undefined;
         if (rejection !== undefined) {
-          if (!isAnswerTo(call, raw)) onStray(status);
-          recordRejection(call);
+          if (!isAnswerTo(call, raw)) {
+            recordStray({status, id: idOf(raw)});
+          } else if (rejection.refusal.code.effect === 'not-run') {
+            onObserved({kind: 'rejected', request: call.id, status});
+          }
+          recordRejection(call, status);
           return receiver.rejected(rejection);
         }
         receiver.head({
@@ -84,14 +95,18 @@
 
   /** Whether an answer bears the id of the call, where answers bear one. */
   function isAnswerTo({id}: Call, headers: readonly Buffer[]): boolean {
+    return protocol.answerId === undefined || idOf(headers) === id;
+  }
+
+  function idOf(headers: readonly Buffer[]): string | undefined {
     const {answerId} = protocol;
-    return answerId === undefined || findHeader(headers, answerId) === id;
+    return answerId === undefined ? undefined : findHeader(headers, answerId);
   }
 
   function identityOf({id}: Call): AnswerIdentity | undefined {
     const {answerId} = protocol;
     if (answerId === undefined || !safeguards.strayAnswers) return undefined;
-    return {header: answerId, id, onStray};
+    return {header: answerId, id, onStray: recordStray};
   }
 
   return {
