Answers to other requests are removed up to 4 MiB and 64 of them

A request at whose place an answer to another one came, of 99 GB by its head, got 504 at its deadline; until then the node read as fast as the instance wrote, and the slot was held. The same with small foreign answers one after another: the filter removed them without a limit.

--- a/src/admin/metrics.test.ts
+++ b/src/admin/metrics.test.ts
@@ -87,7 +87,13 @@
     limit: 17.3,
     isLeaving: true,
     malformed: 2,
-    observed: {rejected: 40, stray: 3, contradicted: 1, unreadable: 5},
+    observed: {
+      rejected: 40,
+      stray: 3,
+      contradicted: 1,
+      unreadable: 5,
+      endless: 2,
+    },
   });
   metrics.claims({held: 40, limit: 20_000});
   metrics.inForce(17);
@@ -116,6 +122,7 @@
     'foxbarrow_upstream_signals{kind="stray"} 3',
     'foxbarrow_upstream_signals{kind="contradicted"} 1',
     'foxbarrow_upstream_signals{kind="unreadable"} 5',
+    'foxbarrow_upstream_signals{kind="endless"} 2',
     'foxbarrow_claims{kind="held"} 40',
     'foxbarrow_configuration_version{kind="in-force"} 17',
     'foxbarrow_convergence_seconds_bucket{le="0.25"} 1',
--- a/src/request/decisions/upstream-report.ts
+++ b/src/request/decisions/upstream-report.ts
@@ -73,6 +73,7 @@
   stray: 'answer to another request',
   contradicted: 'answer to a rejected request',
   unreadable: 'bytes that are no expected answer',
+  endless: 'more bytes than are read of an answer',
 };
 
 /** Creates the report of an upstream that has not answered yet. */
--- a/src/request/messages/answer-observation.ts
+++ b/src/request/messages/answer-observation.ts
@@ -13,6 +13,8 @@
   'contradicted',
   /** Bytes that are no answer, or that no call waited for. */
   'unreadable',
+  /** More bytes than are read of an answer beside its body. */
+  'endless',
 ] as const;
 
 /** A kind of observation. */
@@ -35,4 +37,5 @@
   stray: 0,
   contradicted: 0,
   unreadable: 0,
+  endless: 0,
 };
--- a/src/request/transport/stray-answers.test.ts
+++ b/src/request/transport/stray-answers.test.ts
@@ -94,3 +94,25 @@
   filter.expect('GET', identity);
   t.is(pass(stray), stray);
 });
+
+test('a limited number and size of answers to other requests is removed', t => {
+  const announced = (size: number) =>
+    stray.replace('Length: 4', `Length: ${size}`).replace('full', '');
+  const limit = 4 * 1024 * 1024;
+  const few = filterOf();
+  t.is(few.pass(stray.repeat(64), own), own);
+  t.false(few.filter.isFull);
+  const many = filterOf();
+  t.is(many.pass(stray.repeat(65) + own), '');
+  t.true(many.filter.isFull);
+  t.is(many.statuses.length, 65);
+  many.filter.expect('GET', many.identity);
+  t.false(many.filter.isFull);
+  const size = limit - announced(limit).length;
+  const large = filterOf();
+  t.is(large.pass(announced(size), 'x'.repeat(size), own), own);
+  t.false(large.filter.isFull);
+  const endless = filterOf();
+  t.is(endless.pass(announced(size + 1)), '');
+  t.true(endless.filter.isFull);
+});
--- a/src/request/transport/stray-answers.ts
+++ b/src/request/transport/stray-answers.ts
@@ -24,6 +24,11 @@
 
 /** Removes stray answers from the bytes of one connection. */
 export interface StrayAnswerFilter {
+  /**
+   * Whether more stray answers, or more bytes of them, came or were announced
+   * than are removed for one request.
+   */
+  readonly isFull: boolean;
   /**
    * Starts to look for the answer to a request; without an identity all bytes
    * pass.
@@ -36,6 +41,15 @@
 /** Maximum size of an answer's head in bytes; a larger one passes as it is. */
 const maxHeadSize = 16 * 1024;
 
+/**
+ * Maximum bytes of stray answers that are removed for one request. An upstream
+ * in trouble may announce or send bytes without end.
+ */
+const maxStraySize = 4 * 1024 * 1024;
+
+/** Maximum number of stray answers that are removed for one request. */
+const maxStrayAnswers = 64;
+
 const headEnd = '\r\n\r\n';
 const versionPrefix = 'HTTP/1.';
 const nothing: Buffer = Buffer.alloc(0);
@@ -59,8 +73,13 @@
   let held = nothing;
   /** Bytes of a stray body that have not arrived. */
   let strayBytes = 0;
+  /** Number and bytes of the stray answers since the request was sent. */
+  let strayAnswers = 0;
+  let straySize = 0;
 
   const isPassing = () => position === 'answer';
+  const isFull = () =>
+    strayAnswers > maxStrayAnswers || straySize > maxStraySize;
 
   /** Removes what has arrived of a stray body. */
   function skipBody(bytes: Buffer): Buffer {
@@ -98,6 +117,8 @@
     if (bodySize === undefined) return passFromHere(bytes);
     identity!.onStray({status, id});
     strayBytes = bodySize;
+    strayAnswers++;
+    straySize += size + bodySize;
     if (strayBytes > 0) position = 'stray-body';
     return bytes.subarray(size);
   }
@@ -114,11 +135,16 @@
   }
 
   return {
+    get isFull() {
+      return isFull();
+    },
     expect: (method, expected) => {
       // The answer to a HEAD request has a length but no body, so the end of a
       // second copy is unknown.
       if (method === 'HEAD') hasSentHeadRequest = true;
       identity = expected;
+      strayAnswers = 0;
+      straySize = 0;
       position = expected === undefined ? 'answer' : 'head';
     },
     filter: chunk => {
@@ -126,10 +152,10 @@
       const passed: Buffer[] = [];
       let rest = held.length === 0 ? chunk : Buffer.concat([held, chunk]);
       held = nothing;
-      while (rest.length > 0 && !isPassing()) {
+      while (rest.length > 0 && !isPassing() && !isFull()) {
         rest = position === 'head' ? readHead(rest, passed) : skipBody(rest);
       }
-      if (rest.length > 0) passed.push(rest);
+      if (rest.length > 0 && !isFull()) passed.push(rest);
       return passed.length === 1 ? passed[0]! : Buffer.concat(passed);
     },
   };
