An answer that nobody waits for is read up to 256 KiB

After a deadline, after the caller had left, and after the head of an answer that must not be passed on, the gate closed its half of the connection and read on for up to 250 ms, to see the instance close: as fast as the instance wrote, hundreds of megabytes on loopback, for each such request, also for a body that had been paused for a caller that read nothing.

From the half-close on, all bytes count, and above 256 KiB the connection is reset, which also releases the slot. An answer that ends in order still does within that. It is not counted as endless, since a long answer that this side gave up may be in good faith; the end of the request is logged as before.

--- a/src/request/transport/read-limit.test.ts
+++ b/src/request/transport/read-limit.test.ts
@@ -3,6 +3,7 @@
   createReadLimit,
   maxOverhead,
   maxOverheadPerByte,
+  maxUnwanted,
 } from './read-limit.js';
 
 test('a body that is passed on is not limited, in chunks of any size', t => {
@@ -32,11 +33,27 @@
   t.false(limit.isReached);
 });
 
+test('the rest of an answer that is not needed is limited', t => {
+  const limit = createReadLimit();
+  limit.expect();
+  limit.read(2 * maxUnwanted);
+  limit.passed(2 * maxUnwanted);
+  limit.discard();
+  limit.read(maxUnwanted);
+  limit.passed(maxUnwanted);
+  t.false(limit.isReached);
+  limit.discard();
+  limit.read(1);
+  limit.passed(1);
+  t.true(limit.isReached);
+});
+
 test('a connection without a request is read once', t => {
   // What came is parsed, which closes the connection unless it is an empty line.
   const limit = createReadLimit();
   limit.expect();
   limit.release();
+  limit.discard();
   t.false(limit.isReached);
   limit.read(2);
   t.true(limit.isReached);
--- a/src/request/transport/read-limit.ts
+++ b/src/request/transport/read-limit.ts
@@ -13,12 +13,20 @@
 /** Maximum overhead per byte of a body; a chunk of one byte has 5. */
 export const maxOverheadPerByte = 8;
 
+/**
+ * Maximum bytes that are read of an answer that no request waits for, so that
+ * it can end in order.
+ */
+export const maxUnwanted = 256 * 1024;
+
 /** What the bytes of a connection are read for. */
 type Purpose =
   /** No request is sent. */
   | 'none'
   /** A request waits for its answer. */
-  | 'answer';
+  | 'answer'
+  /** The answer is no longer needed. */
+  | 'end';
 
 /** Counts the bytes of one connection. */
 export interface ReadLimit {
@@ -26,6 +34,8 @@
   readonly isReached: boolean;
   /** A request waits for its answer from now on. */
   expect(): void;
+  /** The rest of the answer is not needed. */
+  discard(): void;
   /** The request has ended. */
   release(): void;
   /** Counts bytes that were read from the connection. */
@@ -49,10 +59,14 @@
   return {
     get isReached() {
       if (purpose === 'none') return bytes > 0;
+      if (purpose === 'end') return bytes > maxUnwanted;
       const overhead = bytes - bodyBytes;
       return overhead > maxOverhead + bodyBytes * maxOverheadPerByte;
     },
     expect: () => begin('answer'),
+    discard: () => {
+      if (purpose === 'answer') begin('end');
+    },
     release: () => begin('none'),
     read: count => {
       bytes += count;
