--- a/src/request/messages/hops.ts
+++ b/src/request/messages/hops.ts
@@ -78,6 +78,11 @@
    * Continues to read the answer after `UpstreamReceiver.data` returned false.
    */
   resume(): void;
+  /**
+   * The rest of the answer is not needed; it is read so that the connection can
+   * be used again.
+   */
+  discard(): void;
   /**
    * Asks the peer to end the request and waits for it to close the connection;
    * `cancel` may follow.
--- a/src/request/outgoing-link.test.ts
+++ b/src/request/outgoing-link.test.ts
@@ -120,7 +120,8 @@
         receiver.head({status: 200, reason: '', headers});
         writeParts();
       });
-      return {resume: writeParts, close: stop, cancel: stop};
+      const discard = () => {};
+      return {resume: writeParts, discard, close: stop, cancel: stop};
     },
   };
 }
