Health checks: a time limit for the whole and a connection of their own

A health check whose interim answers or body dripped a byte every few ms did not end: undici's headersTimeout and bodyTimeout run between bytes. While it hung, no other check started, and connections of ended checks stayed open in undici's shared pool for seconds, where a late byte could meet the next check.

A connection probe uses the timer service too.

--- a/src/endpoints/health-monitor.test.ts
+++ b/src/endpoints/health-monitor.test.ts
@@ -1,6 +1,13 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import test from 'ava';
+import type {ExecutionContext} from 'ava';
+import {
+  createEndlessServer,
+  endlessBodies,
+  endlessHeads,
+} from '../link/fakes/endless-server.js';
+import type {EndlessBytes} from '../link/fakes/endless-server.js';
 import {createSilentLog} from '../log/log.js';
 import {createFakeTimers} from '../time/fakes/fake-timers.js';
 import {createAnnouncer} from './announcer.js';
@@ -97,6 +104,7 @@
   const address = `127.0.0.1:${port}`;
   const answers: string[][] = [];
   const probe = createProbe({
+    timers: createFakeTimers(),
     timeout: 5000,
     onAnswer: (_upstream, headers) => void answers.push(headers),
   });
@@ -113,3 +121,46 @@
   t.is(await probe(upstream({address})), 'refused');
   t.is(await probe(upstream({address, healthPath: '/health'})), 'refused');
 });
+
+/** Probes the health path of an upstream that sends `bytes`. */
+async function probeEndless(t: ExecutionContext, bytes: EndlessBytes) {
+  const timers = createFakeTimers();
+  const server = await createEndlessServer(() => bytes);
+  t.teardown(server.close);
+  const probe = createProbe({timers, timeout: 500});
+  const {address} = server;
+  const observation = probe(upstream({address, healthPath: '/health'}));
+  return {timers, server, observation};
+}
+
+for (const [name, bytes] of Object.entries(endlessHeads)) {
+  test(`a health check without an answer ends by its timeout: ${name}`, async t => {
+    const {timers, server, observation} = await probeEndless(t, bytes);
+    await server.asked(1);
+    timers.advance(500);
+    t.is(await observation, 'unwell');
+    await server.closed();
+  });
+}
+
+for (const [name, bytes] of Object.entries(endlessBodies)) {
+  test(`a health check does not wait for the end of the answer: ${name}`, async t => {
+    const {server, observation} = await probeEndless(t, bytes);
+    t.is(await observation, 'well');
+    await server.closed();
+  });
+}
+
+test('a health check keeps no connection for the next one', async t => {
+  const timers = createFakeTimers();
+  const server = await createEndlessServer(connection => ({
+    start: `HTTP/1.1 ${connection === 1 ? 200 : 503} S\r\nContent-Length: 0\r\n\r\n`,
+  }));
+  t.teardown(server.close);
+  const probe = createProbe({timers, timeout: 500});
+  const checked = upstream({address: server.address, healthPath: '/health'});
+  t.is(await probe(checked), 'well');
+  t.is(await probe(checked), 'unwell');
+  t.is(server.accepted(), 2);
+  await server.closed();
+});
