Health monitor: what was observed belongs to one process, not to an address

The monitor compared addresses, and only at its own ticks. Of two instances at one address one after the other, the second had the first's state: a check of the dead first one that hung kept all further checks from starting, a late 'refused' of that check or of a gate that was replaced took the second out of service, as did its own first refused connection.

State, refusals and the check under way are now kept for each process as the announcer tells them apart, compared at every use; gates say which upstream a connection led to. Late observations of another process are dropped.

--- a/src/endpoints/health-monitor.test.ts
+++ b/src/endpoints/health-monitor.test.ts
@@ -9,13 +9,13 @@
 } from '../link/fakes/endless-server.js';
 import type {EndlessBytes} from '../link/fakes/endless-server.js';
 import {createSilentLog} from '../log/log.js';
-import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import {createFakeTimers, settle} from '../time/fakes/fake-timers.js';
 import {createAnnouncer} from './announcer.js';
 import {upstream} from './fakes/mesh.js';
 import {createHealthMonitor, createProbe} from './health-monitor.js';
-import type {Observation} from './health-monitor.js';
+import type {Observation, Probing} from './health-monitor.js';
 
-function start() {
+function startAnnouncer() {
   const timers = createFakeTimers(1_000_000);
   const announcer = createAnnouncer({
     name: 'crewbook-1',
@@ -26,6 +26,11 @@
     log: createSilentLog(),
     warmUp: 0,
   });
+  return {timers, announcer};
+}
+
+function start() {
+  const {timers, announcer} = startAnnouncer();
   let probed: Observation = 'well';
   const health = createHealthMonitor({
     timers,
@@ -60,7 +65,6 @@
   // instance is gone.
   const {health, state, probeFor} = start();
   await probeFor('well', 5);
-  const refusal = Object.assign(new Error(), {code: 'ECONNREFUSED'});
   const slow = Object.assign(new Error(), {code: 'UND_ERR_CONNECT_TIMEOUT'});
   for (let turn = 0; turn < 3; turn++) health.observeConnection(slow);
   t.is(health.verdict(), 'ready');
@@ -91,6 +95,82 @@
   t.true(announcer.current()!.incarnation > first);
 });
 
+const refusal = Object.assign(new Error(), {code: 'ECONNREFUSED'});
+
+/** A monitor whose probes end when the test says. */
+function startPending(probing: Probing) {
+  const {announcer, timers} = startAnnouncer();
+  const probes: Array<(observation: Observation) => void> = [];
+  const health = createHealthMonitor({
+    timers,
+    announcer,
+    probing,
+    probe: () => new Promise(resolve => probes.push(resolve)),
+  });
+  const lose = () => {
+    for (let turn = 0; turn < 3; turn++) health.observeConnection(refusal);
+  };
+  return {announcer, timers, health, probes, lose};
+}
+
+test('a check of a dead upstream that hangs does not delay those of its successors', async t => {
+  const {announcer, timers, health, probes, lose} = startPending('when-dead');
+  for (let started = 1; started <= 3; started++) {
+    announcer.announce(upstream({started}));
+    await timers.advanceAsync(1000);
+    t.not(announcer.current()!.state, 'gone');
+    lose();
+    t.is(announcer.current()!.state, 'gone');
+    await timers.advanceAsync(2000);
+    t.is(probes.length, started);
+  }
+  probes[2]!('well');
+  await settle();
+  t.is(health.verdict(), 'ready');
+  t.not(announcer.current()!.state, 'gone');
+});
+
+test('a late result of a check is not applied to the next upstream at that address', async t => {
+  const {announcer, timers, health, probes, lose} = startPending('when-dead');
+  announcer.announce(upstream({started: 1}));
+  await timers.advanceAsync(1000);
+  lose();
+  await timers.advanceAsync(1000);
+  announcer.announce(upstream({started: 2}));
+  probes[0]!('refused');
+  await settle();
+  t.is(health.verdict(), 'unknown');
+  t.not(announcer.current()!.state, 'gone');
+});
+
+test('refused connections of an earlier upstream do not count for the next one at that address', async t => {
+  const {announcer, timers, health, lose} = startPending('when-dead');
+  const first = upstream({started: 1});
+  announcer.announce(first);
+  await timers.advanceAsync(1000);
+  lose();
+  announcer.announce(upstream({started: 2}));
+  t.is(health.verdict(), 'unknown');
+  for (let turn = 0; turn < 3; turn++) health.observeConnection(refusal, first);
+  health.observeConnection(refusal);
+  health.observeConnection(refusal);
+  t.not(announcer.current()!.state, 'gone');
+  health.observeConnection(refusal);
+  t.is(announcer.current()!.state, 'gone');
+});
+
+test('a renewed announcement does not end the check of its upstream', async t => {
+  const {announcer, timers, health, probes} = startPending('always');
+  announcer.announce(upstream({started: 1}));
+  await timers.advanceAsync(1000);
+  announcer.announce(upstream({started: 1}));
+  await timers.advanceAsync(2000);
+  t.is(probes.length, 1);
+  probes[0]!('well');
+  await settle();
+  t.is(health.verdict(), 'ready');
+});
+
 test('the probe distinguishes a refused connection from a failed health check', async t => {
   const server = createServer((incoming, response) => {
     response.setHeader('foxbarrow-limit', '5');
