An oversized body without end closes its connection

The small HTTP listeners (heartbeats, announcements, revisions, roll-outs) read the rest of an oversized body so that the refusal arrives, however much came: a caller that sends at full speed kept the process busy for Node's five minutes.

Beyond 64 MiB over the limit reading fails, the listener logs the request as not answered and closes the connection. An oversized body that ends is answered as before.

--- a/src/link/http-server.test.ts
+++ b/src/link/http-server.test.ts
@@ -1,9 +1,17 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import test from 'ava';
-import {openRaw} from '../request/fakes/raw-client.js';
+import {createSilentLog} from '../log/log.js';
+import {openRaw, readAll} from '../request/fakes/raw-client.js';
 import {createFakeTimers, settle} from '../time/fakes/fake-timers.js';
-import {closeServer, openServer} from './http-server.js';
+import {
+  answerJson,
+  closeServer,
+  destroyOnError,
+  openServer,
+  readText,
+} from './http-server.js';
 
 const idleConnections = {
   'nothing was sent on it': '',
@@ -45,3 +53,45 @@
   t.regex(data.toString(), /done/);
   await closed;
 });
+
+function answerWith(answer: (incoming: IncomingMessage) => Promise<object>) {
+  return destroyOnError(
+    createSilentLog(),
+    async (incoming: IncomingMessage, response: ServerResponse) =>
+      answerJson(response, 200, await answer(incoming)),
+  );
+}
+
+test('an oversized body without end closes its connection', async t => {
+  const server = createServer(
+    answerWith(async incoming => ({text: await readText(incoming, 4)})),
+  );
+  const listener = await openServer(server, '127.0.0.1:0');
+  t.teardown(listener.close);
+  const socket = openRaw(
+    listener.address,
+    'PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 99999999999\r\n\r\n',
+  );
+  const piece = 'x'.repeat(1_000_000);
+  const send = () => {
+    if (!socket.destroyed) socket.write(piece, () => setImmediate(send));
+  };
+  send();
+  t.is((await readAll(socket)).text, '');
+});
+
+test('an oversized body that ends is answered', async t => {
+  const server = createServer(
+    answerWith(async incoming => ({
+      isOversized: (await readText(incoming, 4)) === undefined,
+    })),
+  );
+  const listener = await openServer(server, '127.0.0.1:0');
+  t.teardown(listener.close);
+  const socket = openRaw(
+    listener.address,
+    `PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 9999\r\n\r\n${'x'.repeat(9999)}`,
+  );
+  const [data] = (await once(socket, 'data')) as [Buffer];
+  t.regex(data.toString(), /"isOversized":true/);
+});
--- a/src/link/http-server.ts
+++ b/src/link/http-server.ts
@@ -62,7 +62,16 @@
   response.end(JSON.stringify(body));
 }
 
-/** Reads a request's body as text; undefined if it exceeds `limit` bytes. */
+/**
+ * Maximum number of bytes of an oversized body that are read and discarded, so
+ * that the response arrives; a longer one closes the connection.
+ */
+const discardLimit = 64 * 1024 * 1024;
+
+/**
+ * Reads a request's body as text; undefined if it exceeds `limit` bytes. Rejects
+ * if it doesn't end soon after.
+ */
 export async function readText(
   incoming: AsyncIterable<Buffer> | IncomingMessage,
   limit: number,
@@ -71,8 +80,9 @@
   let length = 0;
   for await (const chunk of incoming as AsyncIterable<Buffer>) {
     length += chunk.length;
-    // The rest of an oversized body is read too, so that the response arrives.
     if (length <= limit) chunks.push(chunk);
+    else if (length > limit + discardLimit)
+      throw new Error(`the body has more than ${limit} bytes and doesn't end`);
   }
   return length > limit ? undefined : Buffer.concat(chunks).toString('utf8');
 }
