An exchange with a small HTTP listener ends in 60 s

A caller that reads no response held the response, up to a whole revision, for good: Node has no limit for it; one whose body drips held its connection for Node's five minutes. openServer now closes the connection 60 s after the head of a request if the exchange isn't complete, by the timer service. Operators' longest polls take 10 s. This holds for the listeners of heartbeats, announcements, revisions, roll-outs, operators and metrics.

Failed before (http-server.test): the whole 64 MiB arrived at the caller that had paused, and the test of the body was pending after 9 s.

--- a/src/link/http-server.test.ts
+++ b/src/link/http-server.test.ts
@@ -95,3 +95,64 @@
   const [data] = (await once(socket, 'data')) as [Buffer];
   t.regex(data.toString(), /"isOversized":true/);
 });
+
+test('a body that does not end in time closes its connection', async t => {
+  const timers = createFakeTimers();
+  const server = createServer(
+    answerWith(async incoming => ({text: await readText(incoming, 4)})),
+  );
+  const listener = await openServer(server, '127.0.0.1:0', timers);
+  t.teardown(listener.close);
+  const requested = once(server, 'request');
+  const socket = openRaw(
+    listener.address,
+    'PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n{',
+  );
+  await requested;
+  timers.advance(60_000);
+  t.is((await readAll(socket)).text, '');
+});
+
+test('a response that is not read in time closes its connection', async t => {
+  const timers = createFakeTimers();
+  const size = 64 * 1024 * 1024;
+  const server = createServer(
+    answerWith(async incoming => ({
+      text: `${await readText(incoming, 4)}${'x'.repeat(size)}`,
+    })),
+  );
+  const listener = await openServer(server, '127.0.0.1:0', timers);
+  t.teardown(listener.close);
+  const requested = once(server, 'request') as Promise<
+    [IncomingMessage, ServerResponse]
+  >;
+  const head = 'PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\n';
+  const socket = openRaw(listener.address, `${head}1`);
+  socket.pause();
+  const [, response] = await requested;
+  while (!response.writableEnded) await settle();
+  timers.advance(60_000);
+  const {text} = await readAll(socket.resume());
+  t.true(text.length < size);
+});
+
+test('an exchange in time leaves its connection open', async t => {
+  const timers = createFakeTimers();
+  const server = createServer((_incoming, response) => response.end('done'));
+  const listener = await openServer(server, '127.0.0.1:0', timers);
+  t.teardown(listener.close);
+  const head = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
+  const requested = once(server, 'request') as Promise<
+    [IncomingMessage, ServerResponse]
+  >;
+  const socket = openRaw(listener.address, head);
+  const answered = once(socket, 'data');
+  const [, response] = await requested;
+  if (!response.closed) await once(response, 'close');
+  await answered;
+  timers.advance(60_000);
+  socket.write(head);
+  const [data] = (await once(socket, 'data')) as [Buffer];
+  t.regex(data.toString(), /done/);
+  socket.destroy();
+});
--- a/src/link/http-server.ts
+++ b/src/link/http-server.ts
@@ -7,12 +7,21 @@
 import {parseAddress} from './address.js';
 import type {Address, Listener} from './link.js';
 
+/**
+ * Milliseconds from the head of a request until its response is taken. Without a
+ * limit, a caller that sends its body without end, or reads no response, would hold
+ * memory for good. The longest polls of operators take 10 s.
+ */
+const exchangeTimeout = 60_000;
+
 /** Opens a server; rejects if the port is in use. */
 export function openServer(
   server: Server,
   address: Address,
+  timers: Timers = createTimers(),
 ): Promise<Listener> {
   const {host, port} = parseAddress(address);
+  limitExchanges(server, timers);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
@@ -26,6 +35,21 @@
   });
 }
 
+/** Closes the connection of each exchange that isn't complete in time. */
+function limitExchanges(server: Server, timers: Timers): void {
+  server.prependListener(
+    'request',
+    (incoming: IncomingMessage, response: ServerResponse) => {
+      const deadline = timers.after(exchangeTimeout, () => {
+        const reason = `the request took more than ${exchangeTimeout} ms`;
+        incoming.destroy(new Error(reason));
+        response.destroy();
+      });
+      response.once('close', () => deadline.cancel());
+    },
+  );
+}
+
 /**
  * Milliseconds that requests in progress have to be answered when a listener
  * closes. Without a limit, an idle connection could delay the stop of the whole
