A closed link ends 2 s after its last message whatever the other end sends

A closed link was destroyed 2 s after the last activity of its socket, and bytes of the other end were activity: an other end that sends on and never closes its side held the socket for good.

While the last messages are sent, nothing is read, so that only their progress counts; after them the other end has 2 s in all, by the timer service.

Failed before: both new tests of socket-link.test (destroyed false).

--- a/src/link/socket-link.test.ts
+++ b/src/link/socket-link.test.ts
@@ -1,6 +1,7 @@
 import {Duplex} from 'node:stream';
 import type {Socket} from 'node:net';
 import test from 'ava';
+import {createFakeTimers} from '../time/fakes/fake-timers.js';
 import {nextTurn} from '../time/turn.js';
 import {createPlainCodec} from './codec.js';
 import {createFrameReader} from './frame.js';
@@ -13,6 +14,8 @@
   const messages: unknown[] = [];
   let writes = 0;
   let onIdle: (() => void) | undefined;
+  let isHeld = false;
+  const timers = createFakeTimers();
   const reader = createFrameReader(1024, frame =>
     messages.push(codec.decode(frame)),
   );
@@ -21,7 +24,7 @@
     write: (chunk: Buffer, _encoding, done) => {
       writes++;
       reader.push(chunk);
-      done();
+      if (!isHeld) done();
     },
   });
   const counted = Object.assign(socket, {
@@ -32,9 +35,17 @@
     },
     bytesWritten: 0,
   }) as unknown as Socket;
-  const link = createSocketLink(counted, {messageLimit: 1024, codec});
+  const link = createSocketLink(counted, {
+    messageLimit: 1024,
+    codec,
+    timers,
+  });
   const idle = () => onIdle?.();
-  return {link, socket, messages, writes: () => writes, idle};
+  /** The other end takes no more bytes. */
+  const hold = () => {
+    isHeld = true;
+  };
+  return {link, socket, messages, timers, writes: () => writes, idle, hold};
 }
 
 // With a separate write for each frame, each frame of a response costs a system
@@ -83,6 +94,36 @@
   t.true(socket.destroyed && isClosed);
 });
 
+test('a closed link to an other end that sends without end gives up its socket', async t => {
+  const {link, socket, timers, idle} = setUp();
+  link.close();
+  await nextTurn();
+  for (let second = 0; second < 2; second++) {
+    t.false(socket.destroyed);
+    socket.push('x');
+    timers.advance(1000);
+    await nextTurn();
+  }
+  t.true(socket.destroyed);
+  idle();
+});
+
+test('while a closed link has messages to send, bytes of the other end are no activity', async t => {
+  const {link, socket, timers, hold, idle} = setUp();
+  hold();
+  link.send('unsent');
+  link.close();
+  await nextTurn();
+  socket.push('x');
+  timers.advance(10_000);
+  await nextTurn();
+  t.true(socket.isPaused());
+  t.false(socket.destroyed);
+  idle();
+  await nextTurn();
+  t.true(socket.destroyed);
+});
+
 test('an aborted link sends no more messages', async t => {
   const {link, messages} = setUp();
   link.send('late');
--- a/src/link/socket-link.ts
+++ b/src/link/socket-link.ts
@@ -1,13 +1,16 @@
 /** A message link over an open socket; each message is sent as a frame. */
 import type {Socket} from 'node:net';
+import {createTimers} from '../time/timers.js';
+import type {Timers} from '../time/timers.js';
 import type {Codec} from './codec.js';
 import {createFrameReader, encodeFrames, headerBytes} from './frame.js';
 import {Link} from './link.js';
 
 /**
- * Time without activity after which a closed socket is destroyed, in
- * milliseconds. The other end of a dead connection never closes its side, so the
- * socket would stay open for many minutes.
+ * Milliseconds without progress of the last messages, and after them, until a
+ * closed socket is destroyed. The other end of a dead connection never closes its
+ * side, so the socket would stay open for many minutes; one that sends without end
+ * would keep it open for good.
  */
 const closeTimeout = 2000;
 
@@ -19,8 +22,11 @@
   readonly codec: Codec;
   /** Called if a message can't be decoded or handled; the link is closed. */
   readonly onFault?: (error: Error) => void;
+  readonly timers?: Timers;
 }
 
+const machineTimers = createTimers();
+
 /** A link that can also be aborted. */
 export abstract class SocketLink extends Link {
   /** Closes at once; messages that were not yet sent are lost. */
@@ -106,14 +112,27 @@
 
   close(): void {
     this.flush();
-    this.socket.end();
-    this.socket.setTimeout(closeTimeout, () => this.socket.destroy());
+    const {socket} = this;
+    if (socket.destroyed) return;
+    socket.setTimeout(closeTimeout, () => socket.destroy());
+    // What the other end sends is no progress of the last messages.
+    socket.pause();
+    socket.end(() => this.awaitOtherEnd());
   }
 
   destroy(): void {
     this.socket.destroy();
   }
 
+  private awaitOtherEnd(): void {
+    const {socket} = this;
+    if (socket.destroyed) return;
+    socket.resume();
+    const {timers = machineTimers} = this.options;
+    const deadline = timers.after(closeTimeout, () => socket.destroy());
+    socket.once('close', () => deadline.cancel());
+  }
+
   private deliver(message: unknown): void {
     if (this.receive === undefined) this.backlog.push(message);
     else this.receive(message);
