--- a/src/link/socket-link.ts
+++ b/src/link/socket-link.ts
@@ -22,6 +22,7 @@
   readonly codec: Codec;
   /** Called if a message can't be decoded or handled; the link is closed. */
   readonly onFault?: (error: Error) => void;
+  /** By default those of the machine. */
   readonly timers?: Timers;
 }
 
