Add failing test: a request runs after its head was refused as slow

Callers see 408 head-slow, a promise that the request has not run and never will. The listener ends its half of the connection and goes on reading the other, so the rest of the head, or a request that crosses the 408 on an unused connection, is handed to the handler and runs.

Fails now: npx ava build/src/request/transport/listener.test.js, both tests 'a request that was refused because its head was slow is not handled later': 1 request handled, 0 expected.

--- a/src/request/transport/listener.test.ts
+++ b/src/request/transport/listener.test.ts
@@ -1,4 +1,7 @@
+import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
 import test from 'ava';
+import type {ExecutionContext} from 'ava';
 import {request} from 'undici';
 import {createTimers} from '../../time/timers.js';
 import {createMesh, advanceUntilDone} from '../fakes/mesh.js';
@@ -105,6 +108,38 @@
   await listener.stop(0);
 });
 
+/** A listener that times out heads after 50 ms, and the requests it handled. */
+async function startImpatientListener(t: ExecutionContext) {
+  const responses: ServerResponse[] = [];
+  const listener = createListener({
+    address: '127.0.0.1:0',
+    headerLimit: 1024,
+    headTimeout: 50,
+    gracePeriod: 1,
+    timers: createTimers(),
+    handle: async (_request, response) => void responses.push(response),
+  });
+  await listener.listen();
+  t.teardown(() => listener.stop(0));
+  return {listener, responses};
+}
+
+const whole = `POST /bookings HTTP/1.1\r\n${host}content-length: 2\r\n\r\nab`;
+
+for (const received of ['', whole.slice(0, 20)]) {
+  test(`a request that was refused because its head was slow is not handled later, bytes before: ${received.length}`, async t => {
+    const {listener, responses} = await startImpatientListener(t);
+    const socket = openRaw(listener.address, received);
+    const [refusal] = (await once(socket, 'data')) as [Buffer];
+    t.regex(refusal.toString(), /^HTTP\/1.1 408 /);
+    // The rest crosses the refusal on its way.
+    socket.write(whole.slice(received.length));
+    await readAll(socket);
+    for (let turn = 0; turn < 20; turn++) await tick();
+    t.is(responses.length, 0);
+  });
+}
+
 test('a caller that closes its half of the connection counts as disconnected', async t => {
   let aborted = false;
   const mesh = await createMesh({
