Add failing tests: a refusal where the answer of a running request is due

Input that the parser rejects is answered at once, also while an earlier request of the connection runs. The caller takes the refusal for the answer to that request: 408 not-run if a next head is slow, 400 not-run for bytes that are no request. If the answer has started, the refusal lands in its body.

Fails now: npx ava build/src/request/transport/listener.test.js, 'a running request is not refused because the next head is slow', '... because of the bytes that follow it', 'bytes that follow a request put no refusal into its answer'.

--- a/src/request/transport/listener.test.ts
+++ b/src/request/transport/listener.test.ts
@@ -140,6 +140,43 @@
   });
 }
 
+test('a running request is not refused because the next head is slow', async t => {
+  const {listener, responses} = await startImpatientListener(t);
+  const socket = openRaw(listener.address, `${whole}GET /sto`);
+  const answer = readAll(socket);
+  // The check for slow heads runs every second.
+  await Promise.race([answer, tick(2_500)]);
+  t.is(responses.length, 1);
+  responses[0]!.end('booked');
+  socket.end();
+  t.notRegex((await answer).text, /408|not-run/);
+});
+
+const junk = 'no request\r\n\r\n';
+
+test('a running request is not refused because of the bytes that follow it', async t => {
+  const {listener, responses} = await startImpatientListener(t);
+  const socket = openRaw(listener.address, whole);
+  while (responses.length === 0) await tick();
+  socket.write(junk);
+  const answer = readAll(socket);
+  await Promise.race([answer, tick(100)]);
+  responses[0]!.end('booked');
+  t.notRegex((await answer).text, /not-run/);
+});
+
+test('bytes that follow a request put no refusal into its answer', async t => {
+  const {listener, responses} = await startImpatientListener(t);
+  const socket = openRaw(listener.address, whole);
+  while (responses.length === 0) await tick();
+  responses[0]!.writeHead(200, {'content-length': 600});
+  responses[0]!.write('booked');
+  await once(socket, 'data');
+  socket.write(junk);
+  const rest = await readAll(socket);
+  t.notRegex(rest.text, /HTTP|not-run/);
+});
+
 test('a caller that closes its half of the connection counts as disconnected', async t => {
   let aborted = false;
   const mesh = await createMesh({
@@ -292,6 +329,6 @@
   await mesh.close();
 });
 
-function tick(): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, 1));
+function tick(milliseconds = 1): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
