A refusal of bad input waits for the answers to the requests before it

What callers saw: a booking that ran was answered 400, 431 or 408 with the effect not-run if the same connection then brought bytes that the parser rejects, an oversized head, or a head that never ended. In the middle of an answer the refusal became part of its body.

Cause: the listener wrote the refusal to the socket at once, whatever was under way there. Same class as late copies of rejections: an answer is assigned to a request by its place on the connection.

Now the listener tracks the answers that are not complete on a connection, and the refusal goes out after the last of them. A caller that has closed its half counts as disconnected, as it does without bad input.

The tests failed before: each got the refusal (400, 431, 408) as the first answer, and 'boo' + refusal + nothing for an answer that had started; a caller that closed its half inside a second head got 400 for its booking.

--- /dev/null
+++ b/src/request/transport/bad-input.ts
@@ -0,0 +1,87 @@
+/**
+ * Refuses input that the parser of Node.js rejects. The refusal is sent after
+ * the answers to all requests that came before it on the connection: a caller
+ * takes what it receives first for the answer to its first request, and a
+ * refusal would tell it that a request that runs was not run.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {requestCodes} from '../messages/codes.js';
+import type {Refusal} from '../messages/call.js';
+import {createRefusal} from '../messages/refusal.js';
+import {formatRefusal} from './refusal-answer.js';
+
+/** Refuses bad input on the connections of one listener. */
+export interface BadInput {
+  /** Takes note of a request; its answer goes before any later refusal. */
+  track(request: IncomingMessage, response: ServerResponse): void;
+  /** Refuses what the parser rejected on a connection. */
+  refuse(error: Error, socket: Socket): void;
+}
+
+interface Connection {
+  /** Answers that are not complete yet. */
+  readonly pending: Set<ServerResponse>;
+  /** Why the parser rejected the input; undefined while it accepts it. */
+  error: Error | undefined;
+}
+
+/** Creates the refusals of one listener. */
+export function createBadInput(): BadInput {
+  const connections = new WeakMap<Socket, Connection>();
+
+  function connectionOf(socket: Socket): Connection {
+    let connection = connections.get(socket);
+    if (connection === undefined) {
+      connection = {pending: new Set(), error: undefined};
+      connections.set(socket, connection);
+    }
+    return connection;
+  }
+
+  return {
+    track: ({socket}, response) => {
+      const {pending} = connectionOf(socket);
+      pending.add(response);
+      response.once('close', () => {
+        pending.delete(response);
+        const {error} = connectionOf(socket);
+        if (error !== undefined && pending.size === 0) answer(error, socket);
+      });
+    },
+    refuse: (error, socket) => {
+      const connection = connectionOf(socket);
+      connection.error ??= error;
+      if (connection.pending.size === 0) return answer(error, socket);
+      // A caller that closes its half of the connection counts as disconnected.
+      if (socket.readableEnded) socket.end();
+    },
+  };
+}
+
+function answer(error: Error, socket: Socket): void {
+  if (socket.destroyed || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const {status, headers, body} = formatRefusal(toBadInputRefusal(error));
+  const lines = [
+    `HTTP/1.1 ${status} Refused`,
+    'connection: close',
+    `content-length: ${Buffer.byteLength(body)}`,
+  ];
+  for (let index = 0; index < headers.length; index += 2) {
+    lines.push(`${headers[index]}: ${headers[index + 1]}`);
+  }
+  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`);
+}
+
+function toBadInputRefusal(error: NodeJS.ErrnoException): Refusal {
+  if (error.code === 'HPE_HEADER_OVERFLOW') {
+    return createRefusal(requestCodes.headersTooLarge);
+  }
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+    return createRefusal(requestCodes.headSlow);
+  }
+  return createRefusal(requestCodes.badRequest, error.message);
+}
--- a/src/request/transport/listener.test.ts
+++ b/src/request/transport/listener.test.ts
@@ -9,6 +9,8 @@
 const host = 'host: stock\r\n';
 const close = 'connection: close\r\n';
 
+const booking = `POST /bookings HTTP/1.1\r\n${host}content-length: 2\r\n\r\nab`;
+
 const badInputs: Record<string, {text: string; code: number}> = {
   'two lengths': {
     text: `POST /stock HTTP/1.1\r\n${host}content-length: 1\r\ncontent-length: 2\r\n\r\nab`,
@@ -105,6 +107,98 @@
   await listener.stop(0);
 });
 
+/** What can follow a request on its connection, and the refusal for it. */
+const badFollowers: Record<string, {text: string; code: number}> = {
+  'no HTTP': {text: '\x16\x03\x01\x02\r\n\r\n', code: 5015},
+  'headers over the limit': {
+    text: `GET /stock HTTP/1.1\r\n${host}x: ${'y'.repeat(20_000)}\r\n\r\n`,
+    code: 5016,
+  },
+};
+
+for (const [name, {text, code}] of Object.entries(badFollowers)) {
+  test(`the refusal of ${name} is not sent in place of the answer to a booking before it`, async t => {
+    const {mesh, finish} = await startSlowMesh();
+    const {gate} = mesh.members[0]!;
+    const socket = openRaw(mesh.entry.address, booking);
+    const answer = readAll(socket);
+    while (gate.running === 0) await tick();
+    socket.write(text);
+    for (let turn = 0; turn < 20; turn++) await tick();
+    const timer = setInterval(finish, 5);
+    const {text: answers} = await answer;
+    clearInterval(timer);
+    t.regex(answers, /^HTTP\/1.1 200 OK[^]*got 2/);
+    t.regex(answers, new RegExp(`got 2[^]*foxbarrow-code: ${code}`));
+    await mesh.close();
+  });
+}
+
+test('the refusal of a stalled head is not sent in place of the answer to the request before it', async t => {
+  let finish = () => {};
+  const listener = createListener({
+    address: '127.0.0.1:0',
+    headerLimit: 1024,
+    headTimeout: 50,
+    gracePeriod: 1,
+    timers: createTimers(),
+    handle: async (_req, res) => {
+      finish = () => res.end('booked');
+    },
+  });
+  await listener.listen();
+  const socket = openRaw(listener.address, `${booking}POST /book`);
+  const answer = readAll(socket);
+  // Longer than the head timeout and the time between two checks of it.
+  await new Promise(resolve => setTimeout(resolve, 2_200));
+  finish();
+  t.regex((await answer).text, /^HTTP\/1.1 200 OK[^]*booked[^]*5024/);
+  await listener.stop(0);
+});
+
+test('a refusal is not sent in the middle of an answer', async t => {
+  let finish = () => {};
+  const mesh = await createMesh({
+    upstreams: [
+      (_req, res) => {
+        res.writeHead(200, {'content-length': 6});
+        res.write('boo');
+        finish = () => res.end('ked');
+      },
+    ],
+  });
+  const socket = openRaw(mesh.entry.address, booking);
+  const answer = readAll(socket);
+  await new Promise(resolve => socket.once('data', resolve));
+  socket.write('\x16\x03\x01\x02\r\n\r\n');
+  for (let turn = 0; turn < 20; turn++) await tick();
+  finish();
+  t.regex((await answer).text, /\r\n\r\nbookedHTTP[^]*foxbarrow-code: 5015/);
+  await mesh.close();
+});
+
+test('a caller that closes its half in the middle of a head gets no refusal for the request before it', async t => {
+  const {mesh} = await startSlowMesh();
+  const {gate} = mesh.members[0]!;
+  const socket = openRaw(mesh.entry.address, booking);
+  const answer = readAll(socket);
+  while (gate.running === 0) await tick();
+  socket.end('POST /book');
+  t.is((await answer).text, '');
+  while (gate.running > 0) await advanceUntilDone(mesh.timers, tick());
+  await mesh.close();
+});
+
+test('a caller that closes its half in the middle of its only head is refused', async t => {
+  const {mesh} = await startSlowMesh();
+  const socket = openRaw(mesh.entry.address, 'POST /book');
+  const answer = readAll(socket);
+  await tick();
+  socket.end();
+  t.regex((await answer).text, /foxbarrow-code: 5015/);
+  await mesh.close();
+});
+
 test('a caller that closes its half of the connection counts as disconnected', async t => {
   let aborted = false;
   const mesh = await createMesh({
