A body that breaks off in invalid bytes is not refused as not run

What callers saw: 400 with the effect not-run for a chunked booking whose first part the upstream had and ran, if the next chunk had no valid length.

Cause: the listener took the parser's error for a request of its own. The stream of the body reports nothing until the connection closes, so nobody else learned of it.

Now the listener tells the upload, whose request ends with body-invalid (400, effect unknown); no second answer follows it. A caller that has left stays caller-left.

--- a/src/request/transport/bad-input.ts
+++ b/src/request/transport/bad-input.ts
@@ -19,9 +19,30 @@
   refuse(error: Error, socket: Socket): void;
 }
 
+const bodyFaults = new WeakMap<IncomingMessage, AbortController>();
+
+function faultOf(message: IncomingMessage): AbortController {
+  let fault = bodyFaults.get(message);
+  if (fault === undefined) {
+    fault = new AbortController();
+    bodyFaults.set(message, fault);
+  }
+  return fault;
+}
+
+/**
+ * A signal that is aborted when the parser rejects the rest of a body. The
+ * stream of the body reports nothing until the connection closes.
+ */
+export function bodyFault(message: IncomingMessage): AbortSignal {
+  return faultOf(message).signal;
+}
+
 interface Connection {
   /** Answers that are not complete yet. */
   readonly pending: Set<ServerResponse>;
+  /** The last request whose head was complete. */
+  last: IncomingMessage | undefined;
   /** Why the parser rejected the input; undefined while it accepts it. */
   error: Error | undefined;
 }
@@ -33,32 +54,46 @@
   function connectionOf(socket: Socket): Connection {
     let connection = connections.get(socket);
     if (connection === undefined) {
-      connection = {pending: new Set(), error: undefined};
+      connection = {pending: new Set(), last: undefined, error: undefined};
       connections.set(socket, connection);
     }
     return connection;
   }
 
   return {
-    track: ({socket}, response) => {
-      const {pending} = connectionOf(socket);
+    track: (request, response) => {
+      const {socket} = request;
+      const connection = connectionOf(socket);
+      const {pending} = connection;
+      connection.last = request;
       pending.add(response);
       response.once('close', () => {
         pending.delete(response);
-        const {error} = connectionOf(socket);
-        if (error !== undefined && pending.size === 0) answer(error, socket);
+        const {error} = connection;
+        if (error !== undefined && pending.size === 0) end(connection, socket);
       });
     },
     refuse: (error, socket) => {
       const connection = connectionOf(socket);
       connection.error ??= error;
-      if (connection.pending.size === 0) return answer(error, socket);
+      const {pending, last} = connection;
       // A caller that closes its half of the connection counts as disconnected.
-      if (socket.readableEnded) socket.end();
+      const hasLeft = socket.destroyed || socket.readableEnded;
+      if (pending.size === 0) end(connection, socket);
+      else if (hasLeft) socket.end();
+      else if (!last!.complete) faultOf(last!).abort(error);
     },
   };
 }
 
+/** Ends a connection after the answers to all of its requests. */
+function end({last, error}: Connection, socket: Socket): void {
+  // What was rejected belongs to the body of a request that was answered. A
+  // refusal would be one answer too many.
+  if (last?.complete === false) socket.end();
+  else answer(error!, socket);
+}
+
 function answer(error: Error, socket: Socket): void {
   if (socket.destroyed || !socket.writable) {
     socket.destroy();
--- a/src/request/transport/listener.test.ts
+++ b/src/request/transport/listener.test.ts
@@ -177,6 +177,24 @@
   await mesh.close();
 });
 
+test('a body that breaks off in invalid bytes while the upstream runs it is not refused as not run', async t => {
+  let received = '';
+  const mesh = await createMesh({
+    upstreams: [req => req.on('data', part => (received += part))],
+  });
+  const socket = openRaw(
+    mesh.entry.address,
+    `POST /bookings HTTP/1.1\r\n${host}transfer-encoding: chunked\r\n\r\n2\r\nab\r\n`,
+  );
+  const answer = readAll(socket);
+  while (received !== 'ab') await tick();
+  socket.write('no length\r\n');
+  const {text} = await answer;
+  t.regex(text, /^HTTP\/1.1 400 [^]*foxbarrow-code: 5033[^]*effect: unknown/);
+  t.is(text.match(/^HTTP\/1.1 /gm)?.length, 1);
+  await mesh.close();
+});
+
 test('a caller that closes its half in the middle of a head gets no refusal for the request before it', async t => {
   const {mesh} = await startSlowMesh();
   const {gate} = mesh.members[0]!;
