--- a/scripts/docs.test.ts
+++ b/scripts/docs.test.ts
@@ -24,6 +24,14 @@
   }
 });
 
+test('no code of a request that may have run has a status by which callers send it again', t => {
+  const promises = new Set([408, 421, 429, 503]);
+  for (const {name, number, status, effect} of resultTable) {
+    const isRequest = number >= 5000 && number < 7000;
+    if (isRequest && promises.has(status)) t.is(effect, 'not-run', name);
+  }
+});
+
 test('the table contains the codes of every slice', async t => {
   for (const slice of readdirSync('src')) {
     const module = join('src', slice, 'codes.ts');
