A request whose head was refused as slow is not handled later

What callers saw: 408, a promise that the request never runs, for a head that did not arrive in time or a connection that was not used in time; the rest of the head, or a request that crossed the refusal, was then handled and ran.

Cause: the listener ended its half of the connection and went on reading the other. Same class as late rejections: what is said on a connection is not tied to the request that it is said of. Now no request is handled on a connection whose input was refused.

--- a/src/request/transport/bad-input.ts
+++ b/src/request/transport/bad-input.ts
@@ -13,8 +13,12 @@
 
 /** Refuses bad input on the connections of one listener. */
 export interface BadInput {
-  /** Takes note of a request; its answer goes before any later refusal. */
-  track(request: IncomingMessage, response: ServerResponse): void;
+  /**
+   * Takes note of a request; its answer goes before any later refusal. False if
+   * the input of its connection was refused, so that it must not be handled: its
+   * caller may take the refusal for the answer to it.
+   */
+  track(request: IncomingMessage, response: ServerResponse): boolean;
   /** Refuses what the parser rejected on a connection. */
   refuse(error: Error, socket: Socket): void;
 }
@@ -64,6 +68,7 @@
     track: (request, response) => {
       const {socket} = request;
       const connection = connectionOf(socket);
+      if (connection.error !== undefined) return false;
       const {pending} = connection;
       connection.last = request;
       pending.add(response);
@@ -72,6 +77,7 @@
         const {error} = connection;
         if (error !== undefined && pending.size === 0) end(connection, socket);
       });
+      return true;
     },
     refuse: (error, socket) => {
       const connection = connectionOf(socket);
