A copy of a second attempt's result does not count as a contradiction

A booking that is rejected may be sent again to the same instance under its id; a late copy of its result then looked like an answer to a rejected request. The id is forgotten with the own result.

The test failed before: 1, 0 expected.

--- a/src/request/transport/upstream-link.ts
+++ b/src/request/transport/upstream-link.ts
@@ -81,6 +81,8 @@
           recordRejection(call, status);
           return receiver.rejected(rejection);
         }
+        // Its own result is no contradiction, and it is not sent again.
+        rejectedCalls.delete(call.id);
         receiver.head({
           status,
           reason,
