Lines of configurations in force are not left out, and name the home

They shared a budget of lines with changes of instances, so that after a busy second it could not be told when a version came into force at a node, nor from which home. The new test fails on the code before: its line is missing.

--- a/src/node/state-changes.test.ts
+++ b/src/node/state-changes.test.ts
@@ -9,6 +9,8 @@
 import {createFakeTimers} from '../time/fakes/fake-timers.js';
 import {logStateChanges} from './state-changes.js';
 
+const homeAddress = '10.1.0.42:7475';
+
 function setUp() {
   const {log, lines} = createRecordedLog();
   const timers = createFakeTimers(60_000);
@@ -21,6 +23,7 @@
     announcer: {onChange: observe => void announcements.push(observe)},
     endpoints,
     onConfiguration: observe => void configurations.push(observe),
+    home: {address: () => homeAddress},
     timers,
     log,
   });
@@ -44,11 +47,21 @@
   t.is(lines[0]?.fields.stateAge, 1_000);
 });
 
-test('a configuration that comes into force is logged with its version', t => {
+test('a configuration that comes into force is logged with its version and home', t => {
   const {lines, configurations} = setUp();
   configurations[0]!(stockConfiguration);
   t.is(lines[0]?.message, 'configuration in force');
   t.is(lines[0]?.fields.version, stockConfiguration.version);
+  t.is(lines[0]?.fields.home, homeAddress);
+});
+
+test('a configuration is logged however many changes of instances come with it', t => {
+  const {lines, endpoints, configurations} = setUp();
+  for (let count = 0; count < 1_000; count++) {
+    endpoints.put(announcementOf({instance: `i-${count}`}));
+  }
+  configurations[0]!(stockConfiguration);
+  t.is(lines.at(-1)?.message, 'configuration in force');
 });
 
 test('an announcement of the node’s own upstream is logged', t => {
--- a/src/node/state-changes.ts
+++ b/src/node/state-changes.ts
@@ -6,6 +6,7 @@
  */
 import type {Configuration} from '../configuration/configuration.js';
 import type {Announcer} from '../endpoints/announcer.js';
+import type {HomeConnection} from '../distribution/home-connection.js';
 import type {EndpointView, KnownInstance} from '../endpoints/messages.js';
 import {createLineBudget} from '../log/line-budget.js';
 import type {Fields, Log} from '../log/log.js';
@@ -18,18 +19,23 @@
   readonly onConfiguration: (
     observe: (configuration: Configuration) => void,
   ) => void;
+  readonly home: Pick<HomeConnection, 'address'>;
   readonly timers: Timers;
   readonly log: Log;
 }
 
 // A release of a service with ten instances causes about forty changes. During a
-// restart of a whole fleet, changes beyond the limit are only counted.
+// restart of a whole fleet, changes of instances beyond the limit are only counted.
 const linesPerSecond = 10;
 const maxBurst = 200;
 
-/** Logs each change of the known state, up to a rate. */
+/**
+ * Logs each change of the known state, changes of instances up to a rate.
+ * Configurations are not subject to it, since their lines show whether a version
+ * came into force in time; homes limit how often they send one.
+ */
 export function logStateChanges(options: StateChangesOptions): void {
-  const {endpoints, timers} = options;
+  const {endpoints, home, timers} = options;
   const log = options.log.scope('beliefs');
   const budget = createLineBudget({
     rate: linesPerSecond,
@@ -73,8 +79,9 @@
   });
 
   options.onConfiguration(({version, services, routes, drains}) =>
-    logLine('configuration in force', {
+    log.info('configuration in force', {
       version,
+      home: home.address(),
       services: services.size,
       routes: routes.size,
       drains: drains.size,
