A home without a fresh state does not rule out homes left before

Callers were routed by an old version for up to 13 s: a node that had left two homes because their pushes had not arrived kept a third one after that was cut off from the quorum. The two were excluded for 5 to 15 s, longer after repetition, though they were the only ones with a fresh state.

The exclusion keeps a node that can't read what it receives from trying all homes in turn. That concerns a home whose state is fresh and does not arrive. A home whose own state is not fresh is at fault itself, so all others are probed, those left last.

--- a/src/distribution/freshness-marks.ts
+++ b/src/distribution/freshness-marks.ts
@@ -59,6 +59,11 @@
    * long.
    */
   isBehind(): boolean;
+  /**
+   * Whether the attached home has a fresh state that has not arrived for too
+   * long, so that the cause may be this process.
+   */
+  isUndelivered(): boolean;
   /**
    * Whether the attached home is the cause of an outdated local state, compared
    * with another home that has just answered: it has not answered a ping that
@@ -166,6 +171,7 @@
     isFresh,
     isConfirmed: () => localAsOf !== undefined && isRecent(localAsOf),
     isBehind,
+    isUndelivered: () => last !== undefined && isFresh(last) && isBehind(),
     isOverdue: () => !isRecent(Math.max(localAsOf ?? attachedAt, attachedAt)),
     isWorseThan(other) {
       const isStale = last === undefined || !isFresh(last) || isBehind();
--- a/src/distribution/home-selector.ts
+++ b/src/distribution/home-selector.ts
@@ -24,9 +24,9 @@
   /** Homes that are not suspected, nearest first. */
   trusted(): HomeAddress[];
   /**
-   * Homes that may have a fresher state than the attached one: all except those
-   * whose state was not received, in the same order as `ordered`. A home that
-   * failed is among them, since it may have been restarted in the meantime.
+   * Homes that may deliver a state that the attached one does not: all except
+   * those whose state was not received, in the same order as `ordered`. A home
+   * that failed is among them, since it may have been restarted in the meantime.
    */
   alternatives(): HomeAddress[];
   /**
--- a/src/distribution/in-force.test.ts
+++ b/src/distribution/in-force.test.ts
@@ -48,7 +48,12 @@
   await cluster.timers.advanceAsync(3000 + offset);
   if (node.home.address() !== homes[0]!.address) throw new Error('not nearest');
   const suspended = new Set<string>();
-  cluster.network.decide(from => (suspended.has(from) ? 'hold' : 'deliver'));
+  const undelivered = new Set<string>();
+  cluster.network.decide((from, _to, message) => {
+    if (suspended.has(from)) return 'hold';
+    const isPush = (message as {body?: {kind?: string}}).body?.kind === 'push';
+    return isPush && undelivered.has(from) ? 'drop' : 'deliver';
+  });
 
   return {
     cluster,
@@ -75,6 +80,9 @@
      * Suspends a process: its connections are accepted and it sends nothing.
      */
     suspend: (name: string) => void suspended.add(name),
+    /** Drops what a home pushes, not its answers to pings. */
+    dropPushes: (name: string) => void undelivered.add(name),
+    deliverPushes: () => undelivered.clear(),
     /** Kills a home; its address refuses connections until it is restarted. */
     kill: (index: number) => cluster.network.kill(names[index]!),
     /**
@@ -196,6 +204,19 @@
       await cluster.timers.advanceAsync(settlingTime);
     },
   ],
+  // Guards against a node that stays with a home without a quorum, since it left
+  // the others a few seconds ago because their pushes had not arrived.
+  [
+    'its home cut off from the quorum and the others left as their pushes did not arrive',
+    async ({dropPushes, deliverPushes, isolate, accept, cluster}) => {
+      dropPushes('control-1');
+      dropPushes('control-2');
+      await accept();
+      deliverPushes();
+      isolate(2);
+      await cluster.timers.advanceAsync(settlingTime - maxDelay);
+    },
+  ],
 ];
 
 for (const [title, fault] of faults) {
