A home that does not answer holds up no further probes

Callers were routed by an old version for more than 2 s after the acceptance of a change, 3 s after the last fault: a round of probes lasted until its slowest one had ended, 2 s for a home that hangs and up to 4 s where the connection is accepted late. Homes that were refused early in the round, as they were being restarted, were probed again only after it and a pause of up to 1.2 s; a search for a nearer home held up that for one with a quorum.

A round now ends when all homes to probe have had the time after which another one is probed beside them. What has not answered by then is left to answer beside the next round. Homes without a quorum are accepted in a round only if they were probed in it, so that on a slow link the first answers decide nothing.

With answers judged by the present round instead, the test of a slow link fails.

--- a/src/distribution/home-connection.test.ts
+++ b/src/distribution/home-connection.test.ts
@@ -101,6 +101,25 @@
 
 // Guards against the load of nodes that change homes all the time. A region is
 // cut off for ten minutes, so that no home in it has a fresh mark.
+// Guards against a node on a slow link that attaches to a home without a quorum,
+// as the home that has one answers after the first round of probes.
+test('a node whose link is slow attaches to no home without a quorum while others have not answered', async t => {
+  const cluster = createTestCluster();
+  const operator = createOperator();
+  operator.accept({put: ['crewbook']});
+  const nearest = await cluster.control('control-1', operator);
+  const other = await cluster.control('control-2', operator);
+  nearest.quorum = false;
+  await cluster.timers.advanceAsync(10_000);
+  cluster.network.slow('node-1', 700);
+  const homes = [{address: nearest.address, failureDomain: 'a'}, other.address];
+  const node = cluster.node('node-1', homes);
+  const attached: string[] = [];
+  node.home.onChannels(() => attached.push(node.home.address()));
+  await cluster.timers.advanceAsync(5_000);
+  t.deepEqual(attached, [other.address]);
+});
+
 test('a node rarely changes its home while all homes have old marks', async t => {
   const {node, other, cluster} = await isolateHome({});
   other.quorum = false;
--- a/src/distribution/home-search.ts
+++ b/src/distribution/home-search.ts
@@ -26,7 +26,8 @@
   readonly homes: () => readonly HomeAddress[];
   /**
    * Attaches to a home that answered and returns undefined, or returns why it
-   * is rejected. `round` counts from 0 since the search started.
+   * is rejected. `round` is the one in which it was probed, counted from 0 since
+   * the search started.
    */
   readonly tryAttach: (
     candidate: HomeCandidate,
@@ -37,7 +38,7 @@
   /**
    * Called at the end of a round without a result, with the reason for each
    * home that was probed. Returns the milliseconds until the next round;
-   * undefined to end the search.
+   * undefined to start none. Probes in progress still count in either case.
    */
   readonly nextRoundDelay: (problems: HomeProblems) => number | undefined;
 }
@@ -49,7 +50,7 @@
    * still count; the homes to probe next are determined anew.
    */
   begin(delay: number): void;
-  /** Whether a round is running or scheduled. */
+  /** Whether a round is running or scheduled; probes may be in progress without. */
   isActive(): boolean;
   /** Ends the search and cancels its probes. */
   stop(): void;
@@ -93,21 +94,27 @@
       timer = timers.after(limits.nextProbeDelay, probeNext);
     } else if (probes.size === 0) {
       endRound();
+    } else {
+      timer = timers.after(limits.nextProbeDelay, endRound);
     }
   }
 
+  /**
+   * Ends a round, also while homes have not answered. A home that hangs would
+   * otherwise delay the next probe of one that has just been restarted.
+   */
   function endRound(): void {
     isRoundRunning = false;
+    timer = undefined;
+    for (const address of probes.keys()) problems.set(address, 'no answer yet');
     const delay = options.nextRoundDelay(problems);
-    if (delay === undefined) {
-      stop();
-      return;
-    }
+    if (delay === undefined) return;
     round++;
     timer = timers.after(delay, startRound);
   }
 
   function startProbe(home: HomeAddress): void {
+    const startedInRound = round;
     const probe = probeHome({
       home,
       network,
@@ -115,7 +122,7 @@
       timeout: limits.answerTimeout,
       onAnswer(candidate) {
         probes.delete(home.address);
-        receive(candidate);
+        receive(candidate, startedInRound);
       },
       onFailure(problem) {
         log.debug('home did not answer the probe', {
@@ -125,21 +132,21 @@
         probes.delete(home.address);
         problems.set(home.address, problem);
         options.onFailure(home);
-        probeNext();
+        if (isRoundRunning) probeNext();
       },
     });
     probes.set(home.address, probe);
   }
 
-  function receive(candidate: HomeCandidate): void {
-    const problem = options.tryAttach(candidate, round);
+  function receive(candidate: HomeCandidate, probedInRound: number): void {
+    const problem = options.tryAttach(candidate, probedInRound);
     if (problem === undefined) {
       stop();
       return;
     }
     problems.set(candidate.home.address, problem);
     candidate.channels.link.close();
-    probeNext();
+    if (isRoundRunning) probeNext();
   }
 
   return {
--- a/src/distribution/in-force.test.ts
+++ b/src/distribution/in-force.test.ts
@@ -49,7 +49,9 @@
   if (node.home.address() !== homes[0]!.address) throw new Error('not nearest');
   const suspended = new Set<string>();
   const undelivered = new Set<string>();
-  cluster.network.decide((from, _to, message) => {
+  let lastReceiver = '';
+  cluster.network.decide((from, to, message) => {
+    if (from === 'node-1') lastReceiver = to;
     if (suspended.has(from)) return 'hold';
     const isPush = (message as {body?: {kind?: string}}).body?.kind === 'push';
     return isPush && undelivered.has(from) ? 'drop' : 'deliver';
@@ -83,6 +85,11 @@
     /** Drops what a home pushes, not its answers to pings. */
     dropPushes: (name: string) => void undelivered.add(name),
     deliverPushes: () => undelivered.clear(),
+    /** Resolves when the node sends its next message to a process. */
+    async untilSent(name: string): Promise<void> {
+      lastReceiver = '';
+      while (lastReceiver !== name) await cluster.timers.advanceAsync(10);
+    },
     /** Kills a home; its address refuses connections until it is restarted. */
     kill: (index: number) => cluster.network.kill(names[index]!),
     /**
@@ -204,6 +211,28 @@
       await cluster.timers.advanceAsync(settlingTime);
     },
   ],
+  // The same with a change as old as it may be when control has just settled.
+  [
+    'an unreachable home beside the one that got a quorum a second ago',
+    async ({isolate, rejoin, cut, cluster}) => {
+      for (const index of names.keys()) isolate(index);
+      cut('control-2');
+      await cluster.timers.advanceAsync(30_000);
+      rejoin(2);
+      await cluster.timers.advanceAsync(settlingTime - maxDelay);
+    },
+  ],
+  // Guards against a node whose search for a nearer home, which does not answer,
+  // delays the search for a home that has a quorum.
+  [
+    'its home cut off from the quorum while a nearer one does not answer a probe',
+    async ({suspend, isolate, cluster, untilSent}) => {
+      suspend('control-1');
+      await cluster.timers.advanceAsync(settlingTime);
+      await untilSent('control-1');
+      isolate(1);
+    },
+  ],
   // Guards against a node that stays with a home without a quorum, since it left
   // the others a few seconds ago because their pushes had not arrived.
   [
--- a/src/distribution/limits.ts
+++ b/src/distribution/limits.ts
@@ -22,7 +22,7 @@
   overdueShare: 2 / 3,
   /**
    * Delay until another home is probed concurrently with one that has not
-   * answered.
+   * answered, or the round ends.
    */
   nextProbeDelay: 250,
   /** How long an open link may remain without an answer. */
