--- a/src/request/decisions/fair-queue.ts
+++ b/src/request/decisions/fair-queue.ts
@@ -2,7 +2,8 @@
  * The waiting calls of one priority, in the order of start-time fair queueing
  * across workspaces. Each workspace has a start tag on a virtual time that
  * advances with the started work. The workspace with the lowest tag is next, so
- * a workspace that sends more than its share delays its own calls first.
+ * a workspace that sends more than its share delays its own calls first. In a
+ * deployment without workspaces, kinds of calls take their place.
  * docs/design/sharing.md compares this with other orders.
  */
 
