What is learned of calls and callers outlives a change of the configuration

Cause: the typical timeouts of callers were kept by the object of a route, and each change of a section makes all its routes anew; durations and sizes were kept by the name of the policy, and on the platform a new timeout gives a route a policy of another name. During a storm nothing was known: callers were held to their deadline instead of their objective, queues grew to it, and no wait was estimated. Class: learned state keyed by what each change replaces.

Change: typical timeouts are kept by the name of the route, durations, sizes and estimates by the kind of a call (decisions/call-kinds.ts): a policy that a route gets anew has the kind of its former one.

Not done: the times that a planned stop counts on are still kept by policy.

--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -11,6 +11,7 @@
 import type {Entry} from '../request/entry.js';
 import type {Gate} from '../request/gate.js';
 import type {Quotas} from '../quotas/quotas.js';
+import type {CallKinds} from '../request/decisions/call-kinds.js';
 import type {StopLimit} from '../request/decisions/stop-limit.js';
 import type {OutcomeRecorder} from '../rollouts/recorder.js';
 import {createGateServer} from '../request/transport/gate-server.js';
@@ -41,6 +42,7 @@
   readonly outcomes: OutcomeRecorder;
   readonly quotas: Quotas;
   readonly stopLimit: StopLimit;
+  readonly kinds: CallKinds;
   /** Called with each request that was answered after an earlier attempt lost its upstream. */
   readonly onCleared: (request: string) => void;
 }
@@ -104,6 +106,7 @@
     outcomes: options.outcomes,
     quotas: options.quotas,
     stopLimit: options.stopLimit,
+    kinds: options.kinds,
     onCleared: options.onCleared,
     onKeyRefused: reason => metrics.keyRefused(reason),
     onOutcome: outcome => reportOutcome(metrics, configuration(), outcome),
