--- a/bench/overload/simulation.ts
+++ b/bench/overload/simulation.ts
@@ -85,7 +85,7 @@
   readonly seed: number;
 }
 
-/** What the requests of one kind that were sent in one second got. */
+/** What became of the requests of one kind that were sent in one second. */
 export interface KindResult {
   requests: number;
   inTime: number;
@@ -102,17 +102,21 @@
   capacity: number;
 }
 
+/** What callers got, and for what the slots were used. */
 export interface OverloadResult {
   /** By second and kind. */
   readonly kinds: ReadonlyArray<ReadonlyMap<string, KindResult>>;
   /** By second and service. */
   readonly slots: ReadonlyArray<ReadonlyMap<string, SlotResult>>;
-  /** Attempts at gates, and requests and calls refused without one. */
+  /** Attempts at gates. */
   readonly attempts: number;
+  /** Requests and calls that entries refused without an attempt. */
   readonly notOffered: number;
+  /** Requests and calls that entries received. */
   readonly requests: number;
 }
 
+/** One-way delays in milliseconds: to callers, within and between domains. */
 const clientDelay = 3;
 const localDelay = 0.1;
 const remoteDelay = 0.9;
@@ -133,6 +137,7 @@
 
 type Processor = ReturnType<typeof createProcessor>;
 
+/** A node with its upstream. */
 interface Node {
   readonly index: number;
   readonly domain: string;
--- a/src/request/decisions/instance-pool.test.ts
+++ b/src/request/decisions/instance-pool.test.ts
@@ -119,7 +119,8 @@
     target.ended(undefined, random.fraction() < 0.3 ? 500 : 200);
   shares(answer);
   for (let round = 0; round < 10; round++) {
-    for (const count of Object.values(shares(answer))) t.true(count > 10, String(count));
+    for (const count of Object.values(shares(answer)))
+      t.true(count > 10, String(count));
   }
 });
 
