--- a/bench/overload/simulation.test.ts
+++ b/bench/overload/simulation.test.ts
@@ -1,7 +1,11 @@
 import test from 'ava';
 import {agency} from './agency.js';
 import {simulateOverload} from './simulation.js';
-import type {OverloadOptions, OverloadResult} from './simulation.js';
+import type {
+  OverloadOptions,
+  OverloadResult,
+  RequestKind,
+} from './simulation.js';
 
 /** One of three instances of the called service is left from 2.5 s on. */
 const departures = [
@@ -9,6 +13,9 @@
   {instance: 10, leavesAt: 2_500},
 ];
 
+/** Share of what is owed to each kind that its callers must get. */
+const floor = 0.38;
+
 function play(changes: Partial<OverloadOptions>): OverloadResult {
   return simulateOverload({
     ...agency,
@@ -20,11 +27,15 @@
 }
 
 /** Share of what is owed to requests from `from` on, in seconds. */
-function earnedShare({kinds}: OverloadResult, from = 3): number {
+function earnedShare(
+  {kinds}: OverloadResult,
+  from = 3,
+  counted: readonly RequestKind[] = agency.kinds,
+): number {
   let earned = 0;
   let owed = 0;
   for (const results of kinds.slice(from, 7)) {
-    for (const {name, worth, lateWorth} of agency.kinds) {
+    for (const {name, worth, lateWorth} of counted) {
       const result = results.get(name);
       if (result === undefined) continue;
       earned += result.inTime * worth + result.late * lateWorth;
@@ -52,6 +63,15 @@
   t.true(share > 0.7, String(share));
 });
 
+// Refusing calls must not use up the processor time that serving others needs.
+test('each kind keeps its floor while processors bind beside a short service', t => {
+  const result = play({departures, hopTime: 0.9});
+  const shares = agency.kinds
+    .filter(({rate}) => rate > 0)
+    .map(kind => earnedShare(result, 3, [kind]));
+  t.true(Math.min(...shares) >= floor, shares.join(', '));
+});
+
 // Overload must not keep itself going by callers who return.
 test('after the load has fallen all requests are served', t => {
   const loadAt = (time: number) => (time < 3_000 ? 1.5 : 0.5);
