--- a/bench/overload/agency.ts
+++ b/bench/overload/agency.ts
@@ -80,6 +80,7 @@
   speed,
 });
 
+/** Nine instances of the calling service and three of the called one. */
 export const agency: Omit<OverloadOptions, 'seed'> = {
   kinds: agencyKinds,
   instances: [
--- a/bench/overload/simulation.ts
+++ b/bench/overload/simulation.ts
@@ -27,8 +27,10 @@
 import {createRefusal} from '../../src/request/messages/refusal.js';
 import type {Announcement} from '../../src/endpoints/messages.js';
 import {emptyConfiguration} from '../../src/configuration/configuration.js';
-import type {Configuration} from '../../src/configuration/configuration.js';
-import type {Priority} from '../../src/configuration/configuration.js';
+import type {
+  Configuration,
+  Priority,
+} from '../../src/configuration/configuration.js';
 import {createSilentLog} from '../../src/log/log.js';
 import {createRandom} from '../../src/random/random.js';
 import type {Random} from '../../src/random/random.js';
--- a/src/request/decisions/entry-usage.ts
+++ b/src/request/decisions/entry-usage.ts
@@ -3,7 +3,7 @@
 import {createTotals} from '../../log/totals.js';
 import type {Timers} from '../../time/timers.js';
 import type {Outcome} from '../messages/call.js';
-import {firstServerError} from '../messages/status.js';
+import {outcomeField} from './outcome-field.js';
 
 /** Records ended requests. */
 export interface EntryUsage {
@@ -27,7 +27,8 @@
 
   return {
     record: (outcome, isLate) => {
-      const field = fieldOf(outcome, isLate);
+      const isCut = outcome.code === undefined && !outcome.whole;
+      const field = isCut ? 'cut' : outcomeField({...outcome, isLate});
       const amounts = {
         requests: 1,
         attempts: outcome.attempts,
@@ -39,11 +40,3 @@
     },
   };
 }
-
-/** The field that counts an outcome; of a refusal it is the code's name. */
-function fieldOf({code, status, whole}: Outcome, isLate: boolean): string {
-  if (code !== undefined) return code.name;
-  if (!whole) return 'cut';
-  if (status >= firstServerError) return 'failed';
-  return isLate ? 'late' : 'inTime';
-}
--- a/src/request/decisions/gate-usage.ts
+++ b/src/request/decisions/gate-usage.ts
@@ -7,7 +7,7 @@
 import {createTotals} from '../../log/totals.js';
 import type {Code} from '../../result/code.js';
 import type {Timers} from '../../time/timers.js';
-import {firstServerError} from '../messages/status.js';
+import {outcomeField} from './outcome-field.js';
 
 /** How one call at a gate ended; times in milliseconds. */
 export interface EndedCall {
@@ -47,7 +47,7 @@
 
   return {
     record: call => {
-      const outcome = outcomeOf(call);
+      const outcome = outcomeField(call);
       const amounts = {
         offered: 1,
         [outcome]: 1,
@@ -61,10 +61,3 @@
     },
   };
 }
-
-/** The field that counts an outcome; of a refusal it is the code's name. */
-function outcomeOf({status, code, isLate}: EndedCall): string {
-  if (code !== undefined) return code.name;
-  if (status !== undefined && status >= firstServerError) return 'failed';
-  return isLate ? 'late' : 'inTime';
-}
