--- a/src/request/fakes/mesh.ts
+++ b/src/request/fakes/mesh.ts
@@ -19,6 +19,7 @@
 import {createGate} from '../gate.js';
 import type {Gate, GateOptions} from '../gate.js';
 import {createGateServer} from '../transport/gate-server.js';
+import type {GateServerOptions} from '../transport/gate-server.js';
 import type {Listener} from '../transport/listener.js';
 import type {Safeguards} from '../messages/safeguards.js';
 import {stockConfiguration} from './configurations.js';
@@ -41,6 +42,7 @@
   readonly claims?: Claims;
   readonly gate?: Partial<GateOptions>;
   readonly entry?: Partial<EntryOptions>;
+  readonly gateServer?: Partial<GateServerOptions>;
   /** Created by default. */
   readonly timers?: FakeTimers;
   readonly gateSafeguards?: Partial<Safeguards>;
@@ -185,6 +187,7 @@
     timers,
     log,
     safeguards: options.gateSafeguards,
+    ...options.gateServer,
   });
   await server.listen();
   return {instance, upstream, gate, server};
--- /dev/null
+++ b/src/request/incoming-link.test.ts
@@ -0,0 +1,150 @@
+import {request as httpRequest} from 'node:http';
+import test from 'ava';
+import {parseAddress} from '../link/address.js';
+import type {Address} from '../link/link.js';
+import {createSilentLog} from '../log/log.js';
+import {createRandom} from '../random/random.js';
+import {createFakeTimers} from '../time/fakes/fake-timers.js';
+import type {FakeTimers} from '../time/fakes/fake-timers.js';
+import {createEntry} from './entry.js';
+import {configurationOf, policyOf, routeOf} from './fakes/configurations.js';
+import {advanceUntilDone, createMesh} from './fakes/mesh.js';
+import type {Mesh} from './fakes/mesh.js';
+import {createSlowLink} from './fakes/slow-link.js';
+import {uploadSlotsFor} from './decisions/upload-slots.js';
+import {bodyRateOf, createUploadPacer} from './transport/pacing.js';
+
+const megabits = 10.5;
+const linkRate = (megabits * 1e6) / 8;
+const bodyLimit = 8 * 1024 * 1024;
+const uploadSize = 280_000;
+/** Milliseconds that an upstream works on an upload. */
+const work = 230;
+const objective = 1_200;
+/** Maximum milliseconds from the acceptance of a change until it is in force. */
+const maxDelay = 2_000;
+
+const configuration = configurationOf({
+  services: [{name: 'stock-desk', slowStart: 0}],
+  routes: [routeOf({policy: 'uploads'})],
+  policies: [
+    policyOf({
+      name: 'uploads',
+      repeatability: 'once',
+      deadline: 3_000,
+      attempts: 2,
+      objective: {target: 0.99, latency: objective},
+    }),
+  ],
+});
+
+/** Uploads per second. */
+interface Load {
+  /** From another node's entry to the gate. */
+  readonly toGate: number;
+  /** From callers to the entry of the gate's node. */
+  readonly byCallers: number;
+}
+
+/** A node behind a slow link, and an entry elsewhere whose link is wide. */
+async function createFixture(timers: FakeTimers) {
+  const link = createSlowLink({rate: linkRate, timers});
+  const rate = bodyRateOf(megabits);
+  const uploadPacer = createUploadPacer(rate, timers);
+  const mesh: Mesh = await createMesh({
+    upstreams: [
+      (req, res) => {
+        req.resume();
+        req.on('end', () => timers.after(work, () => res.end('stored')));
+      },
+    ],
+    configuration: () => configuration,
+    timers,
+    gate: {slots: 9, queueLength: 36, uploadSlots: uploadSlotsFor(rate)},
+    gateServer: {uploadPacer},
+  });
+  const {gate, server} = mesh.members[0]!;
+  const [announcement] = mesh.endpoints.instances('stock-desk');
+  const gateAddress = await link.relay(server.address);
+  mesh.endpoints.put({...announcement!, gate: gateAddress});
+  const entry = createEntry({
+    name: 'own-entry',
+    failureDomain: 'rusayl-a',
+    address: '127.0.0.1:0',
+    configuration: () => configuration,
+    endpoints: mesh.endpoints,
+    gate,
+    headerLimit: 16 * 1024,
+    bodyLimit,
+    uploadPacer,
+    timers,
+    random: createRandom(1),
+    log: createSilentLog(),
+  });
+  await entry.listen();
+
+  return {
+    link,
+    otherEntry: mesh.entry.address,
+    ownEntry: await link.relay(entry.address),
+    async close(): Promise<void> {
+      link.close();
+      await advanceUntilDone(timers, entry.stop(0));
+      await mesh.close();
+    },
+  };
+}
+
+/** Sends an upload on a new connection; the body is sent whatever the answer. */
+function sendUpload(entry: Address, onStored: () => void): void {
+  const {host, port} = parseAddress(entry);
+  const options = {host, port, method: 'PUT', path: '/stock/7', agent: false};
+  const upload = httpRequest(options, answer => {
+    if (answer.statusCode === 200) onStored();
+    answer.resume();
+  });
+  upload.on('error', () => {});
+  upload.end(Buffer.alloc(uploadSize));
+}
+
+/** Simulates `duration` milliseconds of uploads. */
+async function simulate(duration: number, load: Load) {
+  const timers = createFakeTimers();
+  const random = createRandom(7);
+  const {link, otherEntry, ownEntry, close} = await createFixture(timers);
+  let sent = 0;
+  let stored = 0;
+  let inTime = 0;
+  let longestDelay = 0;
+
+  function upload(entry: Address): void {
+    sent++;
+    const sentAt = timers.now();
+    sendUpload(entry, () => {
+      stored++;
+      if (timers.now() - sentAt <= objective) inTime++;
+    });
+  }
+
+  const tick = 10;
+  const ticks = timers.every(tick, () => {
+    longestDelay = Math.max(longestDelay, link.delay());
+    const isDue = (perSecond: number) =>
+      random.fraction() < (perSecond * tick) / 1000;
+    if (isDue(load.toGate)) upload(otherEntry);
+    if (isDue(load.byCallers)) upload(ownEntry);
+  });
+  await timers.advanceAsync(duration);
+  ticks.cancel();
+  const carried = (link.bytes / linkRate / duration) * 1000;
+  const results = {sent, stored, inTime, longestDelay, carried};
+  await close();
+  return results;
+}
+
+// Uploads that a gate refuses must not delay a change on the link.
+test('a change crosses the link of a node that is offered too many uploads', async t => {
+  const results = await simulate(6_000, {toGate: 18, byCallers: 2});
+  t.log(results);
+  t.true(results.longestDelay < maxDelay, String(results.longestDelay));
+});
