--- a/src/request/incoming-link.test.ts
+++ b/src/request/incoming-link.test.ts
@@ -148,3 +148,11 @@
   t.log(results);
   t.true(results.longestDelay < maxDelay, String(results.longestDelay));
 });
+
+// The bodies of uploads that are refused must not use up the link.
+test('a link that is offered too many uploads carries those that are stored', async t => {
+  const {stored, carried} = await simulate(6_000, {toGate: 18, byCallers: 0});
+  const useful = (stored * uploadSize) / 6 / bodyRateOf(megabits);
+  t.log({stored, carried, useful});
+  t.true(useful > 2 / 3, `${useful} of the share, ${carried} of the link`);
+});
