--- a/src/request/messages/safeguards.ts
+++ b/src/request/messages/safeguards.ts
@@ -33,8 +33,8 @@
   /** A gate refuses calls if its instance's version was never ordered. */
   readonly versionCheck: boolean;
   /**
-   * Only the first part of a large upload is sent before its admission, so that
-   * it can be retried.
+   * Only the first bytes of a large upload are sent before its admission, so
+   * that it can be retried.
    */
   readonly heldUploads: boolean;
   /** A call whose caller has disconnected is cancelled. */
