Uploads of callers on the VM stay on it and do not count against its link

Callers on a VM beside an instance that takes uploads sent them through the entry's share of the link, which they do not cross, and on to instances on other VMs, whose links are full; of those offered to their own gate two in three were refused as late behind bodies on the link. The platform's callers all run on the VM of their node (its figures of bytes into links do not show their bodies: 35 KB/s into nodes that pass on 170 to 260).

--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -75,7 +75,7 @@
     log,
   });
   const entry = createEntry({
-    uploadPacer: pace,
+    uploadPacer: settings.callersOnVm ? undefined : pace,
     egressQueue,
     name: settings.name,
     failureDomain: settings.failureDomain,
--- a/src/request/decisions/instance-pool.test.ts
+++ b/src/request/decisions/instance-pool.test.ts
@@ -4,6 +4,7 @@
 import {createFakeTimers} from '../../time/fakes/fake-timers.js';
 import {createPowerOfTwoBalancer} from './balancer.js';
 import {requestCodes} from '../messages/codes.js';
+import type {CallHandler} from '../messages/hops.js';
 import {configurationOf, stockConfiguration} from '../fakes/configurations.js';
 import {announcementOf, createFakeEndpoints} from '../fakes/fake-endpoints.js';
 import {createInstancePool} from './instance-pool.js';
@@ -167,6 +168,33 @@
   }
 });
 
+// A body that could stay on its VM must not use the links of two others.
+for (const [wait, expected] of [
+  [300, ['b']],
+  [800, ['a', 'b', 'c']],
+] as const) {
+  test(`the body of a caller on the VM, own instance expected after ${wait + 200} of 700 ms`, t => {
+    const gate = {
+      instance: 'b',
+      load: 0,
+      loadFor: () => 0,
+      estimateFor: () => ({wait, work: 200, step: 20}),
+    } as unknown as CallHandler;
+    const {pool} = setUp(['a', 'b', 'c'], {gate});
+    const chosen = new Set<string>();
+    for (let call = 0; call < 60; call++) {
+      const target = pool.choose('stock-desk', stockConfiguration, new Set(), {
+        size: 'large',
+        kind: 'uploads',
+        isLocalBody: true,
+        goodFor: 700,
+      })!;
+      chosen.add(target.announcement.instance);
+    }
+    t.deepEqual([...chosen].sort(), expected);
+  });
+}
+
 test('an instance that reports its shutdown gets no calls as long as it is announced as before', t => {
   const {endpoints, choose} = setUp(['a']);
   const target = choose()!;
--- a/src/request/decisions/upload-slots.test.ts
+++ b/src/request/decisions/upload-slots.test.ts
@@ -10,10 +10,11 @@
 import {uploadSlotsFor, withUploadSlots} from './upload-slots.js';
 
 /** A body that the test ends. */
-function createBody() {
+function createBody(isPaced = true) {
   let observe: (isWhole: boolean) => void = () => {};
   const body = {
     kind: 'stream',
+    isPaced,
     onEnd: (next: typeof observe) => void (observe = next),
   } as unknown as StreamUpload;
   return {body, end: (isWhole: boolean) => observe(isWhole)};
@@ -45,6 +46,15 @@
   t.is(admission.waiting, 2);
 });
 
+// Uploads of callers on the same VM must not wait for the link.
+test('a body that does not cross the link needs no upload slot', t => {
+  const {events, offer} = setUp(1);
+  offer('a', createBody().body);
+  offer('b', createBody().body);
+  offer('own', createBody(false).body);
+  t.deepEqual(events, ['a starts', 'own starts']);
+});
+
 for (const isWhole of [true, false]) {
   test(`a body that has ended releases its upload slot, complete: ${isWhole}`, t => {
     const {events, offer} = setUp(1);
--- a/src/request/decisions/upload-slots.ts
+++ b/src/request/decisions/upload-slots.ts
@@ -88,8 +88,10 @@
     waitingOf: workspace =>
       admission.waitingOf(workspace) + uploads.waitingOf(workspace),
     offer(ticket) {
-      if (ticket.body === undefined) admission.offer(ticket);
-      else offerUpload(ticket, ticket.body);
+      const {body} = ticket;
+      // A body that does not cross the link takes nothing from the others.
+      if (body === undefined || !body.isPaced) admission.offer(ticket);
+      else offerUpload(ticket, body);
     },
     withdraw(ticket) {
       const uploadTicket = uploadTickets.get(ticket);
--- a/src/request/incoming-link.test.ts
+++ b/src/request/incoming-link.test.ts
@@ -44,10 +44,12 @@
   readonly toGate: number;
   /** From callers to the entry of the gate's node. */
   readonly byCallers: number;
+  /** Whether these callers run on the node's VM; elsewhere by default. */
+  readonly onVm?: boolean;
 }
 
 /** A node behind a slow link, and an entry elsewhere whose link is wide. */
-async function createFixture(timers: FakeTimers) {
+async function createFixture(timers: FakeTimers, onVm: boolean) {
   const link = createSlowLink({rate: linkRate, timers});
   const rate = bodyRateOf(megabits);
   const uploadPacer = createUploadPacer(rate, timers);
@@ -76,7 +78,7 @@
     gate,
     headerLimit: 16 * 1024,
     bodyLimit,
-    uploadPacer,
+    uploadPacer: onVm ? undefined : uploadPacer,
     timers,
     random: createRandom(1),
     log: createSilentLog(),
@@ -86,7 +88,7 @@
   return {
     link,
     otherEntry: mesh.entry.address,
-    ownEntry: await link.relay(entry.address),
+    ownEntry: onVm ? entry.address : await link.relay(entry.address),
     async close(): Promise<void> {
       link.close();
       await advanceUntilDone(timers, entry.stop(0));
@@ -107,22 +109,34 @@
   upload.end(Buffer.alloc(uploadSize));
 }
 
+/** What became of uploads. */
+interface Tally {
+  sent: number;
+  stored: number;
+  /** Stored within the objective. */
+  inTime: number;
+}
+
+function createTally(): Tally {
+  return {sent: 0, stored: 0, inTime: 0};
+}
+
 /** Simulates `duration` milliseconds of uploads. */
 async function simulate(duration: number, load: Load) {
   const timers = createFakeTimers();
   const random = createRandom(7);
-  const {link, otherEntry, ownEntry, close} = await createFixture(timers);
-  let sent = 0;
-  let stored = 0;
-  let inTime = 0;
+  const {onVm = false} = load;
+  const {link, otherEntry, ownEntry, close} = await createFixture(timers, onVm);
+  const toGate = createTally();
+  const byCallers = createTally();
   let longestDelay = 0;
 
-  function upload(entry: Address): void {
-    sent++;
+  function upload(entry: Address, tally: Tally): void {
+    tally.sent++;
     const sentAt = timers.now();
     sendUpload(entry, () => {
-      stored++;
-      if (timers.now() - sentAt <= objective) inTime++;
+      tally.stored++;
+      if (timers.now() - sentAt <= objective) tally.inTime++;
     });
   }
 
@@ -131,13 +145,13 @@
     longestDelay = Math.max(longestDelay, link.delay());
     const isDue = (perSecond: number) =>
       random.fraction() < (perSecond * tick) / 1000;
-    if (isDue(load.toGate)) upload(otherEntry);
-    if (isDue(load.byCallers)) upload(ownEntry);
+    if (isDue(load.toGate)) upload(otherEntry, toGate);
+    if (isDue(load.byCallers)) upload(ownEntry, byCallers);
   });
   await timers.advanceAsync(duration);
   ticks.cancel();
   const carried = (link.bytes / linkRate / duration) * 1000;
-  const results = {sent, stored, inTime, longestDelay, carried};
+  const results = {toGate, byCallers, longestDelay, carried};
   await close();
   return results;
 }
@@ -151,8 +165,21 @@
 
 // The bodies of uploads that are refused must not use up the link.
 test('a link that is offered too many uploads carries those that are stored', async t => {
-  const {stored, carried} = await simulate(6_000, {toGate: 18, byCallers: 0});
+  const {
+    toGate: {stored},
+    carried,
+  } = await simulate(6_000, {toGate: 18, byCallers: 0});
   const useful = (stored * uploadSize) / 6 / bodyRateOf(megabits);
   t.log({stored, carried, useful});
   t.true(useful > 2 / 3, `${useful} of the share, ${carried} of the link`);
 });
+
+// Their bodies must not wait for a link that they do not cross.
+test('uploads of callers on the VM are in time while its link is full', async t => {
+  const load = {toGate: 18, byCallers: 3, onVm: true};
+  const {byCallers, toGate} = await simulate(6_000, load);
+  t.log({byCallers, toGate});
+  // The last ones are under way when the simulation ends.
+  const underWay = Math.ceil((load.byCallers * objective) / 1000);
+  t.true(byCallers.inTime >= byCallers.sent - underWay);
+});
--- a/src/request/messages/upload.ts
+++ b/src/request/messages/upload.ts
@@ -16,6 +16,8 @@
   readonly kind: 'stream';
   /** Length in bytes, if the sender announced it. */
   readonly length: number | undefined;
+  /** Whether it is read at the limited rate of the VM's network link. */
+  readonly isPaced: boolean;
   /**
    * Whether an attempt has read past the first chunk; then it can't be resent.
    */
