--- a/src/request/fakes/slow-link.ts
+++ b/src/request/fakes/slow-link.ts
@@ -4,6 +4,7 @@
  */
 import {connect, createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
+import {parseAddress} from '../../link/address.js';
 import type {Address} from '../../link/link.js';
 import type {FakeTimers} from '../../time/fakes/fake-timers.js';
 
@@ -35,59 +36,63 @@
 export function createSlowLink({rate, timers}: SlowLinkOptions): SlowLink {
   const servers: Server[] = [];
   const sockets = new Set<Socket>();
+  /** Time at which all bytes in the queue will have crossed. */
   let busyUntil = 0;
-  let bytes = 0;
+  let crossed = 0;
 
-  function send(part: Buffer, deliver: () => void): void {
-    const duration = (part.length / rate) * millisecondsPerSecond;
+  function enqueue(bytes: number, deliver: () => void): void {
+    const duration = (bytes / rate) * millisecondsPerSecond;
     busyUntil = Math.max(busyUntil, timers.now()) + duration;
     timers.after(busyUntil - timers.now(), () => {
-      bytes += part.length;
+      crossed += bytes;
       deliver();
     });
   }
 
+  /** Forwards what `sender` sends over the link, and answers directly. */
   function join(sender: Socket, receiver: Socket): void {
-    let queued = 0;
+    let inWindow = 0;
+
+    function forward(part: Buffer): void {
+      if (receiver.destroyed || receiver.write(part)) release(part.length);
+      else receiver.once('drain', () => release(part.length));
+    }
+
+    function release(bytes: number): void {
+      inWindow -= bytes;
+      if (inWindow < windowSize) sender.resume();
+    }
+
     sender.on('data', (chunk: Buffer) => {
-      queued += chunk.length;
-      if (queued >= windowSize) sender.pause();
+      inWindow += chunk.length;
+      if (inWindow >= windowSize) sender.pause();
       for (let start = 0; start < chunk.length; start += partSize) {
         const part = chunk.subarray(start, start + partSize);
-        send(part, () => {
-          const release = () => {
-            queued -= part.length;
-            if (queued < windowSize) sender.resume();
-          };
-          if (receiver.destroyed || receiver.write(part)) release();
-          else receiver.once('drain', release);
-        });
+        enqueue(part.length, () => forward(part));
       }
     });
-    sender.on('end', () => send(Buffer.alloc(1), () => void receiver.end()));
+    sender.on('end', () => enqueue(0, () => void receiver.end()));
     receiver.pipe(sender);
-    for (const [socket, other] of [
-      [sender, receiver],
-      [receiver, sender],
-    ] as const) {
-      sockets.add(socket);
-      socket.on('error', () => socket.destroy());
-      socket.on('close', () => {
-        sockets.delete(socket);
-        other.destroy();
-      });
-    }
+    closeTogether(sender, receiver);
+    closeTogether(receiver, sender);
+  }
+
+  function closeTogether(socket: Socket, other: Socket): void {
+    sockets.add(socket);
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => {
+      sockets.delete(socket);
+      other.destroy();
+    });
   }
 
   return {
     get bytes() {
-      return bytes;
+      return crossed;
     },
     relay: async target => {
-      const [host, port] = target.split(':');
-      const server = createServer(sender =>
-        join(sender, connect(Number(port), host)),
-      );
+      const {host, port} = parseAddress(target);
+      const server = createServer(sender => join(sender, connect(port, host)));
       servers.push(server);
       await new Promise<void>(resolve =>
         server.listen(0, '127.0.0.1', () => resolve()),
