Read again: the tests' relay and heads call what the project had, one option of the mesh

- slow-link listens by listen of the mesh, cut-heads waits by nextTurn;
- gateServer of the mesh replaces gateSafeguards, which it contains;
- the duration of the simulation is a constant;

--- a/src/request/cut-heads.test.ts
+++ b/src/request/cut-heads.test.ts
@@ -1,7 +1,7 @@
-import {setImmediate as turn} from 'node:timers/promises';
 import type {Socket} from 'node:net';
 import test from 'ava';
 import {request} from 'undici';
+import {nextTurn} from '../time/turn.js';
 import {createMesh} from './fakes/mesh.js';
 import {sendRaw} from './fakes/raw-client.js';
 import {createRawServer} from './fakes/raw-server.js';
@@ -34,9 +34,9 @@
   socket.on('error', () => {});
   socket.setNoDelay(true);
   socket.write(head.slice(0, size >> 1));
-  await turn();
+  await nextTurn();
   socket.write(head.slice(size >> 1, size));
-  await turn();
+  await nextTurn();
   end(socket);
 }
 
--- a/src/request/fakes/mesh.ts
+++ b/src/request/fakes/mesh.ts
@@ -5,7 +5,7 @@
  */
 import {createServer} from 'node:http';
 import type {RequestListener, Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Server as TcpServer} from 'node:net';
 import type {Claims} from '../../claims/claims.js';
 import type {Configuration} from '../../configuration/configuration.js';
 import {createSilentLog} from '../../log/log.js';
@@ -21,7 +21,6 @@
 import {createGateServer} from '../transport/gate-server.js';
 import type {GateServerOptions} from '../transport/gate-server.js';
 import type {Listener} from '../transport/listener.js';
-import type {Safeguards} from '../messages/safeguards.js';
 import {stockConfiguration} from './configurations.js';
 import {announcementOf, createFakeEndpoints} from './fake-endpoints.js';
 import type {FakeEndpoints} from './fake-endpoints.js';
@@ -45,7 +44,6 @@
   readonly gateServer?: Partial<GateServerOptions>;
   /** Created by default. */
   readonly timers?: FakeTimers;
-  readonly gateSafeguards?: Partial<Safeguards>;
   /** Whether the entry is on the node of the first upstream. */
   readonly sameNode?: boolean;
 }
@@ -186,7 +184,6 @@
     gracePeriod,
     timers,
     log,
-    safeguards: options.gateSafeguards,
     ...options.gateServer,
   });
   await server.listen();
@@ -208,7 +205,7 @@
 }
 
 /** Lets a server listen on a free loopback port and returns its address. */
-export async function listen(server: Server): Promise<string> {
+export async function listen(server: TcpServer): Promise<string> {
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
--- a/src/request/fakes/slow-link.ts
+++ b/src/request/fakes/slow-link.ts
@@ -3,10 +3,11 @@
  * first-in first-out queue, and each may have a window of bytes in the queue.
  */
 import {connect, createServer} from 'node:net';
-import type {AddressInfo, Server, Socket} from 'node:net';
+import type {Server, Socket} from 'node:net';
 import {parseAddress} from '../../link/address.js';
 import type {Address} from '../../link/link.js';
 import type {FakeTimers} from '../../time/fakes/fake-timers.js';
+import {listen} from './mesh.js';
 
 /** Options of `createSlowLink`. */
 export interface SlowLinkOptions {
@@ -90,14 +91,11 @@
     get bytes() {
       return crossed;
     },
-    relay: async target => {
+    relay: target => {
       const {host, port} = parseAddress(target);
       const server = createServer(sender => join(sender, connect(port, host)));
       servers.push(server);
-      await new Promise<void>(resolve =>
-        server.listen(0, '127.0.0.1', () => resolve()),
-      );
-      return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+      return listen(server);
     },
     delay: () => Math.max(0, busyUntil - timers.now()),
     close: () => {
--- a/src/request/incoming-link.test.ts
+++ b/src/request/incoming-link.test.ts
@@ -21,6 +21,8 @@
 /** Milliseconds that an upstream works on an upload. */
 const work = 230;
 const objective = 1_200;
+/** Milliseconds that are simulated. */
+const duration = 6_000;
 /** Maximum milliseconds from the acceptance of a change until it is in force. */
 const maxDelay = 2_000;
 
@@ -121,8 +123,8 @@
   return {sent: 0, stored: 0, inTime: 0};
 }
 
-/** Simulates `duration` milliseconds of uploads. */
-async function simulate(duration: number, load: Load) {
+/** Simulates uploads for `duration`. */
+async function simulate(load: Load) {
   const timers = createFakeTimers();
   const random = createRandom(7);
   const {onVm = false} = load;
@@ -158,7 +160,7 @@
 
 // Uploads that a gate refuses must not delay a change on the link.
 test('a change crosses the link of a node that is offered too many uploads', async t => {
-  const results = await simulate(6_000, {toGate: 18, byCallers: 2});
+  const results = await simulate({toGate: 18, byCallers: 2});
   t.log(results);
   t.true(results.longestDelay < maxDelay, String(results.longestDelay));
 });
@@ -168,8 +170,9 @@
   const {
     toGate: {stored},
     carried,
-  } = await simulate(6_000, {toGate: 18, byCallers: 0});
-  const useful = (stored * uploadSize) / 6 / bodyRateOf(megabits);
+  } = await simulate({toGate: 18, byCallers: 0});
+  const useful =
+    (stored * uploadSize) / ((bodyRateOf(megabits) * duration) / 1000);
   t.log({stored, carried, useful});
   t.true(useful > 2 / 3, `${useful} of the share, ${carried} of the link`);
 });
@@ -177,7 +180,7 @@
 // Their bodies must not wait for a link that they do not cross.
 test('uploads of callers on the VM are in time while its link is full', async t => {
   const load = {toGate: 18, byCallers: 3, onVm: true};
-  const {byCallers, toGate} = await simulate(6_000, load);
+  const {byCallers, toGate} = await simulate(load);
   t.log({byCallers, toGate});
   // The last ones are under way when the simulation ends.
   const underWay = Math.ceil((load.byCallers * objective) / 1000);
--- a/src/request/transport/gate-link.test.ts
+++ b/src/request/transport/gate-link.test.ts
@@ -97,7 +97,7 @@
     const mesh = await createMesh({
       upstreams: [(_req, res) => res.end('booked')],
       gate: {instance: 'parts-files-1', service: 'parts-files'},
-      gateSafeguards: {instanceCheck},
+      gateServer: {safeguards: {instanceCheck}},
     });
     const answer = await book(mesh);
     t.is(answer.headers['foxbarrow-code'], instanceCheck ? '5014' : undefined);
