--- a/src/quotas/node-quotas.test.ts
+++ b/src/quotas/node-quotas.test.ts
@@ -28,7 +28,7 @@
 ) {
   const timers = createFakeTimers();
   const process = createTestProcess('node-1', timers);
-  const {log, messages} = createRecordedLog();
+  const {log, lines, messages} = createRecordedLog();
   const left: string[] = [];
   const node = createNodeQuotas({
     timers: process.timers,
@@ -66,7 +66,7 @@
   }
 
   const take = (wait = 100) => node.take('millers', timers.now() + wait);
-  return {timers, process, node, attach, take, messages, left};
+  return {timers, process, node, attach, take, lines, messages, left};
 }
 
 function reasonOf(decision: QuotaDecision): string {
@@ -242,3 +242,37 @@
   for (let request = 0; request < 500; request++) void take();
   t.true(messages().length <= 11);
 });
+
+test('the line of a second tells why requests got no credit', async t => {
+  const {timers, attach, take, lines} = createNode();
+  await take();
+  const home = attach();
+  const unanswered = take(60);
+  timers.advance(60);
+  home.credit({ahead: 1});
+  await unanswered;
+  await take();
+  const exceeded = take();
+  timers.advance(2);
+  home.credit({refused: 1, retry: 200});
+  await exceeded;
+  await take();
+  timers.advance(1_000);
+  const fields = lines
+    .filter(({message}) => message === 'quota usage')
+    .map(line => line.fields);
+  t.deepEqual(fields, [
+    {home: 'none', period: 1_000, requests: 1, homeless: 1},
+    {
+      home: 'home',
+      period: 1_000,
+      requests: 4,
+      unanswered: 1,
+      unansweredTime: 60,
+      held: 1,
+      exceeded: 1,
+      exceededTime: 2,
+      blocked: 1,
+    },
+  ]);
+});
--- a/src/quotas/node-quotas.ts
+++ b/src/quotas/node-quotas.ts
@@ -13,6 +13,8 @@
 import {createLeaseClock} from './lease-clock.js';
 import type {AskEntry, CreditEntry, Credits} from './messages.js';
 import {quotaPeriods} from './periods.js';
+import {createQuotaUsage} from './quota-usage.js';
+import type {QuotaOutcome} from './quota-usage.js';
 import type {
   Credit,
   QuotaDecision,
@@ -63,6 +65,7 @@
 const lineBurst = 10;
 
 interface Waiting {
+  readonly since: number;
   readonly resolve: (decision: QuotaDecision) => void;
   readonly timer: Subscription;
 }
@@ -108,11 +111,14 @@
     timers,
     log,
   });
+  const usage = createQuotaUsage({timers, log});
   const leaseClock = createLeaseClock(timers);
   const accounts = new Map<string, Account>();
   /** When the asks that may still be replied to were sent. */
   const asked = new Map<number, number>();
   let channel: Channel | undefined;
+  /** Name of the home that the node is attached to. */
+  let home: string | undefined;
   let isReady = false;
   let sequence = 0;
   let leftAt = -Infinity;
@@ -139,13 +145,13 @@
   }
 
   function grant(account: Account): QuotaDecision {
-    const home = channel;
+    const issuer = channel;
     let isReturned = false;
     const giveBack = () => {
       if (isReturned) return;
       isReturned = true;
       // Another home has not issued it, and must not issue it again.
-      if (home !== channel || !accounts.has(account.name)) return;
+      if (issuer !== channel || !accounts.has(account.name)) return;
       account.returned++;
       scheduleReport(quotaPeriods.nodeReport);
     };
@@ -206,12 +212,19 @@
     const account = accounts.get(workspace);
     if (account === undefined) return {kind: 'granted', credit: freeCredit};
     account.use.add(1);
-    if (takeHeld(account)) return grant(account);
+    if (takeHeld(account)) {
+      usage.record(home, 'held', 0);
+      return grant(account);
+    }
     if (timers.now() < account.blockedUntil) {
       account.missed++;
+      usage.record(home, 'blocked', 0);
       return refuseExceeded(account);
     }
-    if (!isReady) return refuseUnknown(account);
+    if (!isReady) {
+      usage.record(home, 'homeless', 0);
+      return refuseUnknown(account);
+    }
     return waitForCredit(account, until);
   }
 
@@ -224,9 +237,10 @@
     return new Promise(resolve => {
       const timer = timers.after(wait, () => {
         account.waiting.delete(waiting);
+        usage.record(home, 'unanswered', wait);
         resolve(refuseUnknown(account));
       });
-      const waiting: Waiting = {resolve, timer};
+      const waiting: Waiting = {since: now, resolve, timer};
       account.waiting.add(waiting);
       account.notAsked++;
       askTimer ??= timers.after(quotaPeriods.askDelay, () => {
@@ -239,14 +253,17 @@
   function settle(
     account: Account,
     count: number,
+    outcome: QuotaOutcome,
     decide: () => QuotaDecision,
   ): number {
+    const now = timers.now();
     let rest = count;
     for (const waiting of account.waiting) {
       if (rest === 0) break;
       rest--;
       account.waiting.delete(waiting);
       waiting.timer.cancel();
+      usage.record(home, outcome, now - waiting.since);
       waiting.resolve(decide());
     }
     return rest;
@@ -351,7 +368,7 @@
 
   /** Credits of requests that do not wait any more are returned. */
   function settleGranted(account: Account, granted: number): void {
-    const rest = settle(account, granted, () => grant(account));
+    const rest = settle(account, granted, 'granted', () => grant(account));
     if (rest === 0) return;
     account.returned += rest;
     scheduleReport(quotaPeriods.nodeReport);
@@ -373,12 +390,12 @@
   function refuseAll(account: Account, entry: CreditEntry): void {
     const {refused, retry = 0, spread = 0, isUnknown} = entry;
     if (isUnknown === true) {
-      settle(account, refused, () => refuseUnknown(account));
+      settle(account, refused, 'shareless', () => refuseUnknown(account));
       return;
     }
     account.blockedUntil = timers.now() + retry;
     account.spread = spread;
-    settle(account, refused, () => refuseExceeded(account));
+    settle(account, refused, 'exceeded', () => refuseExceeded(account));
   }
 
   /** The credits stay valid, but the next home has not issued them. */
@@ -394,7 +411,8 @@
     account.held = noCredits();
     account.spent = account.returned = account.notAsked = 0;
     account.blockedUntil = -Infinity;
-    settle(account, account.waiting.size, () => refuseUnknown(account));
+    const count = account.waiting.size;
+    settle(account, count, 'homeless', () => refuseUnknown(account));
   }
 
   function detach(): void {
@@ -404,6 +422,7 @@
     reportTimer?.cancel();
     reportTimer = undefined;
     for (const account of accounts.values()) carryOver(account);
+    home = undefined;
   }
 
   /** A home of an earlier release does not speak the plane; others may. */
@@ -425,6 +444,7 @@
     if (channel !== undefined) detach();
     const newChannel = channels.on('quotas');
     channel = newChannel;
+    home = channels.link.peer;
     channels.onClose(() => {
       if (channel === newChannel) detach();
     });
@@ -463,7 +483,7 @@
       const quotas = quotasOf(configuration);
       for (const [name, account] of accounts) {
         if (quotas.has(name)) continue;
-        settle(account, account.waiting.size, () => ({
+        settle(account, account.waiting.size, 'granted', () => ({
           kind: 'granted',
           credit: freeCredit,
         }));
