--- a/bench/overload/simulation.test.ts
+++ b/bench/overload/simulation.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {agency} from './agency.js';
+import {sawmill} from './sawmill.js';
 import {simulateOverload} from './simulation.js';
 import type {
   OverloadOptions,
@@ -72,6 +73,22 @@
   t.true(Math.min(...shares) >= floor, shares.join(', '));
 });
 
+/** What lookups earn beside `bookings` times the usual rate of bookings. */
+function lookupShare(bookings: number): number {
+  const kinds = sawmill.kinds.map(kind =>
+    kind.name === 'kiln-book' ? {...kind, rate: kind.rate * bookings} : kind,
+  );
+  const lookups = kinds.filter(({name}) => name === 'stock-lookup');
+  return earnedShare(play({...sawmill, kinds}), 2, lookups);
+}
+
+// A refused call fails a request that already holds a slot elsewhere.
+test('calls of running requests get slots before new requests', t => {
+  const calm = lookupShare(1);
+  const share = lookupShare(2.5);
+  t.true(share > calm - 0.03, `${share} of ${calm}`);
+});
+
 // Overload must not keep itself going by callers who return.
 test('after the load has fallen all requests are served', t => {
   const loadAt = (time: number) => (time < 3_000 ? 1.5 : 0.5);
--- a/bench/overload/simulation.ts
+++ b/bench/overload/simulation.ts
@@ -14,6 +14,7 @@
 import {createNoopRequestTracer} from '../../src/request/decisions/request-tracer.js';
 import {createTimeLimiter} from '../../src/request/decisions/time-limits.js';
 import type {TimeLimiter} from '../../src/request/decisions/time-limits.js';
+import {createWorkspaceWeights} from '../../src/request/decisions/workspace-weights.js';
 import {
   configurationOf,
   policyOf,
@@ -30,6 +31,7 @@
 import type {
   Configuration,
   Priority,
+  Workspace,
 } from '../../src/configuration/configuration.js';
 import {createSilentLog} from '../../src/log/log.js';
 import {createRandom} from '../../src/random/random.js';
@@ -79,6 +81,11 @@
   /** Factor on the rates at a time. */
   readonly loadAt: (time: number) => number;
   readonly departures: readonly Departure[];
+  /**
+   * Number of workspaces that the callers belong to; calls of instances belong
+   * to none. Without workspaces by default.
+   */
+  readonly workspaces?: number;
   /** Time of a node's processor for each passage of a message. */
   readonly hopTime: number;
   /** Time between two changes of the configuration; none by default. */
@@ -104,6 +111,15 @@
   capacity: number;
 }
 
+/** One attempt of a caller, or a call of an instance. */
+interface Attempt {
+  readonly kind: RequestKind;
+  /** Milliseconds that the caller waits. */
+  readonly timeout: number;
+  /** The caller's workspace; absent for calls of instances. */
+  readonly workspace?: string | undefined;
+}
+
 /** What callers got, and for what the slots were used. */
 export interface OverloadResult {
   /** By second and kind. */
@@ -124,6 +140,8 @@
 const remoteDelay = 0.9;
 const queueLength = 64;
 const attempts = 2;
+/** Exponent of the power law by which workspaces differ in size. */
+const workspaceSkew = 1.2;
 /** Callers wait at most this share of the time that they have left. */
 const longestReturn = 1 / 3;
 
@@ -174,13 +192,15 @@
   const counts = {attempts: 0, notOffered: 0, requests: 0};
   const nodes = options.instances.map((each, index) => createNode(each, index));
   const kindOf = callKinds.of;
+  const workspaces = createWorkspaces(options.workspaces ?? 0);
+  const weightOf = createWorkspaceWeights(() => configuration, timers);
   const tracer = createNoopRequestTracer();
   const sizes = createAnswerSizes();
 
   /** Puts a configuration with new policies for all routes into force. */
   function changeConfiguration(): void {
     version++;
-    configuration = createConfiguration(kinds, version);
+    configuration = createConfiguration(kinds, version, workspaces);
     callKinds.update(configuration);
     const {changePeriod} = options;
     if (changePeriod !== undefined) {
@@ -317,7 +337,8 @@
         return work();
       }
       const left = call.deadline - timers.now();
-      cancelNested = enter(node, byKind.get(nested.kind)!, left, status => {
+      const caller = {kind: byKind.get(nested.kind)!, timeout: left};
+      cancelNested = enter(node, caller, status => {
         if (state !== 'running') return;
         if (status === 200) work();
         else end(500);
@@ -401,7 +422,9 @@
     const ticket = {
       priority: call.priority,
       kind: kindOf(call.policy!),
-      sharesByKind: true,
+      workspace: call.workspace,
+      weight: weightOf(call.workspace),
+      sharesByKind: workspaces.length === 0,
       deadline: call.deadline,
       ...(call.goodUntil !== undefined && {goodUntil: call.goodUntil}),
       start: () => {
@@ -447,8 +470,7 @@
   /** Handles a request at the entry of a node; `ended` gets its status. */
   function enter(
     node: Node,
-    kind: RequestKind,
-    timeout: number,
+    {kind, timeout, workspace}: Attempt,
     ended: (status: number, retryAfter: number) => void,
   ): () => void {
     let cancel = () => {};
@@ -470,6 +492,7 @@
           service: kind.service,
           policy: policy.name,
           path: kind.name,
+          workspace,
           priority: kind.priority,
           repeatability: kind.repeatability,
           ...limits,
@@ -513,6 +536,7 @@
     }
     result.requests++;
     let isEnded = false;
+    const workspace = drawWorkspace(workspaces, random);
     let cancel = () => {};
     const finish = (field: 'inTime' | 'late' | 'refused' | 'failed') => {
       if (isEnded) return;
@@ -522,7 +546,8 @@
     const attempt = (retries: number) => {
       const left = sentAt + kind.deadline - timers.now();
       timers.after(clientDelay, () => {
-        cancel = enter(node, kind, left, (status, retryAfter) =>
+        const caller = {kind, timeout: left, workspace};
+        cancel = enter(node, caller, (status, retryAfter) =>
           timers.after(clientDelay, () => {
             if (isEnded) return;
             if (status === 200) {
@@ -605,10 +630,12 @@
 function createConfiguration(
   kinds: readonly RequestKind[],
   version: number,
+  workspaces: readonly Workspace[],
 ): Configuration {
   const policyName = ({name}: RequestKind) => `${name}-${version}`;
   return configurationOf({
     version,
+    workspaces,
     services: [...new Set(kinds.map(kind => kind.service))].map(name => ({
       name,
       slowStart: 0,
@@ -633,6 +660,34 @@
   });
 }
 
+/** Creates workspaces whose rates follow a power law with the mean 1. */
+function createWorkspaces(count: number): Workspace[] {
+  const sizes = Array.from(
+    {length: count},
+    (_none, index) => (index + 1) ** -workspaceSkew,
+  );
+  const total = sizes.reduce((sum, size) => sum + size, 0);
+  return sizes.map((size, index) => ({
+    name: `workspace-${index + 1}`,
+    keys: [],
+    quota: {rate: (size * count) / total, burst: 0},
+  }));
+}
+
+/** Draws a workspace by size; undefined if there are none. */
+function drawWorkspace(
+  workspaces: readonly Workspace[],
+  random: Random,
+): string | undefined {
+  if (workspaces.length === 0) return undefined;
+  let remaining = random.fraction() * workspaces.length;
+  for (const {name, quota} of workspaces) {
+    remaining -= quota!.rate;
+    if (remaining < 0) return name;
+  }
+  return workspaces[0]!.name;
+}
+
 function drawKind(
   kinds: readonly RequestKind[],
   total: number,
--- a/src/quotas/fakes/quota-group.ts
+++ b/src/quotas/fakes/quota-group.ts
@@ -32,6 +32,11 @@
   readonly nodes: number;
   readonly bounds: QuotaBounds;
   readonly seed?: number;
+  /**
+   * Milliseconds of a home's processor for each message that it receives; 0 by
+   * default.
+   */
+  readonly messageTime?: number;
 }
 
 /** A request that asked for a credit. */
@@ -93,7 +98,7 @@
 
 /** Creates homes and nodes; the first home leads. */
 export function createQuotaGroup(options: QuotaGroupOptions): QuotaGroup {
-  const {bounds} = options;
+  const {bounds, messageTime = 0} = options;
   const packr = new Packr({useRecords: false});
   const timers = createFakeTimers(1_000_000);
   const random = createRandom(options.seed ?? 1);
@@ -102,6 +107,8 @@
   const taken: Taken[] = [];
   const messages = new Map<string, number>();
   const starts = new Map<string, number>();
+  /** When the processors of homes have handled all that has arrived. */
+  const busyUntil = new Map<string, number>();
   const roleObservers = new Map<string, (status: Status) => void>();
   const believed = new Map<string, {role: Role; term: number}>();
   let homeLinks: TestLink[] = [];
@@ -118,6 +125,13 @@
     timers,
     delay: () => 0.2 + random.fraction() * 1.4,
     isCut,
+    handlingDelay(to) {
+      if (messageTime === 0 || !homes.has(to)) return 0;
+      const now = timers.now();
+      const end = Math.max(now, busyUntil.get(to) ?? now) + messageTime;
+      busyUntil.set(to, end);
+      return end - now;
+    },
     onSend(from, to, message) {
       const isNode = nodes.has(from) || nodes.has(to);
       if (isNode) nodeBytes += packr.pack(message).length;
--- a/src/quotas/fakes/test-link.ts
+++ b/src/quotas/fakes/test-link.ts
@@ -11,6 +11,8 @@
   readonly delay: (from: string, to: string) => number;
   readonly isCut: (from: string, to: string) => boolean;
   readonly onSend: (from: string, to: string, message: unknown) => void;
+  /** Milliseconds until a process handles a message that has arrived. */
+  readonly handlingDelay: (to: string) => number;
 }
 
 /** A link between two processes. */
@@ -66,7 +68,11 @@
       const copy = structuredClone(message);
       timers.after(network.delay(from.name, to.name), () => {
         if (network.isCut(from.name, to.name)) breakLink(silenceTime);
-        if (!isBroken) to.run(() => this.other!.deliver(copy));
+        if (isBroken) return;
+        const deliver = () => to.run(() => this.other!.deliver(copy));
+        const wait = network.handlingDelay(to.name);
+        if (wait === 0) deliver();
+        else timers.after(wait, deliver);
       });
     }
 
