Quotas: a node has one question under way at a time

Cause: each request without a credit was a message to the home, however many were unanswered. A home that is short of processor time answers after the time that requests wait; they are refused, their callers return and ask again, so it stays short. A request that had left was still asked for, and its credit came back by a further message; credits that came late were lost.

A node now gathers requests until its last question is answered, or for 250 ms, asks only for those that still wait, reports everything with a question, and returns late credits.

--- a/src/quotas/node-quotas.test.ts
+++ b/src/quotas/node-quotas.test.ts
@@ -85,6 +85,36 @@
   t.deepEqual(reasons, ['granted', 'granted', 'exceeded']);
 });
 
+// Else a slow home gets more questions the longer it takes to answer them.
+test('a node has one question under way at a time', async t => {
+  const {timers, attach, take} = createNode();
+  const home = attach();
+  const first = take(200);
+  timers.advance(2);
+  const brief = take(20);
+  const second = take(200);
+  timers.advance(50);
+  t.is(home.asks.length, 1);
+  home.credit({granted: 1});
+  t.is(home.asks.length, 2);
+  t.is(home.asks[1]!.entries[0]!.waiting, 1, 'without the one that has left');
+  home.credit({granted: 1});
+  const reasons = (await Promise.all([first, brief, second])).map(reasonOf);
+  t.deepEqual(reasons, ['granted', 'unknown', 'granted']);
+});
+
+test('a question without an answer ends with the time of its credits', t => {
+  const {timers, attach, take} = createNode();
+  const home = attach();
+  void take(200);
+  timers.advance(2);
+  void take(400);
+  timers.advance(249);
+  t.is(home.asks.length, 1);
+  timers.advance(1);
+  t.is(home.asks.length, 2);
+});
+
 test('a node refuses without a message until credits are expected', async t => {
   const {timers, attach, take} = createNode();
   const home = attach();
@@ -160,7 +190,7 @@
 });
 
 // Guards against credits that are used long after they were issued.
-test('credits that arrive late are not used', async t => {
+test('credits that arrive late are not used but returned', async t => {
   const {timers, attach, take} = createNode();
   const home = attach();
   void take();
@@ -170,6 +200,11 @@
   home.credit({granted: 1}, 1);
   timers.advance(101);
   t.is(reasonOf(await next), 'unknown');
+  timers.advance(200);
+  const returned = home.asks.flatMap(({entries}) =>
+    entries.map(entry => entry.returned ?? 0),
+  );
+  t.is(Math.max(...returned), 1);
 });
 
 test('a request waits no longer than it may', async t => {
--- a/src/quotas/node-quotas.ts
+++ b/src/quotas/node-quotas.ts
@@ -66,6 +66,8 @@
 
 interface Waiting {
   readonly since: number;
+  /** Whether a question counts it. */
+  isAsked: boolean;
   readonly resolve: (decision: QuotaDecision) => void;
   readonly timer: Subscription;
 }
@@ -121,6 +123,10 @@
   let home: string | undefined;
   let isReady = false;
   let sequence = 0;
+  /** Ends the time in which no further question is sent; see `sendAsk`. */
+  let replyTimer: Subscription | undefined;
+  /** Whether a question is due once the last one has been answered. */
+  let isAskDue = false;
   let leftAt = -Infinity;
   let askTimer: Subscription | undefined;
   let reportTimer: Subscription | undefined;
@@ -237,10 +243,11 @@
     return new Promise(resolve => {
       const timer = timers.after(wait, () => {
         account.waiting.delete(waiting);
+        if (!waiting.isAsked) account.notAsked--;
         usage.record(home, 'unanswered', wait);
         resolve(refuseUnknown(account));
       });
-      const waiting: Waiting = {since: now, resolve, timer};
+      const waiting: Waiting = {since: now, isAsked: false, resolve, timer};
       account.waiting.add(waiting);
       account.notAsked++;
       askTimer ??= timers.after(quotaPeriods.askDelay, () => {
@@ -306,6 +313,7 @@
     const used = spent + expired;
     if (used + returned + notAsked + unused === 0) return undefined;
     account.held.count -= unused;
+    for (const waiting of account.waiting) waiting.isAsked = true;
     account.spent = account.returned = account.missed = account.notAsked = 0;
     return {
       workspace: account.name,
@@ -318,8 +326,21 @@
     };
   }
 
+  /**
+   * Sends what is to be asked and reported. One question at a time: if each
+   * request without a credit were a message, a home that is short of processor
+   * time would get more of them the longer it takes to answer, since refused
+   * callers return.
+   */
   function sendAsk(): void {
     if (channel === undefined || !isReady) return;
+    if (replyTimer !== undefined) {
+      isAskDue = true;
+      return;
+    }
+    // A question reports all that there is to report.
+    reportTimer?.cancel();
+    reportTimer = undefined;
     const entries: AskEntry[] = [];
     let hasHeld = false;
     for (const account of accounts.values()) {
@@ -331,10 +352,19 @@
     if (entries.length === 0) return;
     sequence++;
     asked.set(sequence, leaseClock.now());
+    replyTimer = timers.after(quotaPeriods.askTimeout, endQuestion);
     forgetOldAsks();
     channel.send({kind: 'ask', sequence, entries: entries.map(withoutZeros)});
   }
 
+  function endQuestion(): void {
+    replyTimer?.cancel();
+    replyTimer = undefined;
+    if (!isAskDue) return;
+    isAskDue = false;
+    sendAsk();
+  }
+
   function forgetOldAsks(): void {
     const oldest = leaseClock.now() - bounds.window;
     for (const [number, sentAt] of asked) {
@@ -356,19 +386,26 @@
       }
     }
     for (const entry of message.entries) apply(entry, validUntil, isLate);
+    if (message.sequence === sequence) endQuestion();
   }
 
   function apply(entry: CreditEntry, validUntil: number, isLate: boolean) {
     const account = accounts.get(entry.workspace);
     if (account === undefined) return;
     if (entry.ahead > 0) hold(account, entry.ahead, validUntil);
-    if (!isLate) settleGranted(account, entry.granted);
+    settleGranted(account, entry.granted, isLate);
     if (entry.refused > 0) refuseAll(account, entry);
   }
 
-  /** Credits of requests that do not wait any more are returned. */
-  function settleGranted(account: Account, granted: number): void {
-    const rest = settle(account, granted, 'granted', () => grant(account));
+  /** Credits that are late or that no request waits for are returned. */
+  function settleGranted(
+    account: Account,
+    granted: number,
+    isLate: boolean,
+  ): void {
+    const rest = isLate
+      ? granted
+      : settle(account, granted, 'granted', () => grant(account));
     if (rest === 0) return;
     account.returned += rest;
     scheduleReport(quotaPeriods.nodeReport);
@@ -419,6 +456,9 @@
     channel = undefined;
     isReady = false;
     asked.clear();
+    replyTimer?.cancel();
+    replyTimer = undefined;
+    isAskDue = false;
     reportTimer?.cancel();
     reportTimer = undefined;
     for (const account of accounts.values()) carryOver(account);
@@ -499,6 +539,7 @@
     },
     stop() {
       askTimer?.cancel();
+      replyTimer?.cancel();
       reportTimer?.cancel();
       silenceTimer?.cancel();
     },
