Gates: nested calls go before new calls of their priority, held to their deadline

Cause: a nested call was judged and queued like a new request. It carries the timeout of its route unless less is left of its request, so nearly all carry the same; they counted as callers with a common timeout and were held to their objective of 158 ms. At the gate they waited behind the first call of each workspace, whatever their weight, since fair queueing starts an idle workspace at the virtual time.

A call without a workspace, where there are workspaces, is nested. Nested calls have a rank of their own before the new calls of their priority, which keep the floor of a lower rank; they are refused only if they would miss their deadline, and their objective decides on the placement alone.

--- a/bench/experiments/request-balance.ts
+++ b/bench/experiments/request-balance.ts
@@ -206,7 +206,7 @@
       const factor = isFaulty ? fault.slowness : 1;
       const duration = exponential(work * factor, random);
       gate.offer({
-        priority: 'normal',
+        rank: 'normal',
         deadline: startedAt + deadline,
         refuse: () => answer(requestCodes.full, 503),
         start: () =>
--- a/bench/experiments/request-overload.ts
+++ b/bench/experiments/request-overload.ts
@@ -181,7 +181,7 @@
     const {priority} = kind;
     offered[priority]++;
     admission.offer({
-      priority: discipline.byPriority ? priority : 'normal',
+      rank: discipline.byPriority ? priority : 'normal',
       deadline: startedAt + kind.deadline,
       refuse: () => {
         slowestRefusal = Math.max(slowestRefusal, timers.now() - startedAt);
--- a/bench/overload/simulation.ts
+++ b/bench/overload/simulation.ts
@@ -12,6 +12,7 @@
 import {createInstancePool} from '../../src/request/decisions/instance-pool.js';
 import type {InstancePool} from '../../src/request/decisions/instance-pool.js';
 import {createNoopRequestTracer} from '../../src/request/decisions/request-tracer.js';
+import {isNestedCall} from '../../src/request/decisions/nested-calls.js';
 import {createTimeLimiter} from '../../src/request/decisions/time-limits.js';
 import type {TimeLimiter} from '../../src/request/decisions/time-limits.js';
 import {createWorkspaceWeights} from '../../src/request/decisions/workspace-weights.js';
@@ -25,6 +26,7 @@
 import type {Call, Refusal} from '../../src/request/messages/call.js';
 import {requestCodes} from '../../src/request/messages/codes.js';
 import type {CallHandler, GateLinks} from '../../src/request/messages/hops.js';
+import {rankOf} from '../../src/request/messages/rank.js';
 import {createRefusal} from '../../src/request/messages/refusal.js';
 import type {Announcement} from '../../src/endpoints/messages.js';
 import {emptyConfiguration} from '../../src/configuration/configuration.js';
@@ -234,8 +236,8 @@
         return node.admission.load;
       },
       loadFor: () => node.admission.load,
-      estimateFor: (policy, priority) =>
-        node.admission.estimate(kindOf(policy!), priority),
+      estimateFor: (policy, rank) =>
+        node.admission.estimate(kindOf(policy!), rank),
       reported: undefined,
       handle: (call, answer) => runCall(node, call, answer),
     };
@@ -252,7 +254,7 @@
         let status = 0;
         const back = (end: () => void) => {
           const {load} = other.gate;
-          const estimate = other.gate.estimateFor(call.policy, call.priority);
+          const estimate = other.gate.estimateFor(call.policy, rankOf(call));
           other.process(() =>
             timers.after(delay, () =>
               node.process(() => {
@@ -420,13 +422,16 @@
       }
     };
     const ticket = {
-      priority: call.priority,
+      rank: rankOf(call),
       kind: kindOf(call.policy!),
       workspace: call.workspace,
       weight: weightOf(call.workspace),
       sharesByKind: workspaces.length === 0,
       deadline: call.deadline,
-      ...(call.goodUntil !== undefined && {goodUntil: call.goodUntil}),
+      goodUntil:
+        call.isNested === true
+          ? call.deadline
+          : (call.goodUntil ?? call.deadline),
       start: () => {
         isStarted = true;
         startedAt = timers.now();
@@ -478,7 +483,10 @@
       const route = configuration.routes.get(kind.name)!;
       const policy = configuration.policies.get(route.policy)!;
       const match = {route, policy, service: kind.service};
-      const limits = node.limiter.limit({timeout: Math.round(timeout)}, match);
+      const isNested = isNestedCall(configuration, workspace);
+      const limits = node.limiter.limit({timeout: Math.round(timeout)}, match, {
+        isNested,
+      });
       let status = 0;
       const leave = (code: number, retryAfter: number) => {
         counts.attempts += made.count();
@@ -494,6 +502,7 @@
           path: kind.name,
           workspace,
           priority: kind.priority,
+          isNested,
           repeatability: kind.repeatability,
           ...limits,
         }),
--- a/bench/placing/simulation.ts
+++ b/bench/placing/simulation.ts
@@ -314,7 +314,7 @@
   finish: (end: (answer: Answer) => void) => void,
 ): void {
   admission.offer({
-    priority: call.priority,
+    rank: call.priority,
     kind: call.policy,
     deadline: call.deadline,
     goodUntil: call.goodUntil!,
--- a/bench/sharing/simulation.ts
+++ b/bench/sharing/simulation.ts
@@ -117,7 +117,7 @@
       admission.done(work, kind.name);
     };
     const ticket: Ticket = {
-      priority,
+      rank: priority,
       workspace: load.name,
       weight: load.weight,
       kind: kind.name,
--- a/src/node/upstream-gate.ts
+++ b/src/node/upstream-gate.ts
@@ -117,7 +117,7 @@
       return gate?.reported;
     },
     loadFor: policy => gate?.loadFor(policy) ?? 0,
-    estimateFor: (policy, priority) => gate?.estimateFor(policy, priority),
+    estimateFor: (policy, rank) => gate?.estimateFor(policy, rank),
     handle(call: Call, answer: Answer): Cancel {
       if (gate !== undefined) return gate.handle(call, answer);
       answer.refuse(createRefusal(requestCodes.wrongInstance));
--- a/src/request/authentication.test.ts
+++ b/src/request/authentication.test.ts
@@ -264,6 +264,25 @@
   );
 });
 
+test('a call without a workspace counts as nested where callers have them', async t => {
+  for (const workspaces of [[millers], []]) {
+    const {log, lines} = createRecordedLog();
+    const upstreams = [
+      (_req: IncomingMessage, res: ServerResponse) =>
+        void res.socket!.destroy(),
+    ];
+    const mesh = await start(
+      t,
+      {upstreams, gate: {log}},
+      keyedConfiguration(...workspaces),
+    );
+    const options = {method: 'POST', body: 'book'} as const;
+    await (await request(`${mesh.url}/open`, options)).body.dump();
+    const offered = lines.find(({message}) => message === 'offered')!;
+    t.is(offered.fields['nested'] === true, workspaces.length > 0);
+  }
+});
+
 test('a node without confirmed keys refuses keyed requests and serves open ones', async t => {
   let state: KeyState = 'expired';
   const {requests, listener} = createRecordingUpstream();
--- a/src/request/decisions/estimate-memory.ts
+++ b/src/request/decisions/estimate-memory.ts
@@ -1,14 +1,14 @@
 /** The estimates that an entry has heard from the gate of one instance. */
-import type {Priority} from '../../configuration/configuration.js';
 import type {Clock} from '../../time/clock.js';
 import type {FinishEstimate} from '../messages/finish-estimate.js';
+import type {Rank} from '../messages/rank.js';
 
-/** The estimates of one gate by kind and priority of the calls. */
+/** The estimates of one gate by kind and rank of the calls. */
 export interface EstimateMemory {
   /** Stores an estimate that was told while `free` slots were free. */
   set(
     kind: string | undefined,
-    priority: Priority,
+    rank: Rank,
     estimate: FinishEstimate,
     free: number,
   ): void;
@@ -18,7 +18,7 @@
    */
   get(
     kind: string | undefined,
-    priority: Priority,
+    rank: Rank,
     outstanding: number,
   ): AgedEstimate | undefined;
   /** Records a call of this entry, which no estimate includes yet. */
@@ -63,18 +63,18 @@
   const heard = new Map<string, HeardEstimate>();
   let begun = 0;
 
-  const keyOf = (kind: string | undefined, priority: Priority) =>
-    `${priority} ${kind ?? ''}`;
+  const keyOf = (kind: string | undefined, rank: Rank) =>
+    `${rank} ${kind ?? ''}`;
 
   return {
-    set(kind, priority, estimate, free) {
-      const key = keyOf(kind, priority);
+    set(kind, rank, estimate, free) {
+      const key = keyOf(kind, rank);
       if (heard.size >= maxEstimates && !heard.has(key)) return;
       heard.set(key, {estimate, free, heardAt: clock.now(), begun});
     },
-    get(kind, priority, outstanding) {
+    get(kind, rank, outstanding) {
       if (heard.size === 0) return undefined;
-      const found = heard.get(keyOf(kind, priority));
+      const found = heard.get(keyOf(kind, rank));
       if (found === undefined) return undefined;
       const age = clock.now() - found.heardAt;
       if (age > estimateAge) return undefined;
--- a/src/request/decisions/late-refusals.ts
+++ b/src/request/decisions/late-refusals.ts
@@ -3,8 +3,8 @@
  * every gate would refuse costs a hop for each attempt, and its caller learns
  * later that it has to come back.
  */
-import type {Priority} from '../../configuration/configuration.js';
 import type {Random} from '../../random/random.js';
+import type {Rank} from '../messages/rank.js';
 
 /** When one instance is expected to answer a call; times in milliseconds. */
 export interface Outlook {
@@ -33,7 +33,7 @@
    */
   retryAfter(
     outlooks: readonly Outlook[],
-    priority: Priority,
+    rank: Rank,
     goodFor: number,
   ): number | undefined;
 }
@@ -52,11 +52,14 @@
 /**
  * How late the earliest answer must be, divided by the time until the
  * objective, so that a call is refused. Capacity that is left or that an
- * estimate has missed goes to higher priorities.
+ * estimate has missed goes to higher priorities and to nested calls.
  */
-const lateness: Record<Priority, number> = {
+const lateness: Record<Rank, number> = {
+  'nested-critical': 1.2,
   critical: 1.2,
+  'nested-normal': 1.2,
   normal: 1.05,
+  'nested-background': 1.2,
   background: 1,
 };
 
@@ -83,14 +86,14 @@
   }
 
   return {
-    retryAfter(outlooks, priority, goodFor) {
+    retryAfter(outlooks, rank, goodFor) {
       let earliest = Infinity;
       for (const {age, isFull, finish} of outlooks) {
         if (age === undefined || age > maxAge || !isFull) return undefined;
         earliest = Math.min(earliest, finish);
       }
       if (outlooks.length === 0) return undefined;
-      if (earliest <= goodFor * lateness[priority]) return undefined;
+      if (earliest <= goodFor * lateness[rank]) return undefined;
       if (isProbe()) return undefined;
       return delayFor(earliest - goodFor, goodFor) / 1_000;
     },
--- a/src/request/decisions/limited-admission.test.ts
+++ b/src/request/decisions/limited-admission.test.ts
@@ -21,7 +21,7 @@
     name: string,
     wait: number,
     priority: Priority = 'normal',
-  ) => offer(name, {priority, tokenUntil: timers.now() + wait});
+  ) => offer(name, {rank: priority, tokenUntil: timers.now() + wait});
   return {timers, limiter, admission, events, offer: offerFor};
 }
 
@@ -47,7 +47,7 @@
   const delays: number[] = [];
   const offer = () =>
     admission.offer({
-      priority: 'normal',
+      rank: 'normal',
       deadline: timers.now() + 5_000,
       tokenUntil: timers.now() + 10,
       start: () => {},
--- a/src/request/decisions/shared-admission.test.ts
+++ b/src/request/decisions/shared-admission.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import type {Priority} from '../../configuration/configuration.js';
 import {recordTickets} from '../fakes/recorded-tickets.js';
+import type {Rank} from '../messages/rank.js';
 import {createFakeTimers} from '../../time/fakes/fake-timers.js';
 import {createAdmission} from './admission.js';
 
@@ -17,8 +17,8 @@
     workspace: string | undefined,
     name: string,
     goodUntil = 1e6,
-    priority: Priority = 'normal',
-  ) => offer(name, {workspace, goodUntil, priority});
+    rank: Rank = 'normal',
+  ) => offer(name, {workspace, goodUntil, rank});
   return {admission, events, offer: offerOf};
 }
 
@@ -84,6 +84,38 @@
   t.deepEqual(events.slice(0, 2), ['none 0 starts', 'small 0 starts']);
 });
 
+test('nested calls go before new ones of their priority', t => {
+  const {admission, events, offer} = setUp();
+  for (let count = 0; count < 3; count++) {
+    offer(`workspace ${count}`, `new ${count}`);
+  }
+  offer('small', 'check', 1e6, 'critical');
+  offer(undefined, 'nested', 350, 'nested-normal');
+  for (let count = 0; count < 3; count++) admission.done(100);
+  t.deepEqual(events, ['check starts', 'nested starts', 'new 0 starts']);
+});
+
+test('new calls keep their floor beside nested ones', t => {
+  const {admission, events, offer} = setUp();
+  offer('small', 'lookup');
+  for (let count = 0; count < 12; count++) {
+    offer(undefined, `nested ${count}`, 1e6, 'nested-normal');
+    admission.done(100);
+  }
+  t.true(events.includes('lookup starts'));
+  t.true(events.indexOf('lookup starts') > 5);
+});
+
+test('a nested call takes the place of a new one in a full queue', t => {
+  const {events, offer} = setUp(2);
+  offer('small', 'lookup 0');
+  offer('small', 'lookup 1');
+  offer(undefined, 'nested', 1e6, 'nested-normal');
+  t.deepEqual(events, ['lookup 1 full']);
+  offer('small', 'lookup 2');
+  t.is(events.at(-1), 'lookup 2 full');
+});
+
 test('the number of waiting calls of a workspace is known', t => {
   const {admission, offer} = setUp();
   offer('flooding', 'a');
--- a/src/request/decisions/time-limits.test.ts
+++ b/src/request/decisions/time-limits.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
 import {createFakeTimers} from '../../time/fakes/fake-timers.js';
 import {policyOf, routeOf} from '../fakes/configurations.js';
-import type {CallSize} from './instance-pool.js';
 import {createTimeLimiter} from './time-limits.js';
+import type {TimeNeeds} from './time-limits.js';
 
 /** A policy of 5000 ms with an objective of 100. */
 function setUp() {
@@ -13,8 +13,8 @@
     policy: policyOf(),
     service: 'stock-desk',
   };
-  const limit = (timeout?: number, size?: CallSize) =>
-    limiter.limit(timeout === undefined ? {} : {timeout}, match, size);
+  const limit = (timeout?: number, needs?: TimeNeeds) =>
+    limiter.limit(timeout === undefined ? {} : {timeout}, match, needs);
   return {limit};
 }
 
@@ -44,6 +44,13 @@
   t.is(limit(200).goodUntil, 1_200);
 });
 
+test('a nested call with a short timeout is no retry', t => {
+  const {limit} = setUp();
+  for (let count = 0; count < 50; count++) limit(400);
+  t.is(limit(350).goodUntil, 1_040);
+  t.is(limit(350, {isNested: true}).goodUntil, 1_090);
+});
+
 test('callers whose timeouts vary slightly are held to the objective', t => {
   // The callers' timeouts vary below a common maximum. If they counted as
   // inherited timeouts, the calls would only be held to their deadline, and
@@ -59,15 +66,15 @@
 test('a large answer is held to the objective for every caller', t => {
   const {limit} = setUp();
   t.is(limit(700).goodUntil, 1_700);
-  t.is(limit(700, 'large').goodUntil, 1_090);
+  t.is(limit(700, {size: 'large'}).goodUntil, 1_090);
 });
 
 // Refused requests for large answers are retried with the remaining time, and
 // would be admitted like new ones.
 test('a retrying caller of large answers is detected after few requests', t => {
   const {limit} = setUp();
-  for (const timeout of [780, 700, 740]) limit(timeout, 'large');
-  const {goodUntil} = limit(640, 'large');
+  for (const timeout of [780, 700, 740]) limit(timeout, {size: 'large'});
+  const {goodUntil} = limit(640, {size: 'large'});
   t.is(goodUntil, 1_090, 'within the variation of the callers');
-  t.true(limit(550, 'large').goodUntil < 1_000);
+  t.true(limit(550, {size: 'large'}).goodUntil < 1_000);
 });
--- a/src/request/decisions/time-limits.ts
+++ b/src/request/decisions/time-limits.ts
@@ -15,13 +15,21 @@
   readonly goodUntil: number;
 }
 
+/** What the limits of a request depend on besides its caller and route. */
+export interface TimeNeeds {
+  /** Size of the answer; `small` by default. */
+  readonly size?: CallSize;
+  /** Whether the call is part of another request; false by default. */
+  readonly isNested?: boolean;
+}
+
 /** Determines the limits of requests. */
 export interface TimeLimiter {
-  /** The limits of a request that has just arrived; `size` is its answer's. */
+  /** The limits of a request that has just arrived. */
   limit(
     callerOptions: CallerOptions,
     match: RouteMatch,
-    size?: CallSize,
+    needs?: TimeNeeds,
   ): TimeLimits;
   /** Records that a request of the route was refused or failed. */
   failed(route: Route): void;
@@ -47,10 +55,10 @@
   function objectiveTime(
     {timeout}: CallerOptions,
     {route, policy}: RouteMatch,
-    size: CallSize,
+    {size = 'small', isNested = false}: TimeNeeds,
   ): number {
     const objective = policy.objective.latency - networkAllowance;
-    if (timeout === undefined) return objective;
+    if (timeout === undefined || isNested) return objective;
     const effective = Math.min(timeout, policy.deadline);
     const waited = typicalTimeouts.waited(route, effective);
     if (waited !== undefined) return objective - waited;
@@ -61,7 +69,7 @@
   function limit(
     callerOptions: CallerOptions,
     match: RouteMatch,
-    size: CallSize = 'small',
+    needs: TimeNeeds = {},
   ): TimeLimits {
     const now = timers.now();
     const {deadline: maxTimeout} = match.policy;
@@ -69,7 +77,7 @@
       now + Math.min(callerOptions.timeout ?? Infinity, maxTimeout);
     const goodUntil = Math.min(
       deadline,
-      now + objectiveTime(callerOptions, match, size),
+      now + objectiveTime(callerOptions, match, needs),
     );
     return {deadline, goodUntil};
   }
--- a/src/request/decisions/upload-slots.test.ts
+++ b/src/request/decisions/upload-slots.test.ts
@@ -138,7 +138,7 @@
     count.lookups++;
     const offeredAt = clock.now();
     admission.offer({
-      priority: 'normal',
+      rank: 'normal',
       kind: 'lookup',
       deadline: offeredAt + 1000,
       start() {
@@ -155,7 +155,7 @@
     const offeredAt = clock.now();
     const deadline = offeredAt + 3000;
     admission.offer({
-      priority: 'normal',
+      rank: 'normal',
       kind: 'upload',
       body,
       deadline,
--- a/src/request/fakes/recorded-tickets.ts
+++ b/src/request/fakes/recorded-tickets.ts
@@ -5,7 +5,7 @@
   /** Results in the order of their occurrence: `NAME starts` or `NAME CODE`. */
   readonly events: string[];
   /**
-   * Offers a ticket with normal priority and a late deadline; `changes`
+   * Offers a ticket with the rank `normal` and a late deadline; `changes`
    * override these defaults.
    */
   offer(name: string, changes?: Partial<Ticket>): Ticket;
@@ -18,7 +18,7 @@
     events,
     offer(name, changes) {
       const ticket: Ticket = {
-        priority: 'normal',
+        rank: 'normal',
         deadline: 1e6,
         start: () => void events.push(`${name} starts`),
         refuse: reason => void events.push(`${name} ${reason.code.name}`),
--- a/src/request/messages/hops.ts
+++ b/src/request/messages/hops.ts
@@ -4,11 +4,11 @@
  * or `UpstreamReceiver`; transport passes incoming calls to a `CallHandler`.
  * Neither folder imports the other, so decisions are tested without sockets.
  */
-import type {Priority} from '../../configuration/configuration.js';
 import type {Announcement} from '../../endpoints/messages.js';
 import type {Answer} from './answer.js';
 import type {AnswerHead, Call, Cancel, Refusal} from './call.js';
 import type {FinishEstimate} from './finish-estimate.js';
+import type {Rank} from './rank.js';
 import type {ReportedState} from './reported-state.js';
 import type {UpstreamSignals} from './upstream-signals.js';
 
@@ -29,7 +29,7 @@
    */
   estimateFor(
     policy: string | undefined,
-    priority: Priority,
+    rank: Rank,
   ): FinishEstimate | undefined;
   /** What the upstream has reported; undefined if nothing. */
   readonly reported: ReportedState | undefined;
@@ -44,7 +44,7 @@
   updateLoad(load: number): void;
   /** Stores the gate's estimate for calls like `call`, if it told one. */
   updateEstimate(
-    call: Pick<Call, 'policy' | 'priority'>,
+    call: Pick<Call, 'policy' | 'priority' | 'isNested'>,
     estimate: FinishEstimate | undefined,
   ): void;
   /** What the upstream has reported, as far as this entry has heard. */
--- a/src/request/transport/workspace-hops.test.ts
+++ b/src/request/transport/call-hops.test.ts
@@ -1,4 +1,4 @@
-/** How the workspace of a call passes between nodes. */
+/** How the workspace and the rank of a call pass between nodes. */
 import test from 'ava';
 import {createSilentLog} from '../../log/log.js';
 import type {SocketLink} from '../../link/socket-link.js';
@@ -8,6 +8,7 @@
 import {callOf} from '../fakes/calls.js';
 import type {Call} from '../messages/call.js';
 import type {CallHandler} from '../messages/hops.js';
+import {rankOf} from '../messages/rank.js';
 import {allSafeguards} from '../messages/safeguards.js';
 import {callOverLink} from './framed-call.js';
 import {createFramedGate} from './framed-gate.js';
@@ -91,6 +92,14 @@
   t.is((await receive(frameOf(callOf()))).workspace, undefined);
 });
 
+test('a gate learns that a call is nested, also not from an earlier release', async t => {
+  const frame = frameOf(callOf({isNested: true}));
+  t.true((await receive(frame)).isNested);
+  const other = frameOf(callOf({isNested: false}));
+  t.false('isNested' in other);
+  t.is(rankOf(await receive(other)), 'normal');
+});
+
 test('an upstream receives a header only for a call of a workspace', t => {
   const {headers} = createDefaultUpstreamProtocol();
   const name = 'foxbarrow-workspace';
--- a/src/request/transport/framed-call.ts
+++ b/src/request/transport/framed-call.ts
@@ -110,6 +110,7 @@
       instance,
       service,
       ...(call.workspace !== undefined && {workspace: call.workspace}),
+      ...(call.isNested === true && {isNested: true}),
       ...(reported !== undefined && {reported}),
       ...timeLeft(call, timers),
     };
--- a/src/request/transport/framed-gate.ts
+++ b/src/request/transport/framed-gate.ts
@@ -13,6 +13,7 @@
 import type {Call, Cancel} from '../messages/call.js';
 import type {FinishEstimate} from '../messages/finish-estimate.js';
 import type {ReportedState} from '../messages/reported-state.js';
+import {rankOf} from '../messages/rank.js';
 import {createRefusal, toRefusal} from '../messages/refusal.js';
 import type {Safeguards} from '../messages/safeguards.js';
 import type {EgressQueue} from './egress-queue.js';
@@ -147,7 +148,7 @@
         const {reported} = gate;
         const estimate =
           options.tellsEstimates === true
-            ? gate.estimateFor(frame.policy, frame.priority)
+            ? gate.estimateFor(frame.policy, rankOf(frame))
             : undefined;
         return {
           load,
@@ -259,6 +260,7 @@
     headers: frame.headers,
     body: body === undefined ? {kind: 'none'} : {kind: 'whole', bytes: body},
     priority: frame.priority,
+    isNested: frame.isNested,
     repeatability: frame.repeatability,
     key: frame.key,
     reported: frame.reported,
--- a/src/request/transport/frames.ts
+++ b/src/request/transport/frames.ts
@@ -38,6 +38,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer | undefined;
   readonly priority: Priority;
+  /** Absent for calls that no other request waits for, and in older versions. */
+  readonly isNested?: boolean;
   readonly repeatability: Repeatability;
   readonly key: string | undefined;
   /** What the entry has heard of the upstream's reports. */
--- a/src/request/transport/http-call.ts
+++ b/src/request/transport/http-call.ts
@@ -147,6 +147,7 @@
       ? []
       : [headerNames.reported, formatReportedState(reported)]),
     ...[headerNames.priority, call.priority],
+    ...(call.isNested === true ? [headerNames.nested, '1'] : []),
     ...[headerNames.repeatability, call.repeatability],
     ...[headerNames.bodyLimit, String(bodyLimit)],
   ];
