--- a/src/request/quota-check.ts
+++ b/src/request/quota-check.ts
@@ -8,7 +8,6 @@
   Quotas,
 } from '../quotas/quotas.js';
 import type {Code} from '../result/code.js';
-import type {Timers} from '../time/timers.js';
 import type {Refusal} from './messages/call.js';
 import {requestCodes} from './messages/codes.js';
 import {createRefusal} from './messages/refusal.js';
@@ -18,7 +17,6 @@
 export interface QuotaCheckOptions {
   /** Undefined if no quotas are enforced. */
   readonly quotas: Quotas | undefined;
-  readonly timers: Timers;
   readonly log: Log;
 }
 
@@ -32,7 +30,7 @@
  */
 export type QuotaCheck = (
   workspace: Workspace | undefined,
-  limits: TimeLimits,
+  limits: Pick<TimeLimits, 'deadline'>,
   work: number,
 ) => QuotaCheckResult | Promise<QuotaCheckResult>;
 
@@ -45,7 +43,7 @@
 
 /** Creates the check of one entry. */
 export function createQuotaCheck(options: QuotaCheckOptions): QuotaCheck {
-  const {quotas, timers, log} = options;
+  const {quotas, log} = options;
 
   function failed(workspace: string, error: unknown): QuotaCheckResult {
     const {message} = error as Error;
@@ -53,31 +51,19 @@
     return {refused: createRefusal(requestCodes.quotaUnknown)};
   }
 
-  return (workspace, limits, work) => {
+  return (workspace, {deadline}, work) => {
     if (workspace?.quota === undefined || quotas === undefined) {
       return withoutCredit;
     }
     const {name} = workspace;
-    const until = latestStart(limits, work, timers.now());
-    const decision = quotas.take(name, until);
+    // A refused caller comes back later than the home answers, so even a late
+    // answer is better.
+    const decision = quotas.take(name, deadline - work);
     if (!(decision instanceof Promise)) return toResult(decision);
     return decision.then(toResult, error => failed(name, error));
   };
 }
 
-/**
- * Until when an answer can still meet the objective, or the deadline if it is
- * too late for the objective. A refused request loses more than the wait.
- */
-function latestStart(
-  {goodUntil, deadline}: TimeLimits,
-  work: number,
-  now: number,
-): number {
-  const inTime = goodUntil - work;
-  return inTime > now ? inTime : deadline - work;
-}
-
 function toResult(decision: QuotaDecision): QuotaCheckResult {
   if (decision.kind === 'granted') return {credit: decision.credit};
   const {reason, retryAfter} = decision;
