--- a/bench/overload/simulation.ts
+++ b/bench/overload/simulation.ts
@@ -413,7 +413,8 @@
       isEnded = true;
       deadlineTimer.cancel();
       const held = timers.now() - startedAt;
-      admission.done(status === 504 ? undefined : held, kindOf(call.policy!));
+      const duration = status === 504 ? undefined : held;
+      admission.done(duration, kindOf(call.policy!), true, rankOf(call));
       if (status === 504) {
         answer.refuse(createRefusal(requestCodes.deadlinePassed));
       } else {
--- a/src/request/messages/rank.ts
+++ b/src/request/messages/rank.ts
@@ -18,6 +18,11 @@
   'background',
 ];
 
+/** Whether a rank is that of nested calls. */
+export function isNestedRank(rank: Rank): boolean {
+  return rank.startsWith('nested-');
+}
+
 /** The rank of a call. */
 export function rankOf({
   priority,
