Uploads of nested calls end with their rank

An upload slot was released as that of a new call, whatever its rank, so the number of running new uploads could fall below zero; read again, not seen in a play.

Tried and not kept: the expected wait of new calls counted with the slots that they may use.

--- a/src/request/decisions/upload-slots.ts
+++ b/src/request/decisions/upload-slots.ts
@@ -62,7 +62,7 @@
         const startedAt = clock.now();
         body.onEnd(isWhole => {
           const duration = isWhole ? clock.now() - startedAt : undefined;
-          uploads.done(duration, ticket.kind);
+          uploads.done(duration, ticket.kind, true, ticket.rank);
         });
         admission.offer(ticket);
       },
