Read again: one demand, one limit of usefulness, the common part of nested kinds

No behaviour changes. The demand of nested calls is the decaying average that quotas have (`quotas/demand.ts`) in place of a second one. The two nested kinds of the sawmill share their fields.

--- a/bench/overload/sawmill.ts
+++ b/bench/overload/sawmill.ts
@@ -4,6 +4,19 @@
   SimulatedInstanceOptions,
 } from './simulation.js';
 
+/** What the kinds of nested calls have in common. */
+const nestedKind = {
+  priority: 'normal',
+  repeatability: 'idempotent',
+  rate: 0,
+  work: 36,
+  spread: 0.5,
+  objective: 150,
+  deadline: 400,
+  worth: 0,
+  lateWorth: 0,
+} as const;
+
 /** Lookups whose calls run at the service that takes the bookings. */
 export const sawmillKinds: readonly RequestKind[] = [
   {
@@ -60,32 +73,8 @@
     worth: 0.86,
     lateWorth: 0.26,
   },
-  {
-    name: 'grade-fetch',
-    service: 'susarna',
-    priority: 'normal',
-    repeatability: 'idempotent',
-    rate: 0,
-    work: 36,
-    spread: 0.5,
-    objective: 150,
-    deadline: 400,
-    worth: 0,
-    lateWorth: 0,
-  },
-  {
-    name: 'yard-map',
-    service: 'expedice',
-    priority: 'normal',
-    repeatability: 'idempotent',
-    rate: 0,
-    work: 36,
-    spread: 0.5,
-    objective: 150,
-    deadline: 400,
-    worth: 0,
-    lateWorth: 0,
-  },
+  {...nestedKind, name: 'grade-fetch', service: 'susarna'},
+  {...nestedKind, name: 'yard-map', service: 'expedice'},
 ];
 
 const domains = ['a', 'b', 'c'];
--- a/bench/overload/simulation.ts
+++ b/bench/overload/simulation.ts
@@ -12,7 +12,10 @@
 import {createInstancePool} from '../../src/request/decisions/instance-pool.js';
 import type {InstancePool} from '../../src/request/decisions/instance-pool.js';
 import {createNoopRequestTracer} from '../../src/request/decisions/request-tracer.js';
-import {isNestedCall} from '../../src/request/decisions/nested-calls.js';
+import {
+  isNestedCall,
+  usefulUntil,
+} from '../../src/request/decisions/nested-calls.js';
 import {createTimeLimiter} from '../../src/request/decisions/time-limits.js';
 import type {TimeLimiter} from '../../src/request/decisions/time-limits.js';
 import {createWorkspaceWeights} from '../../src/request/decisions/workspace-weights.js';
@@ -429,10 +432,7 @@
       weight: weightOf(call.workspace),
       sharesByKind: workspaces.length === 0,
       deadline: call.deadline,
-      goodUntil:
-        call.isNested === true
-          ? call.deadline
-          : (call.goodUntil ?? call.deadline),
+      goodUntil: usefulUntil(call),
       start: () => {
         isStarted = true;
         startedAt = timers.now();
--- a/src/request/decisions/nested-calls.ts
+++ b/src/request/decisions/nested-calls.ts
@@ -1,5 +1,6 @@
-/** Tells the calls that upstreams make while they run a request. */
+/** The calls that upstreams make while they run a request. */
 import type {Configuration} from '../../configuration/configuration.js';
+import type {Call} from '../messages/call.js';
 
 /**
  * Whether an upstream made a call as part of another request. Callers have a
@@ -11,3 +12,15 @@
 ): boolean {
   return workspaces.size > 0 && workspace === undefined;
 }
+
+/**
+ * Until when an answer is worth a slot. Without a nested call, the request that
+ * waits for it fails, so it may miss its objective.
+ */
+export function usefulUntil({
+  isNested,
+  deadline,
+  goodUntil = deadline,
+}: Pick<Call, 'isNested' | 'deadline' | 'goodUntil'>): number {
+  return isNested === true ? deadline : goodUntil;
+}
--- a/src/request/decisions/nested-demand.ts
+++ b/src/request/decisions/nested-demand.ts
@@ -1,6 +1,8 @@
 /** How many slots of an upstream nested calls use. */
+import {createDemand} from '../../quotas/demand.js';
+import type {Demand} from '../../quotas/demand.js';
 import type {Clock} from '../../time/clock.js';
-import {isNestedRank, ranks} from '../messages/rank.js';
+import {ranks} from '../messages/rank.js';
 import type {Rank} from '../messages/rank.js';
 
 /** The demand of nested calls at one upstream. */
@@ -14,32 +16,28 @@
 /** Milliseconds over which the demand is averaged. */
 const span = 1_000;
 
+const millisecondsPerSecond = 1_000;
+
 /** Creates the demand of an upstream without any calls. */
 export function createNestedDemand(clock: Clock): NestedDemand {
-  const sums = new Map<Rank, number>();
-  let decayedAt = clock.now();
-
-  function decay(): void {
-    const now = clock.now();
-    if (now === decayedAt) return;
-    const factor = Math.exp((decayedAt - now) / span);
-    decayedAt = now;
-    for (const [rank, sum] of sums) sums.set(rank, sum * factor);
-  }
+  const demands = new Map<Rank, Demand>();
 
   return {
     offered(rank, work) {
-      decay();
-      sums.set(rank, (sums.get(rank) ?? 0) + work);
+      let demand = demands.get(rank);
+      if (demand === undefined) {
+        demand = createDemand(clock, span);
+        demands.set(rank, demand);
+      }
+      demand.add(work);
     },
     slotsBefore(rank) {
-      decay();
       let work = 0;
       for (const other of ranks) {
         if (other === rank) break;
-        if (isNestedRank(other)) work += sums.get(other) ?? 0;
+        work += demands.get(other)?.rate() ?? 0;
       }
-      return work / span;
+      return work / millisecondsPerSecond;
     },
   };
 }
