--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -1,6 +1,8 @@
 /** A client that sends single requests on raw sockets or kept connections. */
+import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
 import {Agent, request as startRequest} from 'node:http';
+import {clearTimeout, setTimeout} from 'node:timers';
 import {digestOf} from './instance.mjs';
 
 export const createId = () => randomBytes(8).toString('hex');
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -13,7 +13,9 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as pause} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
+import {URL, fileURLToPath} from 'node:url';
+
+const {AbortSignal, fetch} = globalThis;
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
 const binary = join(root, 'target/foxbarrow');
--- a/review/lib-2/instance.mjs
+++ b/review/lib-2/instance.mjs
@@ -1,8 +1,12 @@
 /** A stand-in for an application instance, on raw sockets so that it can misbehave. */
+import {Buffer} from 'node:buffer';
 import {createHash, randomBytes} from 'node:crypto';
 import {createServer} from 'node:net';
+import {clearInterval, setInterval} from 'node:timers';
 import {setTimeout as pause} from 'node:timers/promises';
 
+const {AbortSignal, fetch} = globalThis;
+
 const soundBehaviour = {};
 
 /** Reads one request from a socket's bytes; undefined while it is incomplete. */
--- a/review/lib-2/operator.mjs
+++ b/review/lib-2/operator.mjs
@@ -1,6 +1,8 @@
 /** An operator that sends configurations as PROTOCOL.md describes it. */
 import {setTimeout as pause} from 'node:timers/promises';
 
+const {AbortSignal, fetch} = globalThis;
+
 /** Sends one call; follows a redirect twice. */
 export async function call(address, method, path, body, limit = 1000) {
   let url = `http://${address}${path}`;
