Review case 4: what an instance says after a restart while its clock was back is dropped

An instance crashes while the time of day of its machine is set back by 2400 s and starts again under the id that it had. Its heartbeats, its `draining` and its DELETE are answered 200 and dropped, since its `born` lies before that of the dead incarnation.

--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -38,7 +38,7 @@
     digest: digestOf(whole),
     deadline,
   });
-  record.event('sent', {request: id, method, path, node: node.name});
+  record.event('sent', {request: id, path, node: node.name});
   const outgoing = startRequest(`http://${node.outbound}${path}`, {
     method,
     agent,
@@ -59,7 +59,8 @@
     function done(answer) {
       clearTimeout(timer);
       record.answered(id, answer);
-      record.event('answered', {request: id, ...answer, body: undefined});
+      const {status, error} = answer;
+      record.event('answered', {request: id, status, error});
       resolve(answer);
     }
     outgoing.on('response', incoming => {
--- a/review/lib-2/instance.mjs
+++ b/review/lib-2/instance.mjs
@@ -62,6 +62,7 @@
   behaviour = () => soundBehaviour,
   id = `i-${randomBytes(4).toString('hex')}`,
   heartbeat = 1500,
+  born,
   record,
 }) {
   const [host, port] = address.split(':');
@@ -144,7 +145,7 @@
       signature,
       body: result,
     });
-    record.event('runs', {request: requestId, instance: id, service, path});
+    record.event('runs', {request: requestId, instance: id});
     await pause(plan.work ?? work(path));
     running--;
     if (isEnded || socket.destroyed) return;
@@ -225,6 +226,7 @@
 
   function heartbeatBody(changes = {}) {
     return {
+      ...(born !== undefined && {born}),
       address,
       info: {service, version: 'v1', zone: machine.zone, slots},
       status: {state, sequence: ++sequence, warmup_remaining_s: 0},
@@ -266,6 +268,24 @@
     setState(next) {
       state = next;
     },
+    /** Says that it is gone; resolves with the status of the answer. */
+    async leave() {
+      try {
+        const answer = await fetch(
+          `http://${machine.control}/v1/instances/${id}`,
+          {
+            method: 'DELETE',
+            headers: {'content-type': 'application/json'},
+            body: JSON.stringify(born === undefined ? {} : {born}),
+            signal: AbortSignal.timeout(1000),
+          },
+        );
+        await answer.text();
+        return answer.status;
+      } catch {
+        return undefined;
+      }
+    },
     /** Sends no more heartbeats. */
     silence() {
       clearInterval(timer);
