What an instance says of its end outlives the process that heard it

Callers saw: requests went on to an instance that had left (DELETE answered 200), and were lost when it exited.

Cause: that a process of the instance drains or has left was kept in the memory of the node's process only, and acknowledged at once. The tombstone at the homes is the node's: it is there after every planned stop, whether the instance has left or not, and names no process. A process of the node that started again announced whatever heartbeat came first.

Evidence, with the lines of the commit before: `process left` with the start time of the announced process at the old one, then `process announced` with the same start time and a lower sequence at the new one.

Change: a departure is committed in the log of the control group before the upstream is told that it was heard, and a node that starts announces nothing before a quorum has confirmed which ones there are. Work stops with the message itself, as before.

--- a/scenarios/control-vm.ts
+++ b/scenarios/control-vm.ts
@@ -13,6 +13,7 @@
 } from '../src/consensus/fakes/freezable.js';
 import {createFakeDisk} from '../src/disk/fakes/fake-disk.js';
 import type {FakeDisk} from '../src/disk/fakes/fake-disk.js';
+import {createReplicatedDepartures} from '../src/departures/replicated-departures.js';
 import {createFreshnessTracker} from '../src/distribution/freshness-tracker.js';
 import {createSectionSource} from '../src/distribution/section-source.js';
 import type {FakeNetwork} from '../src/link/fakes/fake-network.js';
@@ -102,6 +103,11 @@
     });
     const barrier = () => consensus.readBarrier();
     const freshness = createFreshnessTracker(barrier, processClock);
+    const departures = createReplicatedDepartures({
+      ...shared,
+      consensus,
+      machine,
+    });
     const host = {
       ...shared,
       self: {
@@ -114,6 +120,8 @@
       peers: () => members.map(each => distributionAddress(each.name)),
       source: createSectionSource(machine),
       barrier,
+      departures,
+      onPeer: departures.peer,
       asOf: freshness.asOf,
       confirmedAt: freshness.confirmedAt,
       batchWindow: 50,
--- a/src/configuration/limits.ts
+++ b/src/configuration/limits.ts
@@ -23,6 +23,8 @@
   readonly workspaces: number;
   /** Maximum number of keys of all workspaces together. */
   readonly keys: number;
+  /** Maximum number of departures of upstreams. */
+  readonly departures: number;
   /** Number of operators, most recently active, whose answers are stored. */
   readonly operators: number;
   /** Number of answers, those of the highest sequences, stored per operator. */
@@ -63,6 +65,7 @@
     quarantines: limits.quarantines,
     workspaces: limits.workspaces,
     keys: limits.keys,
+    departures: limits.departures,
     operators: limits.operators,
     answers: limits.answers,
     history: limits.history,
--- a/src/link/channel.ts
+++ b/src/link/channel.ts
@@ -7,7 +7,8 @@
   | 'fleet'
   | 'quarantine'
   | 'rollouts'
-  | 'quotas';
+  | 'quotas'
+  | 'departures';
 
 interface Envelope {
   readonly plane: Plane;
--- a/src/node/parts.ts
+++ b/src/node/parts.ts
@@ -1,3 +1,4 @@
+import type {InstanceDepartures} from '../departures/instance-departures.js';
 import type {
   AnnounceServer,
   AnnounceServerOptions,
@@ -7,6 +8,11 @@
 import type {UpstreamProtocol} from '../request/transport/upstream-protocol.js';
 import type {SampleTraffic} from './code-warm-up.js';
 
+/** Options of the listener that receives the upstream's announcements. */
+export interface UpstreamListenerOptions extends AnnounceServerOptions {
+  readonly departures: InstanceDepartures;
+}
+
 /** Adapters for the platform of a deployment; each replaces a default. */
 export interface NodeParts {
   /** The protocol of callers. */
@@ -17,6 +23,6 @@
   readonly sampleTraffic?: SampleTraffic;
   /** Opens the listener that receives the upstream's announcements. */
   readonly listenForUpstream?: (
-    options: AnnounceServerOptions,
+    options: UpstreamListenerOptions,
   ) => Promise<AnnounceServer>;
 }
--- a/src/relay/distribution-host.ts
+++ b/src/relay/distribution-host.ts
@@ -3,6 +3,8 @@
  * configuration to them, maintains the leases of their announcements and
  * aggregates their acknowledgements. Control processes and relays both run it.
  */
+import {createDepartureServer} from '../departures/departure-server.js';
+import type {DepartureLog} from '../departures/departure-log.js';
 import {createDistributor} from '../distribution/distributor.js';
 import type {DistributorOptions} from '../distribution/distributor.js';
 import type {Distributor} from '../distribution/distributor.js';
@@ -38,6 +40,9 @@
   readonly homes?: () => readonly HomeAddress[];
   readonly source: DistributorOptions['source'];
   readonly barrier: DistributorOptions['barrier'];
+  readonly departures: DepartureLog;
+  /** Called with the links to the other control processes. */
+  readonly onPeer?: (channels: Channels) => void;
   /** Local time as of which a quorum last confirmed the state of the source. */
   readonly asOf: () => number | undefined;
   /** The same by both clocks. */
@@ -98,7 +103,12 @@
     bounds: options.quotas,
   });
 
+  const departures = createDepartureServer(options.departures, log);
+
   fleet.onHello((hello, channels) => {
+    // First, since nodes take a confirmed state without a word about departures
+    // for that of an older release.
+    if (hello.kind !== 'control') departures.accept(channels);
     distributor.accept(channels);
     if (hello.kind === 'node') {
       registry.accept(channels);
@@ -109,6 +119,7 @@
       registry.peer(channels);
       evidence.peer(channels);
       quotas.peer(channels);
+      if (hello.kind === 'control') options.onPeer?.(channels);
       if (hello.kind === 'relay') rollouts.acceptRelay(channels);
       else rollouts.peer(channels);
     }
@@ -139,6 +150,7 @@
     log,
   });
   mesh.onChannels(attach);
+  mesh.onChannels(channels => options.onPeer?.(channels));
   mesh.onReport(fleet.receiveReport);
 
   return {
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -1,5 +1,6 @@
 /** The relay role: a subscriber of control that serves as a home of nodes. */
 import {createAdmin} from '../admin/create-admin.js';
+import {createDepartureClient} from '../departures/departure-client.js';
 import {createHomeConnection} from '../distribution/home-connection.js';
 import {createSubscriber} from '../distribution/subscriber.js';
 import type {RunningRole} from '../process/role.js';
@@ -35,12 +36,15 @@
     log,
   });
   const subscriber = createSubscriber({home, timers, random, log});
+  const departures = createDepartureClient({timers, random, log});
+  home.onChannels(departures.attach);
   const host = await createDistributionHost({
     self,
     address: settings.distributionAddress,
     peers: () => settings.relays,
     source: subscriber.sections,
     barrier: subscriber.barrier,
+    departures,
     asOf: home.asOf,
     confirmedAt: home.confirmedAt,
     batchWindow: settings.batchWindow,
--- a/src/settings/limits.ts
+++ b/src/settings/limits.ts
@@ -19,6 +19,7 @@
     quarantines: count.default(limits.quarantines),
     workspaces: count.default(limits.workspaces),
     keys: count.default(limits.keys),
+    departures: count.default(limits.departures),
     operators: count.default(limits.operators),
     answers: count.default(limits.answers),
     history: count.default(limits.history),
