A log sink can be closed, and writes nothing after it

Cause: a test closed the descriptor of a sink that still held lines. Its library writes again 100 ms after each EAGAIN, with a timer that nobody can cancel, to the number of the descriptor. The next file that any thread of the process opens gets that number: here the pipe by which libuv hands signals to a loop, from which it then reads the letter x in place of a pointer.

Change: the sink starts all writes itself, repeats them by the timer service, and can be closed: what it holds is counted as dropped, and the owner of the descriptor may close it once `close` has resolved, as a write may be under way in another thread until then.

--- a/src/log/line-sink.ts
+++ b/src/log/line-sink.ts
@@ -5,7 +5,7 @@
  * buffer are dropped and counted.
  */
 import sonicBoom from 'sonic-boom';
-import type {Timers} from '../time/timers.js';
+import type {Subscription, Timers} from '../time/timers.js';
 
 /** Options of `createLineSink`. */
 export interface LineSinkOptions {
@@ -23,6 +23,12 @@
   takeDropped(): number;
   /** Resolves when all lines are written, or after `limit` milliseconds. */
   drain(limit: number): Promise<void>;
+  /**
+   * Drops the lines that are not being written. Resolves when nothing is written
+   * any more; only then may the descriptor be closed, since its number can be
+   * given to another file at once.
+   */
+  close(): Promise<void>;
 }
 
 /** Bytes; holds a few seconds of lines at the maximum rate of a node. */
@@ -34,50 +40,109 @@
 /** Maximum number of milliseconds for which a line waits for further ones. */
 const flushDelay = 200;
 
+/** Milliseconds until a write is repeated after the reader's buffer was full. */
+const retryDelay = 100;
+
 /** Creates a sink. */
 export function createLineSink(options: LineSinkOptions): LineSink {
   const {timers} = options;
+  const capacity = options.capacity ?? defaultCapacity;
   let dropped = 0;
-  let buffered = 0;
-  let isFlushScheduled = false;
+  let accepted = 0;
+  let written = 0;
+  /** For each line that is not written completely, `accepted` at its end. */
+  const ends: number[] = [];
+  let isWriting = false;
+  /** Whether the reader's buffer was full at the last attempt. */
+  let isBlocked = false;
+  let isClosed = false;
+  let closing: Promise<void> | undefined;
+  let timer: Subscription | undefined;
   let onDrained = () => {};
+  let onIdle = () => {};
 
   const output = new sonicBoom.SonicBoom({
     fd: options.descriptor,
     sync: false,
-    minLength: minWriteSize,
-    maxLength: options.capacity ?? defaultCapacity,
+    // Above the capacity, so that only `startWrite` starts writes.
+    minLength: capacity + 1,
+    maxWrite: capacity + 2,
+    maxLength: capacity,
+    // Its own timer for another attempt could not be cancelled.
+    retryEAGAIN: () => false,
   });
   output.on('drop', () => {
     dropped++;
   });
   output.on('write', (bytes: number) => {
-    buffered -= bytes;
-    if (buffered <= 0) onDrained();
+    written += bytes;
+    while (ends.length > 0 && ends[0]! <= written) ends.shift();
+    if (ends.length === 0) onDrained();
+  });
+  output.on('drain', () => {
+    endWrite();
+    if (!isClosed) continueWriting();
   });
-  // The reader has closed the pipe, and the error can't be logged anywhere. Further
-  // lines fill the buffer and are then counted as dropped.
-  output.on('error', () => onDrained());
+  output.on('error', (error: NodeJS.ErrnoException) => {
+    endWrite();
+    isBlocked = isBusy(error);
+    if (isBlocked) schedule(retryDelay);
+    // The reader has closed the pipe, and the error can't be logged anywhere.
+    // Further lines fill the buffer and are then counted as dropped.
+    else onDrained();
+  });
+
+  function startWrite(): void {
+    if (isWriting || isClosed || ends.length === 0) return;
+    timer?.cancel();
+    timer = undefined;
+    isBlocked = false;
+    isWriting = true;
+    output.flush();
+  }
+
+  function endWrite(): void {
+    isWriting = false;
+    onIdle();
+  }
 
-  function flush(): void {
-    isFlushScheduled = false;
-    if (buffered > 0) output.flush();
+  function continueWriting(): void {
+    if (accepted - written >= minWriteSize) startWrite();
+    else if (ends.length > 0) schedule(flushDelay);
   }
 
-  function scheduleFlush(): void {
-    if (isFlushScheduled) return;
-    isFlushScheduled = true;
-    timers.after(flushDelay, flush);
+  function schedule(delay: number): void {
+    if (isClosed || timer !== undefined) return;
+    timer = timers.after(delay, () => {
+      timer = undefined;
+      startWrite();
+    });
+  }
+
+  function write(line: string): void {
+    if (isClosed) {
+      dropped++;
+      return;
+    }
+    const droppedBefore = dropped;
+    output.write(line);
+    if (dropped > droppedBefore) return;
+    accepted += Buffer.byteLength(line);
+    ends.push(accepted);
+    if (!isWriting && !isBlocked) continueWriting();
+  }
+
+  async function end(): Promise<void> {
+    isClosed = true;
+    timer?.cancel();
+    if (isWriting) await new Promise<void>(resolve => (onIdle = resolve));
+    dropped += ends.length;
+    ends.length = 0;
+    onDrained();
   }
 
   return {
-    write: line => {
-      const droppedBefore = dropped;
-      output.write(line);
-      if (dropped > droppedBefore) return;
-      buffered += Buffer.byteLength(line);
-      scheduleFlush();
-    },
+    write,
     takeDropped: () => {
       const count = dropped;
       dropped = 0;
@@ -85,13 +150,19 @@
     },
     drain: limit =>
       new Promise(resolve => {
-        if (buffered <= 0) return resolve();
+        if (ends.length === 0) return resolve();
         const timeout = timers.after(limit, resolve);
         onDrained = () => {
           timeout.cancel();
           resolve();
         };
-        output.flush();
+        startWrite();
       }),
+    close: () => (closing ??= end()),
   };
 }
+
+/** Whether the reader's buffer is full for now. */
+function isBusy({code}: NodeJS.ErrnoException): boolean {
+  return code === 'EAGAIN' || code === 'EBUSY';
+}
