Lines of a draining log sink don't wait for further ones

Since the sink starts all writes itself, lines that came during the last write before a process ends would wait for the flush delay again, up to the limit of the drain. Found by reading; no line was seen lost.

--- a/src/log/line-sink.ts
+++ b/src/log/line-sink.ts
@@ -58,6 +58,8 @@
   let isClosed = false;
   let closing: Promise<void> | undefined;
   let timer: Subscription | undefined;
+  /** Whether lines are not to wait for further ones. */
+  let isDraining = false;
   let onDrained = () => {};
   let onIdle = () => {};
 
@@ -77,7 +79,9 @@
   output.on('write', (bytes: number) => {
     written += bytes;
     while (ends.length > 0 && ends[0]! <= written) ends.shift();
-    if (ends.length === 0) onDrained();
+    if (ends.length > 0) return;
+    isDraining = false;
+    onDrained();
   });
   output.on('drain', () => {
     endWrite();
@@ -107,7 +111,7 @@
   }
 
   function continueWriting(): void {
-    if (accepted - written >= minWriteSize) startWrite();
+    if (isDraining || accepted - written >= minWriteSize) startWrite();
     else if (ends.length > 0) schedule(flushDelay);
   }
 
@@ -132,7 +136,7 @@
     if (!isWriting && !isBlocked) continueWriting();
   }
 
-  async function end(): Promise<void> {
+  async function stop(): Promise<void> {
     isClosed = true;
     timer?.cancel();
     if (isWriting) await new Promise<void>(resolve => (onIdle = resolve));
@@ -151,6 +155,7 @@
     drain: limit =>
       new Promise(resolve => {
         if (ends.length === 0) return resolve();
+        isDraining = true;
         const timeout = timers.after(limit, resolve);
         onDrained = () => {
           timeout.cancel();
@@ -158,7 +163,7 @@
         };
         startWrite();
       }),
-    close: () => (closing ??= end()),
+    close: () => (closing ??= stop()),
   };
 }
 
