A relay answers questions about departures only if its home does

A relay of this release beside control of an older one said that it answers and never did, so a node that started announced no instance. Found by reading; the new test fails without the change. The relay says so once its own home has said it, which is before any configuration comes from there.

--- a/src/departures/departure-client.ts
+++ b/src/departures/departure-client.ts
@@ -20,8 +20,6 @@
 export abstract class DepartureClient extends DepartureLog {
   /** Asks over this link from now on. */
   abstract attach(channels: Channels): void;
-  /** Whether the home of the present link answers questions. */
-  abstract isServed(): boolean;
 }
 
 /**
@@ -47,6 +45,7 @@
   const log = options.log.scope('departures');
   const pending = new Map<number, Pending>();
   let channel: Channel | undefined;
+  const servedObservers: Array<() => void> = [];
   let isServed = false;
   let lastNumber = 0;
   let resendTimer: Subscription | undefined;
@@ -90,13 +89,18 @@
   function receive(body: unknown): void {
     const reply = parseReply(body);
     if (reply === undefined) log.warn('reply about departures refused');
-    else if (reply.kind === 'ready') isServed = true;
+    else if (reply.kind === 'ready') serve();
     else {
       isFailing = false;
       settle(reply.number, reply);
     }
   }
 
+  function serve(): void {
+    isServed = true;
+    for (const observe of servedObservers) observe();
+  }
+
   function attach(channels: Channels): void {
     const opened = channels.on('departures');
     channel = opened;
@@ -119,6 +123,10 @@
       return isServed;
     }
 
+    onServed(observe: () => void): void {
+      servedObservers.push(observe);
+    }
+
     async record(departure: Departure): Promise<boolean> {
       const number = ++lastNumber;
       const reply = await ask({kind: 'record', number, departure});
--- a/src/departures/departure-log.ts
+++ b/src/departures/departure-log.ts
@@ -9,4 +9,8 @@
    * call; undefined if it is not sure that these are all.
    */
   abstract recall(instance: string): Promise<readonly Departure[] | undefined>;
+  /** Whether questions are answered; false beside homes of older releases. */
+  abstract isServed(): boolean;
+  /** Calls `observe` each time questions begin to be answered. */
+  abstract onServed(observe: () => void): void;
 }
--- a/src/departures/departure-server.ts
+++ b/src/departures/departure-server.ts
@@ -18,6 +18,11 @@
 ): DepartureServer {
   const log = parentLog.scope('departures');
 
+  const channels = new Set<Channel>();
+
+  const sendReady = (channel: Channel) =>
+    channel.send({kind: 'ready'} satisfies Reply);
+
   async function answer(question: Question): Promise<Reply | undefined> {
     const {number} = question;
     if (question.kind === 'record') {
@@ -34,15 +39,21 @@
     if (reply !== undefined) channel.send(reply);
   }
 
-  return {
-    accept(channels) {
-      const channel = channels.on('departures');
-      channel.onMessage(body => {
-        const question = parseQuestion(body);
-        if (question !== undefined) void serve(channel, question);
-        else log.warn('question refused', {peer: channels.link.peer});
-      });
-      channel.send({kind: 'ready'} satisfies Reply);
-    },
-  };
+  function accept(accepted: Channels): void {
+    const channel = accepted.on('departures');
+    channels.add(channel);
+    accepted.onClose(() => channels.delete(channel));
+    channel.onMessage(body => {
+      const question = parseQuestion(body);
+      if (question !== undefined) void serve(channel, question);
+      else log.warn('question refused', {peer: accepted.link.peer});
+    });
+    if (departures.isServed()) sendReady(channel);
+  }
+
+  departures.onServed(() => {
+    for (const channel of channels) sendReady(channel);
+  });
+
+  return {accept};
 }
--- a/src/departures/departures.test.ts
+++ b/src/departures/departures.test.ts
@@ -179,6 +179,17 @@
   node.stop();
 });
 
+test('a node at a relay whose home is of an older release goes on as before', async t => {
+  const cluster = await createCluster();
+  await cluster.olderHome('older-1');
+  await cluster.relay('relay-1', 'older-1');
+  const node = await cluster.node('relay-1');
+  await cluster.timers.advanceAsync(100);
+  node.onConfirmed();
+  t.deepEqual(node.recalled(), []);
+  t.true(await resultOf(cluster, node.record(left)));
+});
+
 test('a node at a home of an older release goes on as before', async t => {
   const cluster = await createCluster();
   await cluster.olderHome('older-1');
--- a/src/departures/replicated-departures.ts
+++ b/src/departures/replicated-departures.ts
@@ -126,5 +126,11 @@
       if (!barrier.ok) return undefined;
       return machine.departures().of(instance);
     }
+
+    isServed(): boolean {
+      return true;
+    }
+
+    onServed(): void {}
   })();
 }
