--- a/src/departures/departure-client.ts
+++ b/src/departures/departure-client.ts
@@ -61,12 +61,16 @@
     entry.resolve(reply);
   }
 
+  function logFailure(kind: Question['kind']): void {
+    if (!isFailing) log.warn('no reply about departures', {kind});
+    isFailing = true;
+  }
+
   function ask(question: Question): Promise<Reply | undefined> {
     const {kind, number} = question;
     return new Promise(resolve => {
       const timer = timers.after(questionTimeout, () => {
-        if (!isFailing) log.warn('no reply about departures', {kind});
-        isFailing = true;
+        if (channel !== undefined) logFailure(kind);
         settle(number, undefined);
       });
       pending.set(number, {question, resolve, timer});
