An instance whose clock was back at its start is not ignored

It had started again under its id while the clock of its VM was set back.

Cause: of two processes with one id the one with the later start counted as running, whatever else was known, and messages of the other were answered as if they had been taken. So its drain and its leave were acknowledged and dropped, for good.

Ended processes are kept by their exact start, at the node and in the log, so late messages of the dead one are still told.

--- a/src/configuration/departures.ts
+++ b/src/configuration/departures.ts
@@ -69,17 +69,11 @@
   };
 }
 
-const keyOf = ({instance, identity}: Departure) => `${instance} ${identity}`;
+const keyOf = ({instance, identity, started}: Departure) =>
+  `${instance} ${started} ${identity}`;
 
-/**
- * Whether `next` says more of an identity than `known` does. A departure
- * without a start time is about all processes of the identity.
- */
+/** Whether `next` says more of a process than `known` does. */
 function isLater(next: Departure, known: Departure): boolean {
-  if (next.started !== known.started) {
-    if (known.started === undefined) return false;
-    return next.started === undefined || next.started > known.started;
-  }
   if (known.state === 'gone') return false;
   return next.state === 'gone' || next.sequence > known.sequence;
 }
