A body that is no UTF-8 is refused instead of read with other letters

Cause: bodies were decoded by a lenient decoder, which replaces what it can't read. Two different bodies could count as one.

The operators' own API reads its bodies by its library and is not changed.

--- a/src/link/http-server.test.ts
+++ b/src/link/http-server.test.ts
@@ -83,7 +83,7 @@
 test('an oversized body that ends is answered', async t => {
   const server = createServer(
     answerWith(async incoming => ({
-      isOversized: (await readText(incoming, 4)) === undefined,
+      body: await readText(incoming, 4),
     })),
   );
   const listener = await openServer(server, '127.0.0.1:0');
@@ -93,9 +93,21 @@
     `PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 9999\r\n\r\n${'x'.repeat(9999)}`,
   );
   const [data] = (await once(socket, 'data')) as [Buffer];
-  t.regex(data.toString(), /"isOversized":true/);
+  t.regex(data.toString(), /"reason":"too-large"/);
 });
 
+test('bytes that are no UTF-8 are not replaced without a sign', async t => {
+  const bytes = Buffer.from('saúde', 'latin1');
+  const read = (body: Buffer) => readText(toChunks(body), 16);
+  t.like(await read(bytes), {ok: false, reason: 'not-utf8'});
+  t.deepEqual(await read(Buffer.from('saúde')), {ok: true, text: 'saúde'});
+});
+
+/** Chunks of one byte, so that a letter spans two. */
+async function* toChunks(body: Buffer) {
+  for (const byte of body) yield Buffer.of(byte);
+}
+
 test('a body that does not end in time closes its connection', async t => {
   const timers = createFakeTimers();
   const server = createServer(
@@ -118,7 +130,8 @@
   const size = 64 * 1024 * 1024;
   const server = createServer(
     answerWith(async incoming => ({
-      text: `${await readText(incoming, 4)}${'x'.repeat(size)}`,
+      body: await readText(incoming, 4),
+      padding: 'x'.repeat(size),
     })),
   );
   const listener = await openServer(server, '127.0.0.1:0', timers);
--- a/src/link/http-server.ts
+++ b/src/link/http-server.ts
@@ -1,4 +1,5 @@
 /** Shared functions of the small HTTP listeners of a process. */
+import {isUtf8} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Log} from '../log/log.js';
@@ -105,14 +106,24 @@
  */
 const discardLimit = 64 * 1024 * 1024;
 
+/** The text of a request's body, or why it can't be used. */
+export type BodyText =
+  | {readonly ok: true; readonly text: string}
+  | {
+      readonly ok: false;
+      readonly reason: 'too-large' | 'not-utf8';
+      /** For the sender. */
+      readonly problem: string;
+    };
+
 /**
- * Reads a request's body as text; undefined if it exceeds `limit` bytes. Rejects
- * if it doesn't end soon after.
+ * Reads a request's body as text. Rejects if it exceeds `limit` bytes and doesn't
+ * end soon after.
  */
 export async function readText(
   incoming: AsyncIterable<Buffer> | IncomingMessage,
   limit: number,
-): Promise<string | undefined> {
+): Promise<BodyText> {
   const chunks: Buffer[] = [];
   let length = 0;
   for await (const chunk of incoming as AsyncIterable<Buffer>) {
@@ -121,7 +132,14 @@
     else if (length > limit + discardLimit)
       throw new Error(`the body has more than ${limit} bytes and doesn't end`);
   }
-  return length > limit ? undefined : Buffer.concat(chunks).toString('utf8');
+  if (length > limit) {
+    const problem = `the body has more than ${limit} bytes`;
+    return {ok: false, reason: 'too-large', problem};
+  }
+  const bytes = Buffer.concat(chunks);
+  // A lenient decoder would replace what it can't read without a sign.
+  if (isUtf8(bytes)) return {ok: true, text: bytes.toString('utf8')};
+  return {ok: false, reason: 'not-utf8', problem: 'the body is not UTF-8'};
 }
 
 /**
