--- a/src/departures/departure-client.ts
+++ b/src/departures/departure-client.ts
@@ -1,11 +1,10 @@
 /** Asks a home about departures. */
 import type {Departure} from '../configuration/departures.js';
-import {backoffDelay} from '../distribution/backoff.js';
 import type {Channel, Channels} from '../link/channel.js';
 import type {Log} from '../log/log.js';
 import type {Random} from '../random/random.js';
 import type {Subscription, Timers} from '../time/timers.js';
-import {DepartureLog} from './departure-log.js';
+import {DepartureStore} from './departure-store.js';
 import {parseReply} from './messages.js';
 import type {Question, Reply} from './messages.js';
 
@@ -17,7 +16,7 @@
 }
 
 /** The departures as kept by the control group, reached through a home. */
-export abstract class DepartureClient extends DepartureLog {
+export abstract class DepartureClient extends DepartureStore {
   /** Asks over this link from now on. */
   abstract attach(channels: Channels): void;
 }
@@ -28,8 +27,8 @@
  */
 const questionTimeout = 800;
 
-/** Delay until a question is sent again, in milliseconds. */
-const resendDelay = {first: 400, most: 400};
+/** Bounds of the delay until a question is sent again, in milliseconds. */
+const resendDelay = {least: 200, most: 600};
 
 interface Pending {
   readonly question: Question;
@@ -81,7 +80,8 @@
 
   function scheduleResend(): void {
     resendTimer?.cancel();
-    const delay = resendDelay.most / 2 + backoffDelay(0, resendDelay, random);
+    const {least, most} = resendDelay;
+    const delay = least + random.fraction() * (most - least);
     resendTimer = timers.after(delay, resend);
   }
 
--- a/src/departures/departure-server.ts
+++ b/src/departures/departure-server.ts
@@ -1,7 +1,7 @@
 /** Answers the questions about departures of nodes and relays. */
 import type {Channel, Channels} from '../link/channel.js';
 import type {Log} from '../log/log.js';
-import type {DepartureLog} from './departure-log.js';
+import type {DepartureStore} from './departure-store.js';
 import {parseQuestion} from './messages.js';
 import type {Question, Reply} from './messages.js';
 
@@ -13,11 +13,10 @@
 
 /** Creates the server of one home. */
 export function createDepartureServer(
-  departures: DepartureLog,
+  departures: DepartureStore,
   parentLog: Log,
 ): DepartureServer {
   const log = parentLog.scope('departures');
-
   const channels = new Set<Channel>();
 
   const sendReady = (channel: Channel) =>
--- a/src/departures/departure-log.ts
+++ b/src/departures/departure-store.ts
@@ -1,7 +1,7 @@
 import type {Departure} from '../configuration/departures.js';
 
 /** Where departures are kept so that they outlive the process that heard them. */
-export abstract class DepartureLog {
+export abstract class DepartureStore {
   /** Resolves to true once a majority of the control group has synced it. */
   abstract record(departure: Departure): Promise<boolean>;
   /**
--- a/src/departures/instance-departures.ts
+++ b/src/departures/instance-departures.ts
@@ -50,14 +50,14 @@
   let recalled: readonly OwnDeparture[] | undefined;
   let isStopped = false;
   let isHomeOlder = false;
-  let attempt = ask();
+  let asking = ask();
 
   async function ask(): Promise<void> {
     const startedAt = timers.now();
     const answer = await client.recall(instance);
     if (recalled !== undefined || isStopped) return;
     if (answer === undefined) {
-      attempt = ask();
+      asking = ask();
       return;
     }
     recalled = answer;
@@ -74,7 +74,7 @@
     },
     recalled: () => recalled,
     async recall() {
-      await attempt;
+      await asking;
       return recalled;
     },
     onConfirmed() {
--- a/src/departures/replicated-departures.ts
+++ b/src/departures/replicated-departures.ts
@@ -7,7 +7,7 @@
 import type {Log} from '../log/log.js';
 import {commonCodes} from '../result/codes.js';
 import type {Timers} from '../time/timers.js';
-import {DepartureLog} from './departure-log.js';
+import {DepartureStore} from './departure-store.js';
 import {parseQuestion, parseReply} from './messages.js';
 import type {Question, Reply} from './messages.js';
 
@@ -23,7 +23,7 @@
 }
 
 /** The departures at one control process. */
-export abstract class ReplicatedDepartures extends DepartureLog {
+export abstract class ReplicatedDepartures extends DepartureStore {
   /** Exchanges departures with another control process. */
   abstract peer(channels: Channels): void;
 }
--- a/src/relay/distribution-host.ts
+++ b/src/relay/distribution-host.ts
@@ -4,7 +4,7 @@
  * aggregates their acknowledgements. Control processes and relays both run it.
  */
 import {createDepartureServer} from '../departures/departure-server.js';
-import type {DepartureLog} from '../departures/departure-log.js';
+import type {DepartureStore} from '../departures/departure-store.js';
 import {createDistributor} from '../distribution/distributor.js';
 import type {DistributorOptions} from '../distribution/distributor.js';
 import type {Distributor} from '../distribution/distributor.js';
@@ -40,7 +40,7 @@
   readonly homes?: () => readonly HomeAddress[];
   readonly source: DistributorOptions['source'];
   readonly barrier: DistributorOptions['barrier'];
-  readonly departures: DepartureLog;
+  readonly departures: DepartureStore;
   /** Called with the links to the other control processes. */
   readonly onPeer?: (channels: Channels) => void;
   /** Local time as of which a quorum last confirmed the state of the source. */
