--- a/src/log/line-sink.ts
+++ b/src/log/line-sink.ts
@@ -48,71 +48,78 @@
   const {timers} = options;
   const capacity = options.capacity ?? defaultCapacity;
   let dropped = 0;
-  let accepted = 0;
-  let written = 0;
-  /** For each line that is not written completely, `accepted` at its end. */
-  const ends: number[] = [];
+  let held: string[] = [];
+  let heldBytes = 0;
+  /** The lines handed to `output`, and how many of their bytes are unwritten. */
+  let handed: readonly string[] = [];
+  let handedBytes = 0;
   let isWriting = false;
   /** Whether the reader's buffer was full at the last attempt. */
   let isBlocked = false;
+  /** Whether lines are not to wait for further ones. */
+  let isDraining = false;
   let isClosed = false;
   let closing: Promise<void> | undefined;
   let timer: Subscription | undefined;
-  /** Whether lines are not to wait for further ones. */
-  let isDraining = false;
   let onDrained = () => {};
   let onIdle = () => {};
 
   const output = new sonicBoom.SonicBoom({
     fd: options.descriptor,
     sync: false,
-    // Above the capacity, so that only `startWrite` starts writes.
+    // More than it is handed at once, so that only `startWrite` starts writes.
     minLength: capacity + 1,
     maxWrite: capacity + 2,
-    maxLength: capacity,
     // Its own timer for another attempt could not be cancelled.
     retryEAGAIN: () => false,
   });
-  output.on('drop', () => {
-    dropped++;
-  });
   output.on('write', (bytes: number) => {
-    written += bytes;
-    while (ends.length > 0 && ends[0]! <= written) ends.shift();
-    if (ends.length > 0) return;
-    isDraining = false;
-    onDrained();
+    handedBytes -= bytes;
   });
   output.on('drain', () => {
+    handed = [];
     endWrite();
-    if (!isClosed) continueWriting();
+    if (held.length > 0) return continueWriting();
+    isDraining = false;
+    onDrained();
   });
   output.on('error', (error: NodeJS.ErrnoException) => {
-    endWrite();
     isBlocked = isBusy(error);
+    endWrite();
     if (isBlocked) schedule(retryDelay);
     // The reader has closed the pipe, and the error can't be logged anywhere.
     // Further lines fill the buffer and are then counted as dropped.
     else onDrained();
   });
 
+  const isEmpty = () => held.length === 0 && handed.length === 0;
+
   function startWrite(): void {
-    if (isWriting || isClosed || ends.length === 0) return;
+    if (isWriting || isClosed || isEmpty()) return;
     timer?.cancel();
     timer = undefined;
     isBlocked = false;
     isWriting = true;
+    if (handed.length === 0) handOver();
     output.flush();
   }
 
+  function handOver(): void {
+    handed = held;
+    handedBytes = heldBytes;
+    held = [];
+    heldBytes = 0;
+    output.write(handed.join(''));
+  }
+
   function endWrite(): void {
     isWriting = false;
     onIdle();
   }
 
   function continueWriting(): void {
-    if (isDraining || accepted - written >= minWriteSize) startWrite();
-    else if (ends.length > 0) schedule(flushDelay);
+    if (isDraining || heldBytes >= minWriteSize) startWrite();
+    else schedule(flushDelay);
   }
 
   function schedule(delay: number): void {
@@ -124,24 +131,34 @@
   }
 
   function write(line: string): void {
-    if (isClosed) {
+    const size = Buffer.byteLength(line);
+    if (isClosed || heldBytes + handedBytes + size > capacity) {
       dropped++;
       return;
     }
-    const droppedBefore = dropped;
-    output.write(line);
-    if (dropped > droppedBefore) return;
-    accepted += Buffer.byteLength(line);
-    ends.push(accepted);
+    held.push(line);
+    heldBytes += size;
     if (!isWriting && !isBlocked) continueWriting();
   }
 
+  /** Number of the handed lines that are not written completely. */
+  function countUnwritten(): number {
+    let rest = handedBytes;
+    let count = 0;
+    for (let index = handed.length - 1; rest > 0 && index >= 0; index--) {
+      rest -= Buffer.byteLength(handed[index]!);
+      count++;
+    }
+    return count;
+  }
+
   async function stop(): Promise<void> {
     isClosed = true;
     timer?.cancel();
     if (isWriting) await new Promise<void>(resolve => (onIdle = resolve));
-    dropped += ends.length;
-    ends.length = 0;
+    dropped += held.length + countUnwritten();
+    held = [];
+    handed = [];
     onDrained();
   }
 
@@ -154,7 +171,7 @@
     },
     drain: limit =>
       new Promise(resolve => {
-        if (ends.length === 0) return resolve();
+        if (isEmpty()) return resolve();
         isDraining = true;
         const timeout = timers.after(limit, resolve);
         onDrained = () => {
