A control process whose clock was ahead goes on above its last sequence

Cause: it takes the sequences of its commands from the time of day. The replicated table of answers refuses sequences up to the highest that it has dropped, and a process that starts again with the right time begins far below it.

Change: such a refusal bears the highest sequence and means that the command did not run, so the process goes on above it, as operators' tools do.

--- a/src/configuration/system-proposer.ts
+++ b/src/configuration/system-proposer.ts
@@ -38,7 +38,7 @@
     return lastSequence;
   }
 
-  return async (edits, expectedVersion) => {
+  const propose: SystemProposer = async (edits, expectedVersion) => {
     const command = {
       operator,
       sequence: nextSequence(),
@@ -51,4 +51,13 @@
     if (!proposed.ok) return proposed;
     return success(decodeAnswer(proposed.value));
   };
+
+  return async (edits, expectedVersion) => {
+    const proposed = await propose(edits, expectedVersion);
+    const highest = proposed.ok ? proposed.value.highest : undefined;
+    if (highest === undefined) return proposed;
+    // The clock was ahead when an earlier process took its sequences from it.
+    lastSequence = Math.max(lastSequence, highest);
+    return propose(edits, expectedVersion);
+  };
 }
