The simulation of a full link gives its sockets real time

Cause: the test moves a fake clock through real sockets and waits ten turns of the loop a step. On a busy machine the bytes of a step arrive some steps later by that clock, so uploads count as late.

Change: the sockets get a millisecond of real time every 2 ms of the simulation. Bounds and load are as they were.

--- a/src/request/incoming-link.test.ts
+++ b/src/request/incoming-link.test.ts
@@ -1,4 +1,5 @@
 import {request as httpRequest} from 'node:http';
+import {setTimeout as pause} from 'node:timers/promises';
 import test from 'ava';
 import {parseAddress} from '../link/address.js';
 import type {Address} from '../link/link.js';
@@ -138,6 +139,18 @@
   return {sent: 0, stored: 0, inTime: 0};
 }
 
+/**
+ * Advances the simulation by `duration`. Between its steps the sockets get real
+ * time, since on a busy machine their bytes would be late by its clock.
+ */
+async function advanceWithSockets(timers: FakeTimers): Promise<void> {
+  const step = 2;
+  for (let passed = 0; passed < duration; passed += step) {
+    await timers.advanceAsync(step);
+    await pause(1);
+  }
+}
+
 /** Simulates uploads for `duration`. */
 async function simulate(load: Load) {
   const timers = createFakeTimers();
@@ -170,7 +183,7 @@
     }
     if (isDue(load.byCallers)) upload(ownEntry, byCallers);
   });
-  await timers.advanceAsync(duration);
+  await advanceWithSockets(timers);
   ticks.cancel();
   const carried = (link.bytes / linkRate / duration) * 1000;
   const results = {toGate, byCallers, longestDelay, carried};
